Add the design and a thin path from caller to engine

Cause: the project is empty; a request has to travel the whole path before any part is filled out. Change: design page, workspace of four modules, replicated state machine types, a single-process log, planner, entry, engine stand-in and dev command. Conclusion: the path holds; consensus, membership between hosts, admission and durable storage are missing.

--- /dev/null
+++ b/core/membership/server.go
@@ -0,0 +1,105 @@
+// Package membership keeps the hosts and backend servers of a deployment:
+// what they announce, which are silent, and which are leaving. It performs no
+// I/O and reads no clock.
+package membership
+
+import (
+	"github.com/pollenwheel/pollenwheel/core/config"
+)
+
+// Tier is where a backend server caches a checkpoint.
+type Tier string
+
+// Checkpoint tiers, fastest first.
+const (
+	TierMemory Tier = "memory"
+	TierDisk   Tier = "disk"
+	TierStore  Tier = "store"
+)
+
+// ReportPhase is the state of a model or adapter as its server reports it.
+type ReportPhase string
+
+// Report phases. Absent reports the end of an unload or of a failed load.
+const (
+	ReportLoading   ReportPhase = "loading"
+	ReportReady     ReportPhase = "ready"
+	ReportUnloading ReportPhase = "unloading"
+	ReportAbsent    ReportPhase = "absent"
+)
+
+// Report is one model or adapter on a backend server.
+type Report struct {
+	Model   string      `json:"model"`
+	Adapter string      `json:"adapter,omitempty"`
+	Version string      `json:"version"`
+	Phase   ReportPhase `json:"phase"`
+	// Order is the fencing number of the newest order executed for it.
+	Order uint64 `json:"order"`
+}
+
+// Checkpoint is a cached checkpoint. Those not listed are in the remote store.
+type Checkpoint struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Tier    Tier   `json:"tier"`
+}
+
+// Load is a server's own load report. It lags.
+type Load struct {
+	Running   int   `json:"running"`
+	Queued    int   `json:"queued"`
+	KVUsedMiB int64 `json:"kv_used_mib"`
+}
+
+// Server is a backend server's announcement. Sequence increases with every
+// announcement of one incarnation.
+type Server struct {
+	Name          string             `json:"name"`
+	Service       string             `json:"service"`
+	Kind          config.ServiceKind `json:"kind"`
+	DataCentre    string             `json:"data_centre"`
+	Address       string             `json:"address"`
+	Incarnation   uint64             `json:"incarnation"`
+	Sequence      uint64             `json:"sequence"`
+	Accelerators  int                `json:"accelerators"`
+	MemoryMiB     int64              `json:"memory_mib"`
+	Engine        string             `json:"engine,omitempty"`
+	ChecksFencing bool               `json:"checks_fencing"`
+	Leaving       bool               `json:"leaving,omitempty"`
+	Models        []Report           `json:"models,omitempty"`
+	Cached        []Checkpoint       `json:"cached,omitempty"`
+	Load          Load               `json:"load"`
+}
+
+// Newer reports whether s supersedes o.
+func (s Server) Newer(o Server) bool {
+	if s.Incarnation != o.Incarnation {
+		return s.Incarnation > o.Incarnation
+	}
+	return s.Sequence > o.Sequence
+}
+
+// Report returns the server's report for a model or adapter.
+func (s Server) Report(model, adapter string) (Report, bool) {
+	for _, r := range s.Models {
+		if r.Model == model && r.Adapter == adapter {
+			return r, true
+		}
+	}
+	return Report{}, false
+}
+
+// Host is an entry host's own record.
+type Host struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	// CallerAddress is where callers and backend servers connect; PeerAddress
+	// is where other hosts connect.
+	CallerAddress string `json:"caller_address"`
+	PeerAddress   string `json:"peer_address"`
+	Incarnation   uint64 `json:"incarnation"`
+	Sequence      uint64 `json:"sequence"`
+	Control       bool   `json:"control,omitempty"`
+	Leaving       bool   `json:"leaving,omitempty"`
+}
--- /dev/null
+++ b/core/state/command.go
@@ -0,0 +1,185 @@
+// Package state is the state machine that the replicated log applies:
+// configuration, backend server registry, placements with their order intents,
+// claims on non-idempotent requests, and quarantined requests. Apply is
+// deterministic and performs no I/O.
+package state
+
+import (
+	"encoding/json"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+)
+
+// Command is one log entry's payload. Exactly one field besides UnixMS is set;
+// a command with none is a no-op.
+type Command struct {
+	// UnixMS is the proposer's wall clock in milliseconds. The state keeps the
+	// highest value seen, so its clock never goes back.
+	UnixMS    int64      `json:"unix_ms,omitempty"`
+	Configure *Configure `json:"configure,omitempty"`
+	Register  *Register  `json:"register,omitempty"`
+	Lose      *Lose      `json:"lose,omitempty"`
+	Load      *Load      `json:"load,omitempty"`
+	Unload    *Unload    `json:"unload,omitempty"`
+	Settle    *Settle    `json:"settle,omitempty"`
+	Attempt   *Attempt   `json:"attempt,omitempty"`
+	Resolve   *Resolve   `json:"resolve,omitempty"`
+	Claim     *Claim     `json:"claim,omitempty"`
+	Outcome   *Outcome   `json:"outcome,omitempty"`
+	Suspect   *Suspect   `json:"suspect,omitempty"`
+	Trial     *Trial     `json:"trial,omitempty"`
+	Acquit    *Acquit    `json:"acquit,omitempty"`
+}
+
+// Configure replaces the configuration if Expected is the current version.
+type Configure struct {
+	ChangeID string               `json:"change_id"`
+	Expected uint64               `json:"expected"`
+	Next     config.Configuration `json:"next"`
+}
+
+// Register records a backend server incarnation. A newer incarnation proves
+// that the older process has ended.
+type Register struct {
+	Server        string             `json:"server"`
+	Incarnation   uint64             `json:"incarnation"`
+	Service       string             `json:"service"`
+	Kind          config.ServiceKind `json:"kind"`
+	DataCentre    string             `json:"data_centre"`
+	Address       string             `json:"address"`
+	MemoryMiB     int64              `json:"memory_mib"`
+	ChecksFencing bool               `json:"checks_fencing"`
+}
+
+// Lose records that a server incarnation has ended or is presumed lost.
+type Lose struct {
+	Server      string `json:"server"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Sender names the control host process that may send an order.
+type Sender struct {
+	Host        string `json:"host"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Load opens an intent to load a model, or an adapter when Adapter is set.
+type Load struct {
+	Server      string `json:"server"`
+	Incarnation uint64 `json:"incarnation"`
+	Model       string `json:"model"`
+	Adapter     string `json:"adapter,omitempty"`
+	Sender      Sender `json:"sender"`
+}
+
+// Unload opens an intent to unload what Load placed.
+type Unload struct {
+	Server      string `json:"server"`
+	Incarnation uint64 `json:"incarnation"`
+	Model       string `json:"model"`
+	Adapter     string `json:"adapter,omitempty"`
+	Sender      Sender `json:"sender"`
+}
+
+// Settle closes an intent from a server's report that already covers the
+// intent's fencing number. Loaded is what the server reported.
+type Settle struct {
+	Server      string `json:"server"`
+	Incarnation uint64 `json:"incarnation"`
+	Model       string `json:"model"`
+	Adapter     string `json:"adapter,omitempty"`
+	Fence       uint64 `json:"fence"`
+	Loaded      bool   `json:"loaded"`
+	// Sequence is the announcement sequence of the report.
+	Sequence uint64 `json:"sequence"`
+}
+
+// Attempt records a further sender of an open intent, before it sends.
+type Attempt struct {
+	Server  string `json:"server"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter,omitempty"`
+	Fence   uint64 `json:"fence"`
+	Sender  Sender `json:"sender"`
+}
+
+// Resolve records that a sender has no copy of the order in flight. With an
+// empty Server it covers every order of that sender, because its process ended.
+type Resolve struct {
+	Server  string `json:"server,omitempty"`
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Fence   uint64 `json:"fence,omitempty"`
+	Sender  Sender `json:"sender"`
+	// Sequence is the server's announcement sequence when it answered; only a
+	// later report reflects the copy.
+	Sequence uint64 `json:"sequence,omitempty"`
+}
+
+// Claim reserves the only execution of a non-idempotent request.
+type Claim struct {
+	Key       string `json:"key"`
+	Caller    string `json:"caller"`
+	CreatedMS int64  `json:"created_ms"`
+	// Fingerprint is the hash of the request; a key reused for another request
+	// is refused.
+	Fingerprint string `json:"fingerprint"`
+	Holder      Sender `json:"holder"`
+}
+
+// Outcome records the result of a claimed request. An empty Body with
+// Unknown set records that the execution's outcome cannot be known.
+type Outcome struct {
+	Key     string `json:"key"`
+	Caller  string `json:"caller"`
+	Holder  Sender `json:"holder"`
+	Status  int    `json:"status,omitempty"`
+	Type    string `json:"type,omitempty"`
+	Body    []byte `json:"body,omitempty"`
+	Unknown bool   `json:"unknown,omitempty"`
+	// NotRun releases the claim: the request was proven not to have run.
+	NotRun bool `json:"not_run,omitempty"`
+}
+
+// Suspect marks the requests that were in flight on a server that died.
+type Suspect struct {
+	Server       string   `json:"server"`
+	Incarnation  uint64   `json:"incarnation"`
+	Fingerprints []string `json:"fingerprints"`
+}
+
+// Trial reserves the lone rerun of a suspect on one server.
+type Trial struct {
+	Fingerprint string `json:"fingerprint"`
+	Server      string `json:"server"`
+	Incarnation uint64 `json:"incarnation"`
+	Holder      Sender `json:"holder"`
+}
+
+// Acquit clears a suspect after a clean run.
+type Acquit struct {
+	Fingerprint string `json:"fingerprint"`
+}
+
+// EncodeCommand returns the log form of c.
+func EncodeCommand(c Command) ([]byte, error) { return json.Marshal(c) }
+
+// DecodeCommand parses the log form. Empty data is a no-op command.
+func DecodeCommand(data []byte) (Command, error) {
+	var c Command
+	if len(data) == 0 {
+		return c, nil
+	}
+	if err := json.Unmarshal(data, &c); err != nil {
+		return c, &DecodeError{What: "command", Err: err}
+	}
+	return c, nil
+}
+
+// ForFollowers returns the command as entry hosts without the control role
+// receive it: claims and outcomes are left out, since only the consensus
+// group answers for them.
+func (c Command) ForFollowers() Command {
+	c.Claim, c.Outcome = nil, nil
+	return c
+}
--- /dev/null
+++ b/core/state/errors.go
@@ -0,0 +1,48 @@
+package state
+
+import "fmt"
+
+// DecodeError reports log or snapshot data that cannot be parsed.
+type DecodeError struct {
+	What string
+	Err  error
+}
+
+func (e *DecodeError) Error() string { return fmt.Sprintf("state: decode %s: %v", e.What, e.Err) }
+
+// Unwrap returns the parser's error.
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+// Code says why a command was rejected.
+type Code string
+
+// Rejection codes.
+const (
+	CodeVersionConflict Code = "version_conflict"
+	CodeInvalid         Code = "invalid"
+	CodeUnknownServer   Code = "unknown_server"
+	CodeStale           Code = "stale"
+	CodeReplicaLimit    Code = "replica_limit"
+	CodeNoMemory        Code = "no_memory"
+	CodeNotPlaced       Code = "not_placed"
+	CodeBusy            Code = "busy"
+	CodeClaimHeld       Code = "in_progress"
+	CodeOutcomeUnknown  Code = "outcome_unknown"
+	CodeKeyExpired      Code = "key_expired"
+	CodeKeyReused       Code = "key_reused"
+	CodeQuarantined     Code = "quarantined"
+)
+
+// Rejection is the answer to a command that changed nothing.
+type Rejection struct {
+	Code   Code   `json:"code"`
+	Reason string `json:"reason"`
+	// Winner is the change that holds the version in a version conflict.
+	Winner string `json:"winner,omitempty"`
+}
+
+func (r *Rejection) Error() string { return fmt.Sprintf("state: %s: %s", r.Code, r.Reason) }
+
+func reject(code Code, format string, args ...any) Result {
+	return Result{Rejection: &Rejection{Code: code, Reason: fmt.Sprintf(format, args...)}}
+}
--- /dev/null
+++ b/core/state/state.go
@@ -0,0 +1,250 @@
+package state
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+)
+
+// Phase is the stage of a placement.
+type Phase string
+
+// Phases of a placement. Every phase occupies a replica slot and memory.
+const (
+	// PhaseLoading: a load was intended and is not yet settled.
+	PhaseLoading Phase = "loading"
+	// PhaseReady: the server reported the load as complete.
+	PhaseReady Phase = "ready"
+	// PhaseUnloading: an unload was intended and is not yet settled.
+	PhaseUnloading Phase = "unloading"
+	// PhaseHeld: the unload is complete, but a copy of the load order may still
+	// reach a server that ignores fencing numbers.
+	PhaseHeld Phase = "held"
+)
+
+// PlaceKey identifies a placement. Adapter is empty for a model.
+type PlaceKey struct {
+	Server, Model, Adapter string
+}
+
+// MarshalText makes the key usable as a JSON object key.
+func (k PlaceKey) MarshalText() ([]byte, error) {
+	return json.Marshal([3]string{k.Server, k.Model, k.Adapter})
+}
+
+// UnmarshalText is the inverse of MarshalText.
+func (k *PlaceKey) UnmarshalText(b []byte) error {
+	var a [3]string
+	if err := json.Unmarshal(b, &a); err != nil {
+		return err
+	}
+	k.Server, k.Model, k.Adapter = a[0], a[1], a[2]
+	return nil
+}
+
+// Placement is a model or adapter on a server, or the intent to change it.
+type Placement struct {
+	Incarnation uint64 `json:"incarnation"`
+	Version     string `json:"version"`
+	MemoryMiB   int64  `json:"memory_mib"`
+	Phase       Phase  `json:"phase"`
+	// Fence is the log index of the newest intent.
+	Fence uint64 `json:"fence"`
+	// LoadSenders may still have a copy of a load order in flight.
+	LoadSenders []Sender `json:"load_senders,omitempty"`
+	// MinSequence is the announcement sequence that a report must exceed to
+	// reflect every copy of an order that was ever executed.
+	MinSequence uint64 `json:"min_sequence,omitempty"`
+}
+
+// Server is a registered backend server.
+type Server struct {
+	Register
+	// Lost is set once the incarnation has ended or is presumed lost.
+	Lost bool `json:"lost,omitempty"`
+	// Returned marks a server that was presumed lost and came back with the
+	// same incarnation. It may hold models that no placement accounts for.
+	Returned bool `json:"returned,omitempty"`
+}
+
+// Change records an accepted configuration change for resends.
+type Change struct {
+	ID      string `json:"id"`
+	Version uint64 `json:"version"`
+}
+
+// ClaimRecord is a claim and, once known, its outcome.
+type ClaimRecord struct {
+	Claim
+	Outcome *Outcome `json:"outcome,omitempty"`
+}
+
+// SuspectRecord counts the servers that a request has crashed.
+type SuspectRecord struct {
+	// Crashes lists the server incarnations that died with the request in flight.
+	Crashes []string `json:"crashes"`
+	// Trial is the open lone rerun, if any.
+	Trial *Trial `json:"trial,omitempty"`
+	// Quarantined requests are refused on every host.
+	Quarantined bool `json:"quarantined,omitempty"`
+}
+
+// Result is the answer to one applied command.
+type Result struct {
+	Index uint64 `json:"index"`
+	// Version is the configuration version after a Configure.
+	Version   uint64     `json:"version,omitempty"`
+	Outcome   *Outcome   `json:"outcome,omitempty"`
+	Rejection *Rejection `json:"rejection,omitempty"`
+}
+
+// Err returns the rejection as an error, or nil.
+func (r Result) Err() error {
+	if r.Rejection == nil {
+		return nil
+	}
+	return r.Rejection
+}
+
+// State is the replicated state. It is not safe for concurrent use.
+type State struct {
+	Index      uint64                   `json:"index"`
+	ClockMS    int64                    `json:"clock_ms"`
+	Config     config.Configuration     `json:"config"`
+	Changes    []Change                 `json:"changes,omitempty"`
+	Servers    map[string]Server        `json:"servers"`
+	Placements map[PlaceKey]Placement   `json:"placements"`
+	Claims     map[string]ClaimRecord   `json:"claims"`
+	Suspects   map[string]SuspectRecord `json:"suspects"`
+
+	// ExpiredMS is the key creation time up to which claims were dropped. It is
+	// kept so that a longer retention never admits a key whose claim is gone.
+	ExpiredMS int64 `json:"expired_ms"`
+}
+
+// maxChanges bounds the remembered change ids. A resend of an older change gets
+// a version conflict, which is also safe.
+const maxChanges = 4096
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		Servers:    map[string]Server{},
+		Placements: map[PlaceKey]Placement{},
+		Claims:     map[string]ClaimRecord{},
+		Suspects:   map[string]SuspectRecord{},
+	}
+}
+
+// Apply executes the command of the log entry at index. Indexes must increase;
+// an entry at or below the current index changes nothing.
+func (s *State) Apply(index uint64, c Command) Result {
+	if index <= s.Index {
+		return reject(CodeStale, "entry %d is already applied", index)
+	}
+	s.Index = index
+	s.ClockMS = max(s.ClockMS, c.UnixMS)
+	s.expireClaims()
+	r := s.dispatch(c)
+	r.Index = index
+	return r
+}
+
+func (s *State) dispatch(c Command) Result {
+	switch {
+	case c.Configure != nil:
+		return s.configure(*c.Configure)
+	case c.Register != nil:
+		return s.register(*c.Register)
+	case c.Lose != nil:
+		return s.lose(*c.Lose)
+	case c.Load != nil:
+		return s.load(*c.Load)
+	case c.Unload != nil:
+		return s.unload(*c.Unload)
+	case c.Settle != nil:
+		return s.settle(*c.Settle)
+	case c.Attempt != nil:
+		return s.attempt(*c.Attempt)
+	case c.Resolve != nil:
+		return s.resolve(*c.Resolve)
+	case c.Claim != nil:
+		return s.claim(*c.Claim)
+	case c.Outcome != nil:
+		return s.outcome(*c.Outcome)
+	case c.Suspect != nil:
+		return s.suspect(*c.Suspect)
+	case c.Trial != nil:
+		return s.trial(*c.Trial)
+	case c.Acquit != nil:
+		return s.acquit(*c.Acquit)
+	}
+	return Result{}
+}
+
+// Snapshot encodes the state. Equal states have equal encodings, because JSON
+// objects are written with sorted keys.
+func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s) }
+
+// Restore decodes a snapshot.
+func Restore(data []byte) (*State, error) {
+	s := New()
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, &DecodeError{What: "snapshot", Err: err}
+	}
+	return s, nil
+}
+
+// Hash returns a digest of the state for comparison between members.
+func (s *State) Hash() string {
+	data, err := s.Snapshot()
+	if err != nil {
+		return "unencodable: " + err.Error()
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// ForFollowers returns a copy without claims, for entry hosts that follow the
+// log. Maps are cloned; the configuration is shared and never modified.
+func (s *State) ForFollowers() *State {
+	c := *s
+	c.Claims = map[string]ClaimRecord{}
+	c.Servers = maps.Clone(s.Servers)
+	c.Placements = maps.Clone(s.Placements)
+	c.Suspects = maps.Clone(s.Suspects)
+	return &c
+}
+
+func (s *State) configure(c Configure) Result {
+	for _, ch := range s.Changes {
+		if ch.ID == c.ChangeID {
+			return Result{Version: ch.Version}
+		}
+	}
+	if c.Expected != s.Config.Version {
+		return s.versionConflict(c)
+	}
+	next := c.Next
+	next.Version = s.Config.Version + 1
+	s.Config = next
+	s.Changes = append(s.Changes, Change{ID: c.ChangeID, Version: next.Version})
+	if len(s.Changes) > maxChanges {
+		s.Changes = append([]Change(nil), s.Changes[len(s.Changes)-maxChanges:]...)
+	}
+	return Result{Version: next.Version}
+}
+
+func (s *State) versionConflict(c Configure) Result {
+	r := reject(CodeVersionConflict, "expected version %d, current version is %d", c.Expected, s.Config.Version)
+	for _, ch := range s.Changes {
+		if ch.Version == c.Expected+1 {
+			r.Rejection.Winner = ch.ID
+		}
+	}
+	r.Version = s.Config.Version
+	return r
+}
--- /dev/null
+++ b/node/backend/announce.go
@@ -0,0 +1,61 @@
+package backend
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pollenwheel/pollenwheel/core/membership"
+)
+
+// maxAnnouncementBytes bounds one announcement.
+const maxAnnouncementBytes = 4 << 20
+
+// AnnouncementError reports an announcement that is not acceptable.
+type AnnouncementError struct {
+	Field   string `json:"field"`
+	Allowed string `json:"allowed"`
+}
+
+func (e *AnnouncementError) Error() string {
+	return "announcement: " + e.Field + " must be " + e.Allowed
+}
+
+// AnnouncementAnswer tells a backend server which hosts to announce to.
+type AnnouncementAnswer struct {
+	Hosts       []string `json:"hosts"`
+	KeepSeconds int      `json:"keep_seconds"`
+}
+
+// AnnounceHandler serves POST /v1/backend/announce.
+func AnnounceHandler(accept func(membership.Server), answer func() AnnouncementAnswer) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		var s membership.Server
+		body := http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncementBytes)
+		if err := json.NewDecoder(body).Decode(&s); err != nil {
+			return c.JSON(http.StatusBadRequest, &AnnouncementError{Field: "body", Allowed: "a JSON announcement"})
+		}
+		if err := checkAnnouncement(s); err != nil {
+			return c.JSON(http.StatusBadRequest, err)
+		}
+		accept(s)
+		return c.JSON(http.StatusOK, answer())
+	}
+}
+
+func checkAnnouncement(s membership.Server) *AnnouncementError {
+	switch {
+	case s.Name == "":
+		return &AnnouncementError{"name", "set"}
+	case s.Service == "":
+		return &AnnouncementError{"service", "set"}
+	case s.Address == "":
+		return &AnnouncementError{"address", "an IP address and port"}
+	case s.Incarnation == 0:
+		return &AnnouncementError{"incarnation", "greater than 0"}
+	case s.MemoryMiB < 0:
+		return &AnnouncementError{"memory_mib", "0 or more"}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/backend/client.go
@@ -0,0 +1,132 @@
+// Package backend is the HTTP interface to backend servers: it receives their
+// announcements and sends them orders and requests.
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+// OrderKind is what an order asks for.
+type OrderKind string
+
+// Order kinds.
+const (
+	LoadModel     OrderKind = "load_model"
+	UnloadModel   OrderKind = "unload_model"
+	LoadAdapter   OrderKind = "load_adapter"
+	UnloadAdapter OrderKind = "unload_adapter"
+)
+
+// Order is the body of POST /v1/orders.
+type Order struct {
+	Kind        OrderKind `json:"kind"`
+	Model       string    `json:"model"`
+	Adapter     string    `json:"adapter,omitempty"`
+	Version     string    `json:"version"`
+	Fence       uint64    `json:"fence"`
+	Incarnation uint64    `json:"incarnation"`
+	DeadlineMS  int64     `json:"deadline_ms"`
+}
+
+// OrderAnswer is the backend server's answer to an order. The load itself
+// completes later and is announced.
+type OrderAnswer struct {
+	Accepted bool   `json:"accepted"`
+	Reason   string `json:"reason,omitempty"`
+	// Sequence is the newest announcement sequence when the order was answered.
+	Sequence uint64 `json:"sequence"`
+}
+
+// Delivery says what is known about a message that failed.
+type Delivery int
+
+// Delivery outcomes.
+const (
+	// NotSent: no byte of the request reached the backend server.
+	NotSent Delivery = iota
+	// MaybeSent: the backend server may have received the request.
+	MaybeSent
+	// ProcessEnded: the address refused the connection, so no process listens.
+	ProcessEnded
+)
+
+// SendError reports a message that got no answer.
+type SendError struct {
+	Address  string
+	Delivery Delivery
+	Err      error
+}
+
+func (e *SendError) Error() string { return fmt.Sprintf("backend %s: %v", e.Address, e.Err) }
+
+// Unwrap returns the transport error.
+func (e *SendError) Unwrap() error { return e.Err }
+
+// Client sends orders and requests to backend servers.
+type Client struct{ http *http.Client }
+
+// connectTimeout bounds the wait for a backend server's TCP handshake.
+const connectTimeout = 500 * time.Millisecond
+
+// NewClient returns a client with its own connection pool.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 256,
+		DisableCompression:  true,
+	}}}
+}
+
+// Order sends one order and waits for its answer.
+func (c *Client) Order(ctx context.Context, address string, o Order) (OrderAnswer, error) {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return OrderAnswer{}, &SendError{Address: address, Delivery: NotSent, Err: err}
+	}
+	resp, err := c.Do(ctx, address, http.MethodPost, "/v1/orders", http.Header{"Content-Type": {"application/json"}}, body)
+	if err != nil {
+		return OrderAnswer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var a OrderAnswer
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&a); err != nil {
+		return a, &SendError{Address: address, Delivery: MaybeSent, Err: err}
+	}
+	return a, nil
+}
+
+// Do sends one request. The caller closes the answer's body.
+func (c *Client) Do(ctx context.Context, address, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, &SendError{Address: address, Delivery: NotSent, Err: err}
+	}
+	req.Header = header
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, &SendError{Address: address, Delivery: classify(err), Err: err}
+	}
+	return resp, nil
+}
+
+// classify tells failures before the first byte from those after it.
+func classify(err error) Delivery {
+	var op *net.OpError
+	if !errors.As(err, &op) || op.Op != "dial" {
+		return MaybeSent
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return ProcessEnded
+	}
+	return NotSent
+}
