Account for every copy of a load order that may still be executed

Cause: the replica limit and accelerator memory were enforced on intents, but a delayed or repeated copy of an order could load a model after its slot was given to another server. Ruled out: relying on fencing numbers. Fuzzing showed that a copy with the same number reloads a model after a failed load, and that a restarted server process knows no number and executes a late copy. Change: core/orders sends a load order only under a committed copy, once, and resolves the copy only when its transmission has ended; a slot stays held while copies are open. Conclusion: fencing numbers are kept as a second line, not as the proof.

--- a/core/config/configuration.go
+++ b/core/config/configuration.go
@@ -2,6 +2,8 @@
 // models, adapters, callers and objectives. It performs no I/O.
 package config
 
+import "time"
+
 // Role is what a caller's key permits.
 type Role string
 
@@ -152,3 +154,9 @@
 	m, ok = c.Model(name)
 	return m, "", ok
 }
+
+// PresumedLostAfter is the silence after which a backend server is presumed
+// lost; zero means never.
+func (d Deployment) PresumedLostAfter() time.Duration {
+	return time.Duration(d.PresumedLostAfterSeconds) * time.Second
+}
--- a/core/membership/server.go
+++ b/core/membership/server.go
@@ -67,9 +67,11 @@
 	Engine        string             `json:"engine,omitempty"`
 	ChecksFencing bool               `json:"checks_fencing"`
 	Leaving       bool               `json:"leaving,omitempty"`
-	Models        []Report           `json:"models,omitempty"`
-	Cached        []Checkpoint       `json:"cached,omitempty"`
-	Load          Load               `json:"load"`
+	// NewestOrder is the highest fencing number that the server has accepted.
+	NewestOrder uint64       `json:"newest_order,omitempty"`
+	Models      []Report     `json:"models,omitempty"`
+	Cached      []Checkpoint `json:"cached,omitempty"`
+	Load        Load         `json:"load"`
 }
 
 // Newer reports whether s supersedes o.
--- /dev/null
+++ b/core/orders/orders_test.go
@@ -0,0 +1,76 @@
+package orders
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/core/internal/proptest"
+	"github.com/pollenwheel/pollenwheel/core/state"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, "300", "300") }
+
+// TestLimitsAsEnginesSeeThem guards against more replicas than operators
+// decided and against overcommitted accelerator memory, as the engines
+// themselves see it. Three control hosts all believe that they lead, act on
+// stale copies of the log, freeze, and restart; orders, answers and proposals
+// are delayed, reordered and lost; engines restart and lose loads; half of them
+// ignore fencing numbers.
+func TestLimitsAsEnginesSeeThem(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(w.actions(w.checkLimits))
+	})
+}
+
+// TestIntentsSettle guards against slots that stay occupied forever: after any
+// history, one leader with working links brings every intent to an end.
+func TestIntentsSettle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(w.actions(func(*rapid.T) {}))
+		w.settleAll()
+		for key, p := range w.replay(len(w.log)).Placements {
+			if p.Phase != state.PhaseReady {
+				t.Fatalf("%v is still %s with copies %v", key, p.Phase, p.Copies)
+			}
+		}
+	})
+}
+
+// actions are the moves of a history. Requests and rounds stand several times,
+// since the faults matter only between loads and unloads.
+func (w *world) actions(check func(*rapid.T)) map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"":         check,
+		"step":     w.step,
+		"request1": w.request,
+		"request2": w.request,
+		"request3": w.request,
+		"round1":   w.round,
+		"round2":   w.round,
+		"round3":   w.round,
+		"catchUp":  w.catchUp,
+		"commit":   w.commit,
+		"deliver":  w.deliver,
+		"lose":     w.loseAnswer,
+		"finish":   w.finish,
+		"announce": w.announce,
+		"hear":     w.hear,
+		"crash":    w.crash,
+		"restart":  w.restartHost,
+	}
+}
+
+func testConfiguration() config.Configuration {
+	c := config.Configuration{Services: []config.Service{{Name: "s", Kind: config.KindEngine}}}
+	for i := range 3 {
+		m := config.Model{Name: fmt.Sprintf("m%d", i), Service: "s", Version: "1", MemoryMiB: 30, KVMiB: 10, MaxReplicas: 1 + i%2}
+		c.Models = append(c.Models, m)
+		c.Adapters = append(c.Adapters, config.Adapter{Name: "a" + m.Name, Model: m.Name, Version: "1", MemoryMiB: 15})
+	}
+	return c
+}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -24,6 +24,7 @@
 	Settle    *Settle    `json:"settle,omitempty"`
 	Attempt   *Attempt   `json:"attempt,omitempty"`
 	Resolve   *Resolve   `json:"resolve,omitempty"`
+	Adopt     *Adopt     `json:"adopt,omitempty"`
 	Claim     *Claim     `json:"claim,omitempty"`
 	Outcome   *Outcome   `json:"outcome,omitempty"`
 	Suspect   *Suspect   `json:"suspect,omitempty"`
@@ -94,7 +95,7 @@
 	Sequence uint64 `json:"sequence"`
 }
 
-// Attempt records a further sender of an open intent, before it sends.
+// Attempt permits one more copy of an open intent's order, before it is sent.
 type Attempt struct {
 	Server  string `json:"server"`
 	Model   string `json:"model"`
@@ -103,17 +104,30 @@
 	Sender  Sender `json:"sender"`
 }
 
-// Resolve records that a sender has no copy of the order in flight. With an
-// empty Server it covers every order of that sender, because its process ended.
+// Resolve records that copies of an order are no longer in flight: the copy
+// with the given Index or, if Index is zero, every copy that the sender's
+// process or an older process of its host could have sent to the server.
 type Resolve struct {
-	Server  string `json:"server,omitempty"`
+	Server  string `json:"server"`
 	Model   string `json:"model,omitempty"`
 	Adapter string `json:"adapter,omitempty"`
-	Fence   uint64 `json:"fence,omitempty"`
+	Index   uint64 `json:"index,omitempty"`
 	Sender  Sender `json:"sender"`
-	// Sequence is the server's announcement sequence when it answered; only a
-	// later report reflects the copy.
-	Sequence uint64 `json:"sequence,omitempty"`
+	// Sequence is the announcement sequence by which the server process with
+	// the given Incarnation, or an earlier one, had executed the copy, if it
+	// ever did. Only a later report reflects it.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	Sequence    uint64 `json:"sequence,omitempty"`
+}
+
+// Adopt records a model that a server reports without a placement, such as
+// after it was presumed lost and came back.
+type Adopt struct {
+	Server      string `json:"server"`
+	Incarnation uint64 `json:"incarnation"`
+	Model       string `json:"model"`
+	Adapter     string `json:"adapter,omitempty"`
+	Version     string `json:"version"`
 }
 
 // Claim reserves the only execution of a non-idempotent request.
--- a/core/state/placement.go
+++ b/core/state/placement.go
@@ -9,9 +9,6 @@
 	if known && r.Incarnation < cur.Incarnation {
 		return reject(CodeStale, "server %s is at incarnation %d", r.Server, cur.Incarnation)
 	}
-	if known && r.Incarnation == cur.Incarnation && cur.Lost {
-		return s.reinstate(r)
-	}
 	if known && r.Incarnation > cur.Incarnation {
 		s.endIncarnation(r.Server, r.Incarnation)
 	}
@@ -19,14 +16,6 @@
 	return Result{}
 }
 
-// reinstate records that a server presumed lost still runs. Its placements
-// were given up, so what it still holds is surplus and must be unloaded before
-// it gets work.
-func (s *State) reinstate(r Register) Result {
-	s.Servers[r.Server] = Server{Register: r, Returned: true}
-	return Result{}
-}
-
 func (s *State) lose(l Lose) Result {
 	cur, ok := s.Servers[l.Server]
 	if !ok || cur.Incarnation != l.Incarnation {
@@ -38,21 +27,21 @@
 	return Result{}
 }
 
-// endIncarnation drops the placements of a server process that has ended. On a
-// server that ignores fencing numbers, a load order that may still be in
-// flight could reach the next process, so its slot stays held.
+// endIncarnation drops the placements of a server process that has ended. A
+// load order that may still be in flight could reach the next process, which
+// knows no fencing number yet, so such a slot stays held.
 func (s *State) endIncarnation(server string, next uint64) {
-	checks := s.Servers[server].ChecksFencing
 	for k, p := range s.Placements {
 		if k.Server != server {
 			continue
 		}
-		if checks || len(p.LoadSenders) == 0 {
+		if len(p.Copies) == 0 {
 			delete(s.Placements, k)
 			continue
 		}
 		p.Phase = PhaseHeld
 		p.Incarnation = next
+		p.MinSequence = 0
 		s.Placements[k] = p
 	}
 }
@@ -77,7 +66,8 @@
 		return reject(CodeNoMemory, "%d MiB do not fit on %s", p.MemoryMiB, l.Server)
 	}
 	p.Phase, p.Fence = PhaseLoading, s.Index
-	p.LoadSenders = addSender(held.LoadSenders, l.Sender)
+	p.MinSequence = held.MinSequence
+	p.Copies = append(slices.Clone(held.Copies), Copy{Sender: l.Sender, Index: s.Index})
 	s.Placements[key] = p
 	return Result{}
 }
@@ -146,20 +136,25 @@
 	case p.Phase == PhaseLoading && t.Loaded:
 		p.Phase = PhaseReady
 		s.Placements[key] = p
-	case p.Phase == PhaseHeld && !t.Loaded && len(p.LoadSenders) == 0 && t.Sequence > p.MinSequence:
+	case p.Phase == PhaseHeld && !t.Loaded && len(p.Copies) == 0 && t.Sequence > p.MinSequence:
 		delete(s.Placements, key)
-	case p.Phase == PhaseLoading || p.Phase == PhaseUnloading && !t.Loaded:
-		s.release(key, p)
+	case p.Phase == PhaseUnloading && t.Loaded:
+		// The server refused the order, so the unload needs a newer number.
+		p.Phase = PhaseSurplus
+		s.Placements[key] = p
+	case !t.Loaded && p.Phase != PhaseHeld:
+		s.release(key, p, t.Sequence)
 	default:
 		return reject(CodeStale, "%s is %s on %s", t.Model, p.Phase, t.Server)
 	}
 	return Result{}
 }
 
-// release frees a slot, or holds it while a load order may still be in flight
-// to a server that ignores fencing numbers.
-func (s *State) release(key PlaceKey, p Placement) {
-	if s.Servers[key.Server].ChecksFencing || len(p.LoadSenders) == 0 {
+// release frees a slot, or holds it while a copy of a load order may still be
+// executed. Fencing numbers do not shorten the hold: a restarted server process
+// knows none and would execute a late copy.
+func (s *State) release(key PlaceKey, p Placement, sequence uint64) {
+	if len(p.Copies) == 0 && sequence > p.MinSequence {
 		delete(s.Placements, key)
 		return
 	}
@@ -170,47 +165,68 @@
 func (s *State) attempt(a Attempt) Result {
 	key := PlaceKey{a.Server, a.Model, a.Adapter}
 	p, ok := s.Placements[key]
-	if !ok || p.Fence != a.Fence {
-		return reject(CodeStale, "no intent %d for %s on %s", a.Fence, a.Model, a.Server)
-	}
-	if p.Phase == PhaseLoading {
-		p.LoadSenders = addSender(p.LoadSenders, a.Sender)
-		s.Placements[key] = p
+	if !ok || p.Fence != a.Fence || p.Phase != PhaseLoading {
+		return reject(CodeStale, "no load intent %d for %s on %s", a.Fence, a.Model, a.Server)
 	}
+	p.Copies = append(slices.Clone(p.Copies), Copy{Sender: a.Sender, Index: s.Index})
+	s.Placements[key] = p
 	return Result{}
 }
 
-// resolve removes a sender once none of its copies can be in flight.
+// resolve removes copies that can no longer be executed after the given
+// announcement sequence.
 func (s *State) resolve(r Resolve) Result {
-	if r.Server != "" {
-		key := PlaceKey{r.Server, r.Model, r.Adapter}
-		p, ok := s.Placements[key]
-		if !ok || p.Fence != r.Fence && p.Phase == PhaseLoading {
-			return reject(CodeStale, "no intent %d for %s on %s", r.Fence, r.Model, r.Server)
-		}
-		s.dropSender(key, p, r.Sender, r.Sequence)
+	if r.Index != 0 {
+		s.dropCopies(PlaceKey{r.Server, r.Model, r.Adapter}, r, func(c Copy) bool { return c.Index == r.Index })
 		return Result{}
 	}
-	for k, p := range s.Placements {
-		s.dropSender(k, p, r.Sender, r.Sequence)
+	for k := range s.Placements {
+		if k.Server == r.Server {
+			s.dropCopies(k, r, func(c Copy) bool {
+				return c.Host == r.Sender.Host && c.Incarnation <= r.Sender.Incarnation
+			})
+		}
 	}
 	return Result{}
 }
 
-func (s *State) dropSender(key PlaceKey, p Placement, sender Sender, sequence uint64) {
-	if !slices.Contains(p.LoadSenders, sender) {
+func (s *State) dropCopies(key PlaceKey, r Resolve, match func(Copy) bool) {
+	p, ok := s.Placements[key]
+	if !ok || !slices.ContainsFunc(p.Copies, match) {
 		return
 	}
-	p.LoadSenders = slices.DeleteFunc(slices.Clone(p.LoadSenders), func(x Sender) bool { return x == sender })
-	p.MinSequence = max(p.MinSequence, sequence)
+	p.Copies = slices.DeleteFunc(slices.Clone(p.Copies), match)
+	if r.Incarnation == p.Incarnation {
+		p.MinSequence = max(p.MinSequence, r.Sequence)
+	}
 	s.Placements[key] = p
 }
 
-func addSender(list []Sender, x Sender) []Sender {
-	if slices.Contains(list, x) {
-		return list
+// adopt accounts for a model that a server holds without a placement. The
+// limits cannot be enforced on what is already loaded, so it becomes surplus.
+func (s *State) adopt(a Adopt) Result {
+	if _, rej := s.liveServer(a.Server, a.Incarnation); rej != nil {
+		return Result{Rejection: rej}
+	}
+	key := PlaceKey{a.Server, a.Model, a.Adapter}
+	if p, ok := s.Placements[key]; ok && p.Phase != PhaseHeld {
+		return reject(CodeBusy, "%s is already %s on %s", a.Model, p.Phase, a.Server)
+	}
+	p := s.Placements[key]
+	p.Incarnation, p.Version, p.Phase, p.Fence = a.Incarnation, a.Version, PhaseSurplus, s.Index
+	p.MemoryMiB = max(p.MemoryMiB, s.fullMiB(a))
+	s.Placements[key] = p
+	return Result{}
+}
+
+// fullMiB is the configured memory of a model or adapter, or zero if unknown.
+func (s *State) fullMiB(a Adopt) int64 {
+	if a.Adapter != "" {
+		adapter, _ := s.Config.Adapter(a.Adapter)
+		return adapter.MemoryMiB
 	}
-	return append(slices.Clone(list), x)
+	m, _ := s.Config.Model(a.Model)
+	return m.MemoryMiB + m.KVMiB
 }
 
 func (s *State) liveServer(id string, incarnation uint64) (Server, *Rejection) {
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -23,6 +23,9 @@
 	// PhaseHeld: the unload is complete, but a copy of the load order may still
 	// reach a server that ignores fencing numbers.
 	PhaseHeld Phase = "held"
+	// PhaseSurplus: the server reports a model that no intent accounts for. It
+	// gets no work and is unloaded.
+	PhaseSurplus Phase = "surplus"
 )
 
 // PlaceKey identifies a placement. Adapter is empty for a model.
@@ -53,21 +56,25 @@
 	Phase       Phase  `json:"phase"`
 	// Fence is the log index of the newest intent.
 	Fence uint64 `json:"fence"`
-	// LoadSenders may still have a copy of a load order in flight.
-	LoadSenders []Sender `json:"load_senders,omitempty"`
+	// Copies of load orders that may still be in flight or be sent.
+	Copies []Copy `json:"copies,omitempty"`
 	// MinSequence is the announcement sequence that a report must exceed to
 	// reflect every copy of an order that was ever executed.
 	MinSequence uint64 `json:"min_sequence,omitempty"`
 }
 
+// Copy permits its sender one transmission of a load order. Index is the log
+// index that granted it.
+type Copy struct {
+	Sender
+	Index uint64 `json:"index"`
+}
+
 // Server is a registered backend server.
 type Server struct {
 	Register
 	// Lost is set once the incarnation has ended or is presumed lost.
 	Lost bool `json:"lost,omitempty"`
-	// Returned marks a server that was presumed lost and came back with the
-	// same incarnation. It may hold models that no placement accounts for.
-	Returned bool `json:"returned,omitempty"`
 }
 
 // Change records an accepted configuration change for resends.
@@ -171,6 +178,8 @@
 		return s.attempt(*c.Attempt)
 	case c.Resolve != nil:
 		return s.resolve(*c.Resolve)
+	case c.Adopt != nil:
+		return s.adopt(*c.Adopt)
 	case c.Claim != nil:
 		return s.claim(*c.Claim)
 	case c.Outcome != nil:
--- a/node/backend/client.go
+++ b/node/backend/client.go
@@ -42,8 +42,14 @@
 type OrderAnswer struct {
 	Accepted bool   `json:"accepted"`
 	Reason   string `json:"reason,omitempty"`
-	// Sequence is the newest announcement sequence when the order was answered.
-	Sequence uint64 `json:"sequence"`
+	Point
+}
+
+// Point is how far a backend server process had announced itself when it
+// answered.
+type Point struct {
+	Incarnation uint64 `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
 }
 
 // Delivery says what is known about a message that failed.
@@ -105,6 +111,20 @@
 	return a, nil
 }
 
+// Point asks a backend server for its incarnation and announcement sequence.
+func (c *Client) Point(ctx context.Context, address string) (Point, error) {
+	resp, err := c.Do(ctx, address, http.MethodGet, "/v1/announcement", http.Header{}, nil)
+	if err != nil {
+		return Point{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var p Point
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnnouncementBytes)).Decode(&p); err != nil {
+		return p, &SendError{Address: address, Delivery: MaybeSent, Err: err}
+	}
+	return p, nil
+}
+
 // Do sends one request. The caller closes the answer's body.
 func (c *Client) Do(ctx context.Context, address, method, path string, header http.Header, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -12,7 +12,6 @@
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/placement"
 	"github.com/pollenwheel/pollenwheel/core/state"
-	"github.com/pollenwheel/pollenwheel/node/backend"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 )
 
@@ -31,25 +30,23 @@
 	Now     func() time.Duration
 }
 
-// Leader plans and executes orders while this host leads.
+// Leader plans while this host leads.
 type Leader struct {
 	log     Log
 	replica *replica.Replica
-	client  *backend.Client
 	sources Sources
 	sender  state.Sender
-	planner *placement.Planner
 	logger  *logrus.Entry
 
-	mu   sync.Mutex
-	sent map[state.PlaceKey]uint64
+	// planning guards the planner.
+	planning sync.Mutex
+	planner  *placement.Planner
 }
 
 // NewLeader returns a leader that identifies itself as sender.
-func NewLeader(log Log, r *replica.Replica, client *backend.Client, src Sources, sender state.Sender, logger *logrus.Entry) *Leader {
+func NewLeader(log Log, r *replica.Replica, src Sources, sender state.Sender, logger *logrus.Entry) *Leader {
 	return &Leader{
-		log: log, replica: r, client: client, sources: src, sender: sender,
-		planner: placement.New(), logger: logger, sent: map[state.PlaceKey]uint64{},
+		log: log, replica: r, sources: src, sender: sender, planner: placement.New(), logger: logger,
 	}
 }
 
@@ -68,79 +65,17 @@
 }
 
 func (l *Leader) step(ctx context.Context) {
-	servers := l.sources.Servers()
-	var snapshot *state.State
-	l.replica.View(func(s *state.State) { snapshot = s.ForFollowers() })
-	for _, c := range Observe(snapshot, servers) {
-		l.propose(ctx, c)
-	}
-	l.replica.View(func(s *state.State) { snapshot = s.ForFollowers() })
 	in := placement.Input{
-		Now: l.sources.Now(), State: snapshot, Servers: servers,
+		Now: l.sources.Now(), State: snapshot(l.replica), Servers: l.sources.Servers(),
 		Demand: l.sources.Demand(), Sender: l.sender,
 	}
-	for _, d := range l.planner.Plan(in) {
-		l.propose(ctx, state.Command{Load: d.Load, Unload: d.Unload})
-	}
-	l.replica.View(func(s *state.State) { snapshot = s.ForFollowers() })
-	l.order(ctx, snapshot)
-}
-
-func (l *Leader) propose(ctx context.Context, c state.Command) {
-	c.UnixMS = time.Now().UnixMilli()
-	res, err := l.log.Propose(ctx, c)
-	if err == nil {
-		err = res.Err()
-	}
-	if err != nil {
-		l.logger.WithError(err).Debug("proposal not applied")
+	for _, d := range l.plan(in) {
+		propose(ctx, l.log, state.Command{Load: d.Load, Unload: d.Unload}, l.logger)
 	}
 }
 
-// order sends the orders of open intents that were not sent yet.
-func (l *Leader) order(ctx context.Context, s *state.State) {
-	for key, p := range s.Placements {
-		if p.Phase != state.PhaseLoading && p.Phase != state.PhaseUnloading || !l.markSent(key, p.Fence) {
-			continue
-		}
-		o := backend.Order{
-			Kind: orderKind(key, p.Phase), Model: key.Model, Adapter: key.Adapter, Version: p.Version,
-			Fence: p.Fence, Incarnation: p.Incarnation,
-		}
-		go l.send(ctx, key, s.Servers[key.Server].Address, o)
-	}
-}
-
-func (l *Leader) markSent(key state.PlaceKey, fence uint64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.sent[key] == fence {
-		return false
-	}
-	l.sent[key] = fence
-	return true
-}
-
-func (l *Leader) send(ctx context.Context, key state.PlaceKey, address string, o backend.Order) {
-	a, err := l.client.Order(ctx, address, o)
-	if err != nil {
-		l.logger.WithError(err).WithField("server", key.Server).Info("order got no answer")
-		return
-	}
-	l.propose(ctx, state.Command{Resolve: &state.Resolve{
-		Server: key.Server, Model: key.Model, Adapter: key.Adapter, Fence: o.Fence,
-		Sender: l.sender, Sequence: a.Sequence,
-	}})
-}
-
-func orderKind(key state.PlaceKey, phase state.Phase) backend.OrderKind {
-	switch {
-	case key.Adapter != "" && phase == state.PhaseLoading:
-		return backend.LoadAdapter
-	case key.Adapter != "":
-		return backend.UnloadAdapter
-	case phase == state.PhaseLoading:
-		return backend.LoadModel
-	}
-	return backend.UnloadModel
+func (l *Leader) plan(in placement.Input) []placement.Decision {
+	l.planning.Lock()
+	defer l.planning.Unlock()
+	return l.planner.Plan(in)
 }
