--- a/core/consensus/fuzz_test.go
+++ b/core/consensus/fuzz_test.go
@@ -136,7 +136,7 @@
 			return err
 		}
 	}
-	return s.run(5 * simElection)
+	return s.run(5 * s.election)
 }
 
 func (s *sim) play(schedule []fault) error {
--- a/core/consensus/sim_test.go
+++ b/core/consensus/sim_test.go
@@ -15,9 +15,10 @@
 const (
 	simStep     = 5 * time.Millisecond
 	simElection = 100 * time.Millisecond
-	simRepair   = 5 * simElection
-	simMinRate  = 0.9
-	simMaxRate  = 1.1
+	// simRepair is a number of election timeouts.
+	simRepair  = 5
+	simMinRate = 0.9
+	simMaxRate = 1.1
 	// simSnapshot and simTrailing make catch-up need snapshots often.
 	simSnapshot = 20
 	simTrailing = 5
@@ -71,6 +72,8 @@
 	off       mechanismsOff
 	sendFirst bool // sends before the sync
 	reuseID   bool // an emptied member keeps its identity
+	election  time.Duration
+	noOffers  bool // no host offers itself as a spare
 	lossy     bool
 	members   []*simMember // index is the host
 	gone      map[uint64]bool
@@ -89,7 +92,7 @@
 
 func newSim(seed int64, hosts, voters int, off mechanismsOff) *sim {
 	s := &sim{
-		rand: rand.New(rand.NewSource(seed)), off: off, gone: map[uint64]bool{}, cut: map[[2]int]bool{},
+		rand: rand.New(rand.NewSource(seed)), off: off, election: simElection, gone: map[uint64]bool{}, cut: map[[2]int]bool{},
 		leaders: map[uint64]uint64{}, votes: map[[2]uint64]uint64{}, committed: map[uint64]string{}, chains: map[uint64]uint64{},
 	}
 	var first Membership
@@ -113,8 +116,8 @@
 
 func (s *sim) start(m *simMember) error {
 	node, err := New(Options{
-		ID: m.ID, ElectionTimeout: simElection, HeartbeatInterval: simElection / 5, DriftMargin: simElection / 5,
-		RepairAfter: simRepair, Rand: rand.New(rand.NewSource(s.rand.Int63())), off: s.off,
+		ID: m.ID, ElectionTimeout: s.election, HeartbeatInterval: s.election / 5, DriftMargin: s.election / 5,
+		RepairAfter: simRepair * s.election, Rand: rand.New(rand.NewSource(s.rand.Int63())), off: s.off,
 	}, Initial{HardState: m.disk.hard, Snapshot: m.disk.snapshot, Entries: slices.Clone(m.disk.entries)}, m.now())
 	m.node, m.held, m.frozen, m.stopped = node, nil, false, false
 	m.applied = m.disk.snapshot.Index
@@ -198,7 +201,7 @@
 // offer introduces a host without a leader to every host it reaches.
 func (s *sim) offer(m *simMember) {
 	st := m.node.Status()
-	if _, member := st.Membership.Member(m.ID); member && st.Leader != 0 {
+	if _, member := st.Membership.Member(m.ID); member && st.Leader != 0 || s.noOffers {
 		return
 	}
 	for h, to := range s.members {
