Read settings, questionnaires and configurations strictly

Cause: settings accepted unknown keys and contradictions, and there was no validation, diff or generation of configurations.

Change: node/inifile wraps ini.v1 without interpolation, continuation lines, inherited keys or silently merged duplicates, and binds each key to a variable once for reading and writing. node/settings adds peers, initial voters, address keep time, bootstrap key and log level. core/config adds Validate, Diff, Generate and the urgency of a model. node/documents holds the INI forms.

Ruled out: ini.v1's struct mapping, which ignores unknown keys.

--- /dev/null
+++ b/core/config/config_test.go
@@ -0,0 +1,185 @@
+package config
+
+import (
+	"errors"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+)
+
+func hash(digit string) string { return strings.Repeat(digit, 64) }
+
+func valid() Configuration {
+	return Configuration{
+		Deployment: Deployment{Name: "thies"},
+		Services:   []Service{{"scribe", KindEngine}, {"orders", KindPlain}},
+		Models: []Model{{
+			Name: "atlas", Service: "scribe", Version: "1", MemoryMiB: 100, MaxReplicas: 2, PinnedReplicas: 1,
+		}},
+		Adapters:   []Adapter{{"atlas-letters", "atlas", "1", 10}},
+		Callers:    []Caller{{"desk", "desk", RoleCaller, hash("a"), 0}, {"ops", "operators", RoleOperator, hash("b"), 0}},
+		Objectives: []Objective{{"scribe", ObjectiveFirstToken, 0.9, 100}, {"orders", ObjectiveAvailability, 0.99, 0}},
+	}
+}
+
+// Guards against a faulty configuration being accepted, and against an error
+// that points at the wrong place.
+func TestValidate(t *testing.T) {
+	if err := Validate(valid()); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		change func(*Configuration)
+		path   string
+	}{
+		"no deployment name":          {func(c *Configuration) { c.Deployment.Name = "" }, "deployment.name"},
+		"negative rate":               {func(c *Configuration) { c.Deployment.StoreLoadsPerSecond = -1 }, "deployment.store_loads_per_second"},
+		"service twice":               {func(c *Configuration) { c.Services[1].Name = "scribe" }, "services[scribe].name"},
+		"unknown kind":                {func(c *Configuration) { c.Services[0].Kind = "other" }, "services[scribe].kind"},
+		"model of a plain service":    {func(c *Configuration) { c.Models[0].Service = "orders" }, "models[atlas].service"},
+		"model without memory":        {func(c *Configuration) { c.Models[0].MemoryMiB = 0 }, "models[atlas].memory_mib"},
+		"more pinned than allowed":    {func(c *Configuration) { c.Models[0].PinnedReplicas = 3 }, "models[atlas].pinned_replicas"},
+		"negative limit":              {func(c *Configuration) { c.Models[0].MaxReplicas = -1 }, "models[atlas].max_replicas"},
+		"unknown urgency":             {func(c *Configuration) { c.Models[0].Urgency = "soon" }, "models[atlas].urgency"},
+		"adapter named like a model":  {func(c *Configuration) { c.Adapters[0].Name = "atlas" }, "adapters[atlas].name"},
+		"adapter of no model":         {func(c *Configuration) { c.Adapters[0].Model = "none" }, "adapters[atlas-letters].model"},
+		"caller without team":         {func(c *Configuration) { c.Callers[0].Team = "" }, "callers[desk].team"},
+		"key in clear text":           {func(c *Configuration) { c.Callers[0].KeySHA256 = "secret" }, "callers[desk].key_sha256"},
+		"two callers with one key":    {func(c *Configuration) { c.Callers[1].KeySHA256 = hash("a") }, "callers[ops].key_sha256"},
+		"unknown role":                {func(c *Configuration) { c.Callers[0].Role = "root" }, "callers[desk].role"},
+		"objective twice":             {func(c *Configuration) { c.Objectives[1] = c.Objectives[0] }, "objectives[scribe/first_token]"},
+		"target that allows no error": {func(c *Configuration) { c.Objectives[0].Target = 1 }, "objectives[scribe/first_token].target"},
+		"latency without threshold":   {func(c *Configuration) { c.Objectives[0].ThresholdMS = 0 }, "objectives[scribe/first_token].threshold_ms"},
+		"first token of plain service": {
+			func(c *Configuration) { c.Objectives[0].Service = "orders" }, "objectives[orders/first_token].kind",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := valid()
+			c.change(&cfg)
+			var faults Errors
+			if !errors.As(Validate(cfg), &faults) {
+				t.Fatal("accepted")
+			}
+			if !slices.ContainsFunc(faults, func(e *Error) bool { return e.Path == c.path && e.Allowed != "" }) {
+				t.Errorf("no fault at %s: %v", c.path, faults)
+			}
+		})
+	}
+}
+
+// Guards against changes that operators are not shown before they apply them.
+func TestDiff(t *testing.T) {
+	a, b := valid(), valid()
+	b.Version = 7
+	slices.Reverse(b.Models)
+	if d := Diff(a, b); d != nil {
+		t.Errorf("same configuration differs: %v", d)
+	}
+	b.Models[0].MaxReplicas = 5
+	b.Adapters = nil
+	b.Deployment.IdleHourWeight = 1.5
+	want := []string{
+		"- adapters[atlas-letters].memory_mib = 10",
+		"- adapters[atlas-letters].model = atlas",
+		"- adapters[atlas-letters].name = atlas-letters",
+		"- adapters[atlas-letters].version = 1",
+		"+ deployment.idle_hour_weight = 1.5",
+		"~ models[atlas].max_replicas = 5 (was 2)",
+	}
+	var got []string
+	for _, c := range Diff(a, b) {
+		got = append(got, c.String())
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %q", got)
+	}
+}
+
+func decisions() Decisions {
+	return Decisions{
+		Deployment: Deployment{Name: "thies"},
+		Services:   []ServiceDecision{{Service{"scribe", KindEngine}, 2, 50}},
+		Limits:     []Limit{{"atlas", 4, 1}},
+		Operators:  []CallerAnswer{{"ops", hash("b")}},
+		Teams:      []TeamDecision{{"desk", 3}},
+		Objectives: []Objective{{"scribe", ObjectiveFirstToken, 0.9, 100}},
+	}
+}
+
+func answers() []Questionnaire {
+	return []Questionnaire{
+		{
+			Team: "desk", Urgency: UrgencyPatient,
+			Models: []ModelAnswer{
+				{Name: "atlas", Service: "scribe", Version: "1", MemoryMiB: 9, WantedReplicas: 9, QueueLimit: 80},
+				{Name: "ledger", Service: "scribe", Version: "1", MemoryMiB: 9, WantedReplicas: 1, Urgency: UrgencyStandard},
+			},
+			Callers:    []CallerAnswer{{"desk", hash("a")}},
+			Objectives: []Objective{{"scribe", ObjectiveFirstToken, 0.8, 50}},
+		},
+		{Team: "archive", Adapters: []Adapter{{"atlas-letters", "atlas", "1", 10}}},
+	}
+}
+
+// Guards against a team getting more than operators allow, and against results
+// that depend on the order of the questionnaires.
+func TestGenerate(t *testing.T) {
+	c, err := Generate(decisions(), answers())
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Configuration{
+		Deployment: Deployment{Name: "thies"},
+		Services:   []Service{{"scribe", KindEngine}},
+		Models: []Model{
+			{Name: "atlas", Service: "scribe", Version: "1", MemoryMiB: 9, MaxReplicas: 4, PinnedReplicas: 1, QueueLimit: 50, Urgency: UrgencyPatient},
+			{Name: "ledger", Service: "scribe", Version: "1", MemoryMiB: 9, MaxReplicas: 1, QueueLimit: 50, Urgency: UrgencyStandard},
+		},
+		Adapters: []Adapter{{"atlas-letters", "atlas", "1", 10}},
+		Callers: []Caller{
+			{"desk", "desk", RoleCaller, hash("a"), 3}, {"ops", "operators", RoleOperator, hash("b"), 0},
+		},
+		Objectives: []Objective{{"scribe", ObjectiveFirstToken, 0.9, 50}},
+	}
+	if !reflect.DeepEqual(c, want) {
+		t.Errorf("got %+v\nwant %+v", c, want)
+	}
+	reversed := answers()
+	slices.Reverse(reversed)
+	if again, err := Generate(decisions(), reversed); err != nil || !reflect.DeepEqual(again, c) {
+		t.Errorf("the order of questionnaires matters: %+v, %v", again, err)
+	}
+}
+
+func TestGenerateRefuses(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Decisions, []Questionnaire) []Questionnaire
+		path   string
+	}{
+		"team answers twice": {func(_ *Decisions, q []Questionnaire) []Questionnaire { return append(q, q[1]) }, "teams[archive]"},
+		"limit of no model": {func(d *Decisions, q []Questionnaire) []Questionnaire {
+			d.Limits[0].Model = "atals"
+			return q
+		}, "limits[atals]"},
+		"weight of no team": {func(d *Decisions, q []Questionnaire) []Questionnaire {
+			d.Teams[0].Name = "dsek"
+			return q
+		}, "teams[dsek]"},
+		"no operator": {func(d *Decisions, q []Questionnaire) []Questionnaire {
+			d.Operators = nil
+			return q
+		}, "callers"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := decisions()
+			q := c.change(&d, answers())
+			_, err := Generate(d, q)
+			var faults Errors
+			if !errors.As(err, &faults) || !slices.ContainsFunc(faults, func(e *Error) bool { return e.Path == c.path }) {
+				t.Errorf("got %v, want a fault at %s", err, c.path)
+			}
+		})
+	}
+}
--- a/core/config/configuration.go
+++ b/core/config/configuration.go
@@ -20,6 +20,21 @@
 	KindPlain  ServiceKind = "plain"
 )
 
+// Urgency is how long a request may sensibly wait. The order of the constants
+// is the order of service.
+type Urgency string
+
+// Urgencies.
+const (
+	UrgencyInteractive Urgency = "interactive"
+	UrgencyStandard    Urgency = "standard"
+	UrgencyPatient     Urgency = "patient"
+)
+
+func (u Urgency) valid() bool {
+	return u == UrgencyInteractive || u == UrgencyStandard || u == UrgencyPatient
+}
+
 // Configuration is one complete accepted configuration. Versions start at 1;
 // version 0 means that none has been applied.
 type Configuration struct {
@@ -62,6 +77,8 @@
 	Name    string `json:"name"`
 	Service string `json:"service"`
 	Version string `json:"version"`
+	// Urgency applies to requests that state none; empty counts as standard.
+	Urgency Urgency `json:"urgency,omitempty"`
 	// MemoryMiB is the accelerator memory of one replica's weights; KVMiB is
 	// the share reserved for its KV cache.
 	MemoryMiB int64 `json:"memory_mib"`
@@ -102,6 +119,9 @@
 	ObjectiveColdStart    ObjectiveKind = "cold_start"
 )
 
+// ObjectiveKinds lists all objective kinds.
+var ObjectiveKinds = []ObjectiveKind{ObjectiveAvailability, ObjectiveFirstToken, ObjectiveColdStart}
+
 // Objective is a service-level objective.
 type Objective struct {
 	Service string        `json:"service"`
@@ -112,6 +132,9 @@
 	ThresholdMS int64 `json:"threshold_ms,omitempty"`
 }
 
+// ID names the objective within a configuration.
+func (o Objective) ID() string { return o.Service + "/" + string(o.Kind) }
+
 // Model returns the model with the given name.
 func (c *Configuration) Model(name string) (Model, bool) {
 	for _, m := range c.Models {
--- /dev/null
+++ b/node/documents/configuration.go
@@ -0,0 +1,189 @@
+// Package documents reads and writes the INI files of people: questionnaires of
+// teams, decisions of operators, and configurations.
+package documents
+
+import (
+	"errors"
+	"math"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/node/inifile"
+)
+
+// ParseConfiguration reads a configuration and validates it. Path is used in
+// errors only.
+func ParseConfiguration(path string, data []byte) (config.Configuration, error) {
+	var c config.Configuration
+	f, err := inifile.Parse(path, data)
+	if err != nil {
+		return c, err
+	}
+	for _, s := range f.Sections {
+		if err := configurationSection(&c, s); err != nil {
+			return config.Configuration{}, err
+		}
+	}
+	if err := config.Validate(c); err != nil {
+		return config.Configuration{}, inFile(path, err)
+	}
+	return c, nil
+}
+
+func configurationSection(c *config.Configuration, s inifile.Section) error {
+	switch s.Kind {
+	case "configuration":
+		return unnamed(s, versionFields(c)...)
+	case "deployment":
+		if c.Deployment.Name != "" {
+			return s.Error("", "", "the only deployment")
+		}
+		c.Deployment.Name = s.Name
+		return named(s, deploymentFields(&c.Deployment)...)
+	case "service":
+		c.Services = append(c.Services, config.Service{Name: s.Name})
+		return named(s, serviceFields(last(c.Services))...)
+	case "model":
+		c.Models = append(c.Models, config.Model{Name: s.Name})
+		return named(s, modelFields(last(c.Models))...)
+	case "adapter":
+		c.Adapters = append(c.Adapters, config.Adapter{Name: s.Name})
+		return named(s, adapterFields(last(c.Adapters))...)
+	case "caller":
+		c.Callers = append(c.Callers, config.Caller{Name: s.Name})
+		return named(s, callerFields(last(c.Callers))...)
+	case "objective":
+		o, err := objective(s)
+		c.Objectives = append(c.Objectives, o)
+		return err
+	}
+	return s.Error("", "", "one of the sections configuration, deployment, service, model, adapter, caller, objective")
+}
+
+// FormatConfiguration returns the file that ParseConfiguration reads back.
+func FormatConfiguration(c config.Configuration) []byte {
+	var w inifile.Writer
+	if c.Version > 0 {
+		w.Section("configuration", "", versionFields(&c)...)
+	}
+	w.Section("deployment", c.Deployment.Name, deploymentFields(&c.Deployment)...)
+	for _, s := range c.Services {
+		w.Section("service", s.Name, serviceFields(&s)...)
+	}
+	for _, m := range c.Models {
+		w.Section("model", m.Name, modelFields(&m)...)
+	}
+	for _, a := range c.Adapters {
+		w.Section("adapter", a.Name, adapterFields(&a)...)
+	}
+	for _, caller := range c.Callers {
+		w.Section("caller", caller.Name, callerFields(&caller)...)
+	}
+	for _, o := range c.Objectives {
+		w.Section("objective", o.ID(), objectiveFields(&o)...)
+	}
+	return w.Bytes()
+}
+
+func versionFields(c *config.Configuration) []inifile.Field {
+	return []inifile.Field{inifile.Int("version", &c.Version, 1, math.MaxInt64).Must()}
+}
+
+func deploymentFields(d *config.Deployment) []inifile.Field {
+	return []inifile.Field{
+		inifile.Float("cold_start_weight", &d.ColdStartWeight, 0, config.MaxWeight),
+		inifile.Float("idle_hour_weight", &d.IdleHourWeight, 0, config.MaxWeight),
+		inifile.Int("presumed_lost_after_seconds", &d.PresumedLostAfterSeconds, 0, config.MaxSeconds),
+		inifile.Int("claim_retention_seconds", &d.ClaimRetentionSeconds, 0, config.MaxSeconds),
+		inifile.Float("store_loads_per_second", &d.StoreLoadsPerSecond, 0, config.MaxRate),
+		inifile.Int("store_concurrency", &d.StoreConcurrency, 0, config.MaxRate),
+		inifile.Int("adapter_concurrency", &d.AdapterConcurrency, 0, config.MaxRate),
+	}
+}
+
+func serviceFields(s *config.Service) []inifile.Field {
+	return []inifile.Field{inifile.Choice("kind", &s.Kind, config.KindEngine, config.KindPlain).Must()}
+}
+
+func modelFields(m *config.Model) []inifile.Field {
+	return []inifile.Field{
+		inifile.Name("service", &m.Service).Must(),
+		inifile.Name("version", &m.Version).Must(),
+		urgencyField(&m.Urgency),
+		inifile.Int("memory_mib", &m.MemoryMiB, 1, config.MaxMemoryMiB).Must(),
+		inifile.Int("kv_mib", &m.KVMiB, 0, config.MaxMemoryMiB),
+		inifile.Int("max_replicas", &m.MaxReplicas, 0, config.MaxReplicas),
+		inifile.Int("pinned_replicas", &m.PinnedReplicas, 0, config.MaxReplicas),
+		inifile.Int("queue_limit", &m.QueueLimit, 0, config.MaxQueueLimit),
+	}
+}
+
+func urgencyField(u *config.Urgency) inifile.Field {
+	return inifile.Choice("urgency", u, config.UrgencyInteractive, config.UrgencyStandard, config.UrgencyPatient)
+}
+
+func adapterFields(a *config.Adapter) []inifile.Field {
+	return []inifile.Field{
+		inifile.Name("model", &a.Model).Must(),
+		inifile.Name("version", &a.Version).Must(),
+		inifile.Int("memory_mib", &a.MemoryMiB, 1, config.MaxMemoryMiB).Must(),
+	}
+}
+
+func callerFields(c *config.Caller) []inifile.Field {
+	return []inifile.Field{
+		inifile.Name("team", &c.Team).Must(),
+		inifile.Choice("role", &c.Role, config.RoleCaller, config.RoleOperator).Must(),
+		inifile.KeyHash("key_sha256", &c.KeySHA256).Must(),
+		inifile.Int("weight", &c.Weight, 0, config.MaxWeight),
+	}
+}
+
+func objectiveFields(o *config.Objective) []inifile.Field {
+	return []inifile.Field{
+		inifile.Float("target", &o.Target, 0, 1).Must(),
+		inifile.Int("threshold_ms", &o.ThresholdMS, 0, config.MaxSeconds*1000),
+	}
+}
+
+// objective reads a section such as "[objective lace-assist/first_token]".
+func objective(s inifile.Section) (config.Objective, error) {
+	for _, kind := range config.ObjectiveKinds {
+		service := len(s.Name) - len("/"+string(kind))
+		o := config.Objective{Kind: kind}
+		if service <= 0 || s.Name[service:] != "/"+string(kind) {
+			continue
+		}
+		o.Service = s.Name[:service]
+		err := s.Decode(objectiveFields(&o)...)
+		return o, err
+	}
+	return config.Objective{}, s.Error("", "", "named by a service and one of availability, first_token, cold_start, such as [objective assist/first_token]")
+}
+
+func unnamed(s inifile.Section, fields ...inifile.Field) error {
+	if s.Name != "" {
+		return s.Error("", "", "["+s.Kind+"] without a name")
+	}
+	return s.Decode(fields...)
+}
+
+func last[T any](list []T) *T { return &list[len(list)-1] }
+
+// Error reports faults that a file as a whole has.
+type Error struct {
+	File   string
+	Faults config.Errors
+}
+
+func (e *Error) Error() string { return e.File + ":\n" + e.Faults.Error() }
+
+// Unwrap returns the faults.
+func (e *Error) Unwrap() error { return e.Faults }
+
+func inFile(path string, err error) error {
+	var faults config.Errors
+	if !errors.As(err, &faults) {
+		return err
+	}
+	return &Error{File: path, Faults: faults}
+}
--- /dev/null
+++ b/node/documents/questionnaire.go
@@ -0,0 +1,93 @@
+package documents
+
+import (
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/node/inifile"
+)
+
+// ParseQuestionnaire reads the answers of one team. References between files
+// are checked by config.Generate.
+func ParseQuestionnaire(path string, data []byte) (config.Questionnaire, error) {
+	var q config.Questionnaire
+	f, err := inifile.Parse(path, data)
+	if err != nil {
+		return q, err
+	}
+	for _, s := range f.Sections {
+		if err := questionnaireSection(&q, s); err != nil {
+			return config.Questionnaire{}, err
+		}
+	}
+	if q.Team == "" {
+		return config.Questionnaire{}, &inifile.Error{File: path, Section: "team", Allowed: "given"}
+	}
+	return q, nil
+}
+
+func questionnaireSection(q *config.Questionnaire, s inifile.Section) error {
+	switch s.Kind {
+	case "team":
+		return unnamed(s, teamFields(q)...)
+	case "model":
+		q.Models = append(q.Models, config.ModelAnswer{Name: s.Name})
+		return named(s, modelAnswerFields(last(q.Models))...)
+	case "adapter":
+		q.Adapters = append(q.Adapters, config.Adapter{Name: s.Name})
+		return named(s, adapterFields(last(q.Adapters))...)
+	case "caller":
+		q.Callers = append(q.Callers, config.CallerAnswer{Name: s.Name})
+		return named(s, callerAnswerFields(last(q.Callers))...)
+	case "objective":
+		o, err := objective(s)
+		q.Objectives = append(q.Objectives, o)
+		return err
+	}
+	return s.Error("", "", "one of the sections team, model, adapter, caller, objective")
+}
+
+// FormatQuestionnaire returns the file that ParseQuestionnaire reads back.
+func FormatQuestionnaire(q config.Questionnaire) []byte {
+	var w inifile.Writer
+	w.Section("team", "", teamFields(&q)...)
+	for _, m := range q.Models {
+		w.Section("model", m.Name, modelAnswerFields(&m)...)
+	}
+	for _, a := range q.Adapters {
+		w.Section("adapter", a.Name, adapterFields(&a)...)
+	}
+	for _, c := range q.Callers {
+		w.Section("caller", c.Name, callerAnswerFields(&c)...)
+	}
+	for _, o := range q.Objectives {
+		w.Section("objective", o.ID(), objectiveFields(&o)...)
+	}
+	return w.Bytes()
+}
+
+func teamFields(q *config.Questionnaire) []inifile.Field {
+	return []inifile.Field{inifile.Name("name", &q.Team).Must(), urgencyField(&q.Urgency)}
+}
+
+func modelAnswerFields(m *config.ModelAnswer) []inifile.Field {
+	return []inifile.Field{
+		inifile.Name("service", &m.Service).Must(),
+		inifile.Name("version", &m.Version).Must(),
+		urgencyField(&m.Urgency),
+		inifile.Int("memory_mib", &m.MemoryMiB, 1, config.MaxMemoryMiB).Must(),
+		inifile.Int("kv_mib", &m.KVMiB, 0, config.MaxMemoryMiB),
+		inifile.Int("wanted_replicas", &m.WantedReplicas, 0, config.MaxReplicas),
+		inifile.Int("queue_limit", &m.QueueLimit, 0, config.MaxQueueLimit),
+	}
+}
+
+func callerAnswerFields(c *config.CallerAnswer) []inifile.Field {
+	return []inifile.Field{inifile.KeyHash("key_sha256", &c.KeySHA256).Must()}
+}
+
+// named decodes a section whose header must carry a name.
+func named(s inifile.Section, fields ...inifile.Field) error {
+	if !config.ValidName(s.Name) {
+		return s.Error("", "", "named, as in ["+s.Kind+" example]; a name is "+config.NameRule)
+	}
+	return s.Decode(fields...)
+}
--- /dev/null
+++ b/node/settings/settings_test.go
@@ -0,0 +1,121 @@
+package settings
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const whole = `; settings of one control host
+[host]
+name = waco-1
+data_centre = waco
+caller_address = 127.1.1.1:7100
+peer_address = 127.1.1.1:7200
+address_keep = 15s
+
+[peers]
+waco-1 = 127.1.1.1:7200
+temple-1 = 127.1.2.1:7200
+
+[control]
+enabled = true
+data_folder = data/waco-1
+voters = waco-1, temple-1
+
+[admin]
+bootstrap_key_sha256 = 0000000000000000000000000000000000000000000000000000000000000000
+
+[log]
+level = debug
+`
+
+func TestParse(t *testing.T) {
+	got, err := Parse("waco-1.ini", []byte(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Settings{
+		Host: "waco-1", DataCentre: "waco", CallerAddress: "127.1.1.1:7100", PeerAddress: "127.1.1.1:7200",
+		AddressKeep: 15 * time.Second, Peers: []Peer{{"temple-1", "127.1.2.1:7200"}}, Seeds: []string{"127.1.2.1:7200"},
+		Control: true, DataFolder: "data/waco-1",
+		Voters:             []Peer{{"waco-1", "127.1.1.1:7200"}, {"temple-1", "127.1.2.1:7200"}},
+		BootstrapKeySHA256: strings.Repeat("0", 64), LogLevel: LogDebug,
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v\nwant %+v", got, want)
+	}
+}
+
+// Guards against settings that are wrong or contradict each other being
+// accepted, or refused without naming the section and key.
+func TestParseRefuses(t *testing.T) {
+	for name, c := range map[string]struct{ old, new, section, key string }{
+		"unknown section":                    {"[log]", "[logs]", "logs", ""},
+		"unknown key":                        {"level = debug", "levels = debug", "log", "levels"},
+		"repeated key":                       {"name = waco-1\n", "name = waco-1\nname = waco-1\n", "host", "name"},
+		"repeated section":                   {"[log]", "[host]\n[log]", "host", ""},
+		"key outside a section":              {"; settings", "name = a\n; settings", "DEFAULT", ""},
+		"bad level":                          {"debug", "loud", "log", "level"},
+		"bad switch":                         {"enabled = true", "enabled = yes", "control", "enabled"},
+		"bad time span":                      {"15s", "15", "host", "address_keep"},
+		"name missing":                       {"name = waco-1\n", "", "host", "name"},
+		"host name instead of IP address":    {"caller_address = 127.1.1.1", "caller_address = localhost", "host", "caller_address"},
+		"address without port":               {"caller_address = 127.1.1.1:7100", "caller_address = 127.1.1.1", "host", "caller_address"},
+		"address with port 0":                {"caller_address = 127.1.1.1:7100", "caller_address = 127.1.1.1:0", "host", "caller_address"},
+		"one address for both":               {"caller_address = 127.1.1.1:7100", "caller_address = 127.1.1.1:7200", "host", "peer_address"},
+		"two peers of one name":              {"temple-1 = 127.1.2.1:7200", "temple-1 = 127.1.2.1:7200\ntemple-1 = 127.1.2.2:7200", "peers", "temple-1"},
+		"two peers of one address":           {"temple-1 = 127.1.2.1:7200", "temple-1 = 127.1.2.1:7200\nbryan-1 = 127.1.2.1:7200", "peers", "bryan-1"},
+		"peer that is not IP:port":           {"temple-1 = 127.1.2.1:7200", "temple-1 = temple-1:7200", "peers", "temple-1"},
+		"own name with another address":      {"waco-1 = 127.1.1.1:7200", "waco-1 = 127.1.1.9:7200", "peers", "waco-1"},
+		"own address under another name":     {"waco-1 = 127.1.1.1:7200", "waco-2 = 127.1.1.1:7200", "peers", "waco-2"},
+		"control without data folder":        {"data_folder = data/waco-1\n", "", "control", "data_folder"},
+		"data folder without control":        {"enabled = true", "enabled = false", "control", "data_folder"},
+		"control without voters":             {"voters = waco-1, temple-1\n", "", "control", "voters"},
+		"voter that is not a peer":           {"voters = waco-1, temple-1", "voters = waco-1, bryan-1", "control", "voters"},
+		"voter without control role":         {"enabled = true\ndata_folder = data/waco-1", "enabled = false", "control", "voters"},
+		"voter named twice":                  {"voters = waco-1, temple-1", "voters = waco-1, waco-1", "control", "voters"},
+		"bootstrap key that is not a SHA256": {strings.Repeat("0", 64), "secret", "admin", "bootstrap_key_sha256"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(whole, c.old, c.new, 1)
+			if text == whole {
+				t.Fatal("the case changes nothing")
+			}
+			_, err := Parse("waco-1.ini", []byte(text))
+			var e *Error
+			if !errors.As(err, &e) {
+				t.Fatalf("got %v, want a settings error", err)
+			}
+			if e.File != "waco-1.ini" || e.Section != c.section || e.Key != c.key && c.key != "" || e.Allowed == "" {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
+
+// Guards against panics, errors without an explanation, and settings that
+// change when they are written and read again.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(whole))
+	f.Add([]byte("[host]\nname = a\n[peers]\na = [::1]:1\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("fuzz.ini", data)
+		if err != nil {
+			var e *Error
+			if !errors.As(err, &e) || e.File == "" || e.Allowed == "" {
+				t.Fatalf("unclear error: %v", err)
+			}
+			return
+		}
+		again, err := Parse("again.ini", Format(s))
+		if err != nil {
+			t.Fatalf("written settings are refused: %v\n%s", err, Format(s))
+		}
+		if !reflect.DeepEqual(s, again) {
+			t.Fatalf("settings changed:\n%+v\n%+v", s, again)
+		}
+	})
+}
