--- /dev/null
+++ b/node/admin/configuration.go
@@ -0,0 +1,85 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/core/state"
+)
+
+// maxBodyBytes bounds a configuration. One with 63,000 adapters takes about 7 MB.
+const maxBodyBytes = 32 << 20
+
+func (a *API) configuration(c echo.Context) error {
+	var current config.Configuration
+	a.parts.Replica.View(func(s *state.State) { current = s.Config })
+	return c.JSON(http.StatusOK, current)
+}
+
+func (a *API) apply(c echo.Context) error {
+	req, err := decodeApply(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
+	if err != nil {
+		return refuse(c, http.StatusBadRequest, Refusal{Code: CodeBadRequest, Reason: err.Error()})
+	}
+	if faults := check(*req.Configuration); len(faults) > 0 {
+		return refuse(c, http.StatusUnprocessableEntity, Refusal{Code: CodeInvalid, Reason: faults.Error(), Faults: faults})
+	}
+	result, err := a.parts.Proposer.Propose(c.Request().Context(), state.Command{
+		UnixMS:    a.parts.Now().UnixMilli(),
+		Configure: &state.Configure{ChangeID: req.ChangeID, Expected: *req.Expected, Next: *req.Configuration},
+	})
+	if err != nil {
+		return refuse(c, http.StatusServiceUnavailable, Refusal{
+			Code: CodeUnavailable, Execution: ExecutionUnknown, RetryAfterMS: retryAfterMS,
+			Reason: "the outcome is not known; sending the same change id again is safe: " + err.Error(),
+		})
+	}
+	if r := result.Rejection; r != nil {
+		return refuse(c, http.StatusConflict, Refusal{Code: string(r.Code), Reason: r.Reason, Winner: r.Winner, Version: result.Version})
+	}
+	a.parts.Logger.WithField("change", req.ChangeID).WithField("version", result.Version).Info("configuration accepted")
+	return c.JSON(http.StatusOK, ApplyAnswer{ChangeID: req.ChangeID, Version: result.Version})
+}
+
+func decodeApply(body io.Reader) (ApplyRequest, error) {
+	var req ApplyRequest
+	d := json.NewDecoder(body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&req); err != nil {
+		return req, &BodyError{Reason: "body is not an apply request: " + err.Error()}
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return req, &BodyError{Reason: "body has more than one JSON value"}
+	}
+	switch {
+	case !config.ValidName(req.ChangeID):
+		return req, &BodyError{Reason: "change_id must be " + config.NameRule}
+	case req.Expected == nil:
+		return req, &BodyError{Reason: "expected must be set to the current version, 0 for the first configuration"}
+	case req.Configuration == nil:
+		return req, &BodyError{Reason: "configuration must be set"}
+	}
+	return req, nil
+}
+
+// BodyError reports a request body that cannot be used.
+type BodyError struct{ Reason string }
+
+func (e *BodyError) Error() string { return e.Reason }
+
+// check returns everything that is wrong with a configuration.
+func check(c config.Configuration) config.Errors {
+	var out config.Errors
+	for _, err := range []error{config.Validate(c), config.RequireOperator(c)} {
+		var faults config.Errors
+		if errors.As(err, &faults) {
+			out = append(out, faults...)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/node/admin/status.go
@@ -0,0 +1,107 @@
+package admin
+
+import (
+	"cmp"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/core/state"
+)
+
+func (a *API) status(c echo.Context) error {
+	out := StatusAnswer{Host: a.parts.Host, Control: a.parts.Control.Control(), Placements: map[state.Phase]int{}}
+	for _, h := range a.parts.Members.Hosts() {
+		out.Hosts.add(h.Silent, h.Leaving)
+	}
+	for _, s := range a.parts.Members.Servers() {
+		out.Servers.add(s.Silent, s.Leaving)
+	}
+	a.parts.Replica.View(func(s *state.State) {
+		out.Deployment, out.Version, out.AppliedIndex = s.Config.Deployment.Name, s.Config.Version, s.Index
+		for _, p := range s.Placements {
+			out.Placements[p.Phase]++
+		}
+		for _, suspect := range s.Suspects {
+			out.Suspects++
+			if suspect.Quarantined {
+				out.Quarantined++
+			}
+		}
+	})
+	return c.JSON(http.StatusOK, out)
+}
+
+func (t *Tally) add(silent, leaving bool) {
+	t.Known++
+	if silent {
+		t.Silent++
+	}
+	if leaving {
+		t.Leaving++
+	}
+}
+
+func (a *API) models(c echo.Context) error {
+	var out ModelsAnswer
+	a.parts.Replica.View(func(s *state.State) { out.Models = modelStatus(s) })
+	return c.JSON(http.StatusOK, out)
+}
+
+// modelStatus lists the configured models and those that are still loaded.
+func modelStatus(s *state.State) []ModelStatus {
+	byName := map[string]*ModelStatus{}
+	for _, m := range s.Config.Models {
+		byName[m.Name] = describe(m)
+	}
+	for _, adapter := range s.Config.Adapters {
+		if m := byName[adapter.Model]; m != nil {
+			m.Adapters++
+		}
+	}
+	adapters := readyAdapters(s)
+	for key, p := range s.Placements {
+		m := byName[key.Model]
+		if m == nil {
+			m = &ModelStatus{Name: key.Model, Removed: true, Replicas: []ModelReplica{}}
+			byName[key.Model] = m
+		}
+		if key.Adapter == "" {
+			m.Replicas = append(m.Replicas, ModelReplica{
+				Server: key.Server, Phase: p.Phase, Version: p.Version, Adapters: adapters[key],
+			})
+		}
+	}
+	out := make([]ModelStatus, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		m := byName[name]
+		slices.SortFunc(m.Replicas, func(a, b ModelReplica) int { return cmp.Compare(a.Server, b.Server) })
+		out = append(out, *m)
+	}
+	return out
+}
+
+func describe(m config.Model) *ModelStatus {
+	return &ModelStatus{
+		Name: m.Name, Service: m.Service, Version: m.Version, Urgency: m.Urgency,
+		MaxReplicas: m.MaxReplicas, PinnedReplicas: m.PinnedReplicas, Replicas: []ModelReplica{},
+	}
+}
+
+// readyAdapters lists the ready adapters by the placement of their model.
+func readyAdapters(s *state.State) map[state.PlaceKey][]string {
+	out := map[state.PlaceKey][]string{}
+	for key, p := range s.Placements {
+		if key.Adapter != "" && p.Phase == state.PhaseReady {
+			base := state.PlaceKey{Server: key.Server, Model: key.Model}
+			out[base] = append(out[base], key.Adapter)
+		}
+	}
+	for _, names := range out {
+		slices.Sort(names)
+	}
+	return out
+}
