Add pollenctl

Cause: teams and operators had no tool.

Change: cmd/pollenctl has the commands questionnaire, generate, validate, diff, apply, status, models, hosts, drain and burn, with text or JSON output and an exit code for each kind of failure. apply derives the change id from the expected version and the configuration, so that a repeated command is a resend of the same change.

Ruled out: a random change id by default, with which a second run of the command after a lost answer gets a version conflict with itself.

--- /dev/null
+++ b/cmd/pollenctl/apply.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/node/admin"
+	"github.com/pollenwheel/pollenwheel/node/documents"
+)
+
+// pollPause is the time between two looks at a deployment that is changing.
+const pollPause = 500 * time.Millisecond
+
+// applied describes an accepted change.
+type applied struct {
+	admin.ApplyAnswer
+	// Hosts have the version; it is filled with --wait only.
+	Hosts []string `json:"hosts,omitempty"`
+}
+
+func (e *environment) applyCommand(app *kingpin.Application) command {
+	clause := app.Command("apply", "Apply a configuration file. Repeating the command after a lost answer is safe.")
+	file := clause.Arg("file", "Configuration file.").Required().String()
+	expected := clause.Flag("expected", "Version that the change replaces; 0 for the first configuration. Default: the version in the file.").String()
+	id := clause.Flag("change-id", "Id of the change. Default: a hash of the expected version and the configuration.").String()
+	wait := clause.Flag("wait", "Wait until every host that is not silent has the new version.").Bool()
+	return command{clause, func(ctx context.Context) (answer, error) {
+		req, err := applyRequest(*file, *expected, *id)
+		if err != nil {
+			return answer{}, err
+		}
+		c, err := e.client()
+		if err != nil {
+			return answer{}, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, e.remote.timeout)
+		defer cancel()
+		out, err := c.apply(ctx, req)
+		if err == nil && *wait {
+			out.Hosts, err = c.awaitVersion(ctx, out.Version)
+		}
+		return answer{value: out, text: out.print}, err
+	}}
+}
+
+func (a applied) print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "change %s is version %d\n", a.ChangeID, a.Version)
+	if len(a.Hosts) > 0 {
+		_, _ = fmt.Fprintf(w, "in force on %s\n", lines(a.Hosts, "no host"))
+	}
+}
+
+func applyRequest(file, expected, id string) (admin.ApplyRequest, error) {
+	next, err := readFile(file, documents.ParseConfiguration)
+	if err != nil {
+		return admin.ApplyRequest{}, err
+	}
+	if err := config.RequireOperator(next); err != nil {
+		return admin.ApplyRequest{}, err
+	}
+	version := next.Version
+	switch {
+	case expected != "":
+		if version, err = strconv.ParseUint(expected, 10, 63); err != nil {
+			return admin.ApplyRequest{}, &usageError{fmt.Errorf("--expected must be a version, not %q", expected)}
+		}
+	case version == 0:
+		return admin.ApplyRequest{}, &usageError{errors.New("the file names no version; use --expected")}
+	}
+	next.Version = 0
+	if id == "" {
+		id, err = changeID(version, next)
+	}
+	if err == nil && !config.ValidName(id) {
+		err = &usageError{fmt.Errorf("--change-id must be %s", config.NameRule)}
+	}
+	return admin.ApplyRequest{ChangeID: id, Expected: &version, Configuration: &next}, err
+}
+
+// changeID derives the id from what the change does. A repeated command is then
+// a resend of the same change, and a change with other contents never is.
+func changeID(expected uint64, c config.Configuration) (string, error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(append(strconv.AppendUint(nil, expected, 10), data...))
+	return "change-" + hex.EncodeToString(sum[:12]), nil
+}
+
+func (c *client) apply(ctx context.Context, req admin.ApplyRequest) (applied, error) {
+	var out applied
+	body, err := json.Marshal(req)
+	if err != nil {
+		return out, err
+	}
+	c.e.progress("applying change %s on version %d", req.ChangeID, *req.Expected)
+	err = c.do(ctx, http.MethodPost, "/configuration", body, &out.ApplyAnswer)
+	var r *admin.Refusal
+	if errors.As(err, &r) && r.Code == admin.CodeVersionConflict {
+		return out, &conflictError{refusal: r, changeID: req.ChangeID}
+	}
+	return out, err
+}
+
+// conflictError explains a version conflict to operators.
+type conflictError struct {
+	refusal  *admin.Refusal
+	changeID string
+}
+
+func (e *conflictError) Error() string {
+	winner := ""
+	if e.refusal.Winner != "" {
+		winner = "; change " + e.refusal.Winner + " replaced the expected version"
+	}
+	return fmt.Sprintf("change %s was not applied: %s%s", e.changeID, e.refusal.Reason, winner)
+}
+
+func (e *conflictError) Unwrap() error { return e.refusal }
+
+// awaitVersion asks every host until all that are not silent have the version.
+func (c *client) awaitVersion(ctx context.Context, version uint64) ([]string, error) {
+	shown := -1
+	for {
+		var list admin.HostsAnswer
+		if err := c.get(ctx, "/hosts", &list); err != nil {
+			return nil, err
+		}
+		var have, lack []string
+		for _, h := range list.Hosts {
+			if h.Silent {
+				continue
+			}
+			var s admin.StatusAnswer
+			if err := c.at(h.CallerAddress).once(ctx, h.CallerAddress, http.MethodGet, "/status", nil, &s); err == nil && s.Version >= version {
+				have = append(have, h.Name)
+				continue
+			}
+			lack = append(lack, h.Name)
+		}
+		if len(have) != shown {
+			shown = len(have)
+			c.e.progress("%d of %d hosts have version %d; waiting for %s", len(have), len(have)+len(lack), version, lines(lack, "none"))
+		}
+		if len(lack) == 0 {
+			return have, nil
+		}
+		if err := c.e.sleep(ctx, pollPause); err != nil {
+			return have, &noAnswerError{fmt.Errorf("version %d was accepted, but these hosts do not have it yet: %s", version, lines(lack, "none"))}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/pollenctl/burn.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pollenwheel/pollenwheel/core/burn"
+)
+
+func (e *environment) burnCommand(app *kingpin.Application) command {
+	clause := app.Command("burn", "Report how fast error budgets are spent.")
+	plot := clause.Flag("plot", "SVG file to write a plot of the last 6 h to.").String()
+	return command{clause, func(ctx context.Context) (answer, error) {
+		var report burn.Report
+		if err := e.fetch(ctx, "/burn", &report); err != nil {
+			return answer{}, err
+		}
+		a := answer{value: report, text: func(w io.Writer) { _, _ = fmt.Fprint(w, report.Text()) }}
+		if *plot == "" {
+			return a, nil
+		}
+		return a, writeFile(*plot, []byte(report.SVG()))
+	}}
+}
--- /dev/null
+++ b/cmd/pollenctl/generate.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/node/documents"
+)
+
+func (e *environment) generateCommand(app *kingpin.Application) command {
+	clause := app.Command("generate", "Generate a configuration from the operators' decisions and the teams' questionnaires.")
+	decisions := clause.Arg("decisions", "File with the operators' decisions.").Required().String()
+	questionnaires := clause.Arg("questionnaires", "Questionnaires of teams.").Strings()
+	file := clause.Flag("file", "Configuration file to write, instead of printing the configuration.").String()
+	return command{clause, func(context.Context) (answer, error) {
+		c, err := generate(*decisions, *questionnaires)
+		if err != nil {
+			return answer{}, err
+		}
+		data := documents.FormatConfiguration(c)
+		if *file == "" {
+			return answer{value: c, text: func(w io.Writer) { _, _ = w.Write(data) }}, nil
+		}
+		out := generated{File: *file, Models: len(c.Models), Adapters: len(c.Adapters), Callers: len(c.Callers)}
+		return answer{value: out, text: out.print}, writeFile(*file, data)
+	}}
+}
+
+// generated describes a written configuration.
+type generated struct {
+	File     string `json:"file"`
+	Models   int    `json:"models"`
+	Adapters int    `json:"adapters"`
+	Callers  int    `json:"callers"`
+}
+
+func (g generated) print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "wrote %s with %d models, %d adapters and %d callers\n", g.File, g.Models, g.Adapters, g.Callers)
+}
+
+func generate(decisions string, questionnaires []string) (config.Configuration, error) {
+	d, err := readFile(decisions, documents.ParseDecisions)
+	if err != nil {
+		return config.Configuration{}, err
+	}
+	var answers []config.Questionnaire
+	for _, path := range questionnaires {
+		q, err := readFile(path, documents.ParseQuestionnaire)
+		if err != nil {
+			return config.Configuration{}, err
+		}
+		answers = append(answers, q)
+	}
+	return config.Generate(d, answers)
+}
--- /dev/null
+++ b/cmd/pollenctl/output.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/google/renameio/v2"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/node/admin"
+	"github.com/pollenwheel/pollenwheel/node/documents"
+	"github.com/pollenwheel/pollenwheel/node/inifile"
+)
+
+// Output formats.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// Exit codes, as the help describes them.
+const (
+	exitOK = iota
+	exitLocal
+	exitInvalid
+	exitRefused
+	exitConflict
+	exitNoAnswer
+	exitDifferent
+)
+
+// usageError reports a command line that cannot be used.
+type usageError struct{ err error }
+
+func (e *usageError) Error() string { return e.err.Error() }
+
+func (e *usageError) Unwrap() error { return e.err }
+
+// failure is the JSON form of an error.
+type failure struct {
+	Error    string         `json:"error"`
+	ExitCode int            `json:"exit_code"`
+	Refusal  *admin.Refusal `json:"refusal,omitempty"`
+	Faults   config.Errors  `json:"faults,omitempty"`
+}
+
+func (e *environment) finish(a answer, err error) int {
+	if err != nil {
+		return e.fail(err)
+	}
+	if e.output == outputJSON {
+		encoder := json.NewEncoder(e.stdout)
+		encoder.SetIndent("", "  ")
+		err = encoder.Encode(a.value)
+	} else if a.text != nil {
+		a.text(e.stdout)
+	}
+	if err != nil {
+		return e.fail(err)
+	}
+	return a.code
+}
+
+func (e *environment) fail(err error) int {
+	f := failure{Error: err.Error(), ExitCode: exitCode(err)}
+	_ = errors.As(err, &f.Refusal)
+	_ = errors.As(err, &f.Faults)
+	if e.output != outputJSON {
+		_, _ = fmt.Fprintln(e.stderr, "pollenctl:", err)
+		return f.ExitCode
+	}
+	encoder := json.NewEncoder(e.stderr)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(f) // nothing is left to report the failure to
+	return f.ExitCode
+}
+
+func exitCode(err error) int {
+	var (
+		usage   *usageError
+		file    *inifile.Error
+		whole   *documents.Error
+		faults  config.Errors
+		refusal *admin.Refusal
+		silence *noAnswerError
+	)
+	switch {
+	case errors.As(err, &silence):
+		return exitNoAnswer
+	case errors.As(err, &refusal) && refusal.Code == admin.CodeVersionConflict:
+		return exitConflict
+	case errors.As(err, &refusal):
+		return exitRefused
+	case errors.As(err, &usage), errors.As(err, &file), errors.As(err, &whole), errors.As(err, &faults):
+		return exitInvalid
+	}
+	return exitLocal
+}
+
+// progress reports on long work. It is left out with JSON output, so that the
+// error stream holds nothing but an error.
+func (e *environment) progress(format string, args ...any) {
+	if e.output != outputJSON {
+		_, _ = fmt.Fprintf(e.stderr, format+"\n", args...)
+	}
+}
+
+// readFile reads and parses a file.
+func readFile[T any](path string, parse func(string, []byte) (T, error)) (T, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		var none T
+		return none, &usageError{err}
+	}
+	return parse(path, data)
+}
+
+// writeFile replaces a file at once, so that an interrupted write leaves the
+// former contents.
+func writeFile(path string, data []byte) error {
+	if err := renameio.WriteFile(path, data, 0o644); err != nil {
+		return fmt.Errorf("write %s: %w", path, err)
+	}
+	return nil
+}
+
+func lines(list []string, empty string) string {
+	if len(list) == 0 {
+		return empty
+	}
+	return strings.Join(list, ", ")
+}
--- /dev/null
+++ b/cmd/pollenctl/remote.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pollenwheel/pollenwheel/node/admin"
+	"github.com/pollenwheel/pollenwheel/node/inifile"
+)
+
+const (
+	// attemptTimeout bounds one request. It covers an election, during which a
+	// host holds a change back.
+	attemptTimeout = 10 * time.Second
+	// attemptPause is the time between rounds over all addresses.
+	attemptPause = 500 * time.Millisecond
+	// maxAnswerBytes bounds an answer. A configuration takes up to 32 MB.
+	maxAnswerBytes = 64 << 20
+)
+
+type remoteFlags struct {
+	addresses []string
+	keyFile   string
+	timeout   time.Duration
+}
+
+func (f *remoteFlags) register(app *kingpin.Application) {
+	app.Flag("address", "Caller address of a host, such as 127.1.1.1:7100. Repeat it to name hosts to try in turn.").
+		Envar("POLLENWHEEL_ADDRESSES").StringsVar(&f.addresses)
+	app.Flag("key-file", "File with the operator key.").Envar("POLLENWHEEL_KEY_FILE").StringVar(&f.keyFile)
+	app.Flag("timeout", "Time after which a command gives up.").Default("30s").DurationVar(&f.timeout)
+}
+
+// noAnswerError reports that no host answered in time.
+type noAnswerError struct {
+	last error
+}
+
+func (e *noAnswerError) Error() string {
+	return fmt.Sprintf("no host gave an answer; the outcome is not known, and repeating the command is safe: %v", e.last)
+}
+
+func (e *noAnswerError) Unwrap() error { return e.last }
+
+// client sends requests to the administration API. All of them may be repeated,
+// so it resends after a lost answer, to the next host.
+type client struct {
+	e         *environment
+	addresses []string
+	key       string
+	http      *http.Client
+}
+
+func (e *environment) client() (*client, error) {
+	// The transport of its own ignores proxies from the process environment.
+	c := &client{e: e, http: &http.Client{Timeout: attemptTimeout, Transport: &http.Transport{}}}
+	for _, list := range e.remote.addresses {
+		c.addresses = append(c.addresses, strings.FieldsFunc(list, func(r rune) bool { return r == ',' || r == ' ' || r == '\n' })...)
+	}
+	if len(c.addresses) == 0 {
+		return nil, &usageError{errors.New("no host is named; use --address or POLLENWHEEL_ADDRESSES")}
+	}
+	for _, a := range c.addresses {
+		if !inifile.ValidAddress(a) {
+			return nil, &usageError{fmt.Errorf("address %q must be an IP address and port such as 127.0.0.1:7100", a)}
+		}
+	}
+	key, err := e.key()
+	c.key = key
+	return c, err
+}
+
+func (e *environment) key() (string, error) {
+	key := e.getenv("POLLENWHEEL_KEY")
+	if e.remote.keyFile != "" {
+		data, err := os.ReadFile(e.remote.keyFile)
+		if err != nil {
+			return "", &usageError{err}
+		}
+		key = strings.TrimSpace(string(data))
+	}
+	if key == "" {
+		return "", &usageError{errors.New("no operator key; set POLLENWHEEL_KEY or use --key-file")}
+	}
+	return key, nil
+}
+
+// at returns a client for one host only.
+func (c *client) at(address string) *client {
+	one := *c
+	one.addresses = []string{address}
+	return &one
+}
+
+func (c *client) get(ctx context.Context, path string, into any) error {
+	return c.do(ctx, http.MethodGet, path, nil, into)
+}
+
+// do sends a request until a host answers or the context ends.
+func (c *client) do(ctx context.Context, method, path string, body []byte, into any) error {
+	var last error
+	for {
+		for _, address := range c.addresses {
+			err := c.once(ctx, address, method, path, body, into)
+			var retry *retryError
+			if !errors.As(err, &retry) {
+				return err
+			}
+			last = retry.err
+			c.e.progress("%s: %v", address, last)
+		}
+		if err := c.e.sleep(ctx, attemptPause); err != nil {
+			return &noAnswerError{last}
+		}
+	}
+}
+
+// retryError marks an attempt that may be repeated.
+type retryError struct{ err error }
+
+func (e *retryError) Error() string { return e.err.Error() }
+
+func (e *retryError) Unwrap() error { return e.err }
+
+func (c *client) once(ctx context.Context, address, method, path string, body []byte, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+admin.Prefix+path, bytes.NewReader(body))
+	if err != nil {
+		return &usageError{err}
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return &retryError{err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return &retryError{err}
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return refusal(resp.StatusCode, data)
+	}
+	if raw, ok := into.(*[]byte); ok {
+		*raw = data
+		return nil
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return &retryError{fmt.Errorf("answer is not understood: %w", err)}
+	}
+	return nil
+}
+
+// refusal turns a negative answer into an error. What did not come from the
+// administration API, and what may change by itself, is retried.
+func refusal(status int, data []byte) error {
+	var a admin.RefusalAnswer
+	if err := json.Unmarshal(data, &a); err != nil || a.Error == nil {
+		return &retryError{fmt.Errorf("answer with status %d is not understood", status)}
+	}
+	if status >= http.StatusInternalServerError {
+		// The cause is not wrapped as a refusal: after a time-out, the outcome is unknown.
+		return &retryError{errors.New(a.Error.Error())}
+	}
+	return a.Error
+}
--- /dev/null
+++ b/cmd/pollenctl/status.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pollenwheel/pollenwheel/node/admin"
+)
+
+func (e *environment) statusCommand(app *kingpin.Application) command {
+	clause := app.Command("status", "Show the state of the deployment as one host sees it.")
+	return command{clause, func(ctx context.Context) (answer, error) {
+		var out admin.StatusAnswer
+		err := e.fetch(ctx, "/status", &out)
+		return answer{value: out, text: func(w io.Writer) { printStatus(w, out) }}, err
+	}}
+}
+
+// fetch gets one answer within the time limit of the command.
+func (e *environment) fetch(ctx context.Context, path string, into any) error {
+	c, err := e.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.remote.timeout)
+	defer cancel()
+	return c.get(ctx, path, into)
+}
+
+func printStatus(w io.Writer, s admin.StatusAnswer) {
+	t := newTable(w)
+	t.row("seen by", s.Host)
+	t.row("deployment", s.Deployment)
+	t.row("configuration version", s.Version)
+	t.row("applied index", s.AppliedIndex)
+	quorum := "yes"
+	if !s.Control.Quorum {
+		quorum = "no: no configuration, order or claim can be accepted"
+	}
+	t.row("quorum", quorum)
+	t.row("leader", fmt.Sprintf("%s, term %d", lines(slices.DeleteFunc([]string{s.Control.Leader}, isEmpty), "none known"), s.Control.Term))
+	t.row("voters", lines(s.Control.Voters, "none"))
+	t.row("learners", lines(s.Control.Learners, "none"))
+	t.row("hosts", tally(s.Hosts))
+	t.row("backend servers", tally(s.Servers))
+	for _, phase := range slices.Sorted(maps.Keys(s.Placements)) {
+		t.row("placements "+string(phase), s.Placements[phase])
+	}
+	t.row("requests under suspicion", s.Suspects)
+	t.row("requests in quarantine", s.Quarantined)
+	t.flush()
+}
+
+func isEmpty(s string) bool { return s == "" }
+
+func tally(t admin.Tally) string {
+	return fmt.Sprintf("%d known, %d silent, %d leaving", t.Known, t.Silent, t.Leaving)
+}
