--- a/cmd/pollenctl/deployment_test.go
+++ b/cmd/pollenctl/deployment_test.go
@@ -45,7 +45,7 @@
 		logger.SetOutput(io.Discard)
 		admin.New(admin.Parts{
 			Host: name, Proposer: d, Replica: d, Members: d, Drainer: d, Counter: d, Control: d,
-			Now:                func() time.Time { return time.UnixMilli(1) },
+			Ready: func() bool { return true }, Now: func() time.Time { return time.UnixMilli(1) },
 			BootstrapKeySHA256: admin.HashKey("operator"), Logger: logrus.NewEntry(logger),
 		}).Routes(web)
 		s := httptest.NewServer(d.lossy(web))
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -83,12 +83,17 @@
 	Drainer  Drainer
 	Counter  Counter
 	Control  Controller
+	// Ready reports whether Replica has caught up since the start. Until then it
+	// may lack the configuration that ends the bootstrap key, so nothing is served.
+	Ready func() bool
 	// Now is the wall clock, for the timestamps of commands.
 	Now func() time.Time
 	// BootstrapKeySHA256 is the hash of the key that is accepted while no
 	// configuration has been applied. Empty accepts none.
 	BootstrapKeySHA256 string
 	Logger             *logrus.Entry
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // API serves the administration routes.
@@ -101,7 +106,7 @@
 
 // Routes registers the routes.
 func (a *API) Routes(web *echo.Echo) {
-	g := web.Group(Prefix, a.authorize)
+	g := web.Group(Prefix, a.count, a.authorize)
 	g.GET("/configuration", a.configuration)
 	g.POST("/configuration", a.apply)
 	g.GET("/status", a.status)
--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/sirupsen/logrus"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/metric/metricdata"
 
 	"github.com/pollenwheel/pollenwheel/core/burn"
 	"github.com/pollenwheel/pollenwheel/core/config"
@@ -24,8 +26,10 @@
 // world stands in for the other parts of a host. It commits at once.
 type world struct {
 	state   *state.State
+	behind  bool
 	fail    error
 	drained []string
+	metrics *Metrics
 }
 
 func (w *world) View(f func(*state.State)) { f(w.state) }
@@ -60,7 +64,7 @@
 	web := echo.New()
 	New(Parts{
 		Host: "waco-1", Proposer: w, Replica: w, Members: w, Drainer: w, Counter: w, Control: w,
-		Now:                func() time.Time { return time.UnixMilli(1000) },
+		Ready: func() bool { return !w.behind }, Now: func() time.Time { return time.UnixMilli(1000) }, Metrics: w.metrics,
 		BootstrapKeySHA256: HashKey("first"), Logger: logrus.NewEntry(logger),
 	}).Routes(web)
 	return web
@@ -157,6 +161,41 @@
 	}
 }
 
+// Guards against the bootstrap key working again on a host that has restarted
+// and does not know the configuration yet.
+func TestNotServedBeforeCaughtUp(t *testing.T) {
+	h := serve(&world{state: state.New(), behind: true})
+	status, body := send(t, h, "GET", "/status", "first", "")
+	if r := refusal(t, body); status != http.StatusServiceUnavailable || r.Code != CodeUnavailable || r.Execution != NotRun {
+		t.Errorf("got %d %s", status, body)
+	}
+}
+
+// Guards against requests that are refused without being counted.
+func TestMetrics(t *testing.T) {
+	reader := sdkmetric.NewManualReader()
+	metrics, err := NewMetrics(sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader)).Meter("test"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := serve(&world{state: state.New(), metrics: metrics})
+	send(t, h, "GET", "/status", "first", "")
+	send(t, h, "POST", "/hosts/nowhere/drain", "", "")
+	var got metricdata.ResourceMetrics
+	if err := reader.Collect(t.Context(), &got); err != nil {
+		t.Fatal(err)
+	}
+	counted := map[string]int64{}
+	for _, p := range got.ScopeMetrics[0].Metrics[0].Data.(metricdata.Sum[int64]).DataPoints {
+		route, _ := p.Attributes.Value("route")
+		status, _ := p.Attributes.Value("status")
+		counted[route.AsString()+" "+status.Emit()] = p.Value
+	}
+	if len(counted) != 2 || counted["/v1/admin/status 200"] != 1 || counted["/v1/admin/hosts/:host/drain 401"] != 1 {
+		t.Errorf("got %v", counted)
+	}
+}
+
 // Guards against lost answers being applied twice, and against conflicts that
 // do not tell operators what won.
 func TestApply(t *testing.T) {
@@ -182,6 +221,10 @@
 	if status, body = apply("operator", applyBody(t, "three", 1, nil)); status != http.StatusOK || !strings.Contains(body, `"version":2`) {
 		t.Errorf("next change: got %d %s", status, body)
 	}
+	status, body = apply("operator", applyBody(t, "three", 1, func(c *config.Configuration) { c.Models[0].MaxReplicas = 9 }))
+	if r := refusal(t, body); status != http.StatusConflict || r.Code != CodeChangeIDReused || r.Execution != NotRun {
+		t.Errorf("change id for other contents: got %d %s", status, body)
+	}
 }
 
 // Guards against a bad change reaching the replicated log.
--- a/node/admin/authorize.go
+++ b/node/admin/authorize.go
@@ -22,6 +22,11 @@
 // authorize lets only operators pass.
 func (a *API) authorize(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		if !a.parts.Ready() {
+			return refuse(c, http.StatusServiceUnavailable, Refusal{
+				Code: CodeUnavailable, RetryAfterMS: retryAfterMS, Reason: "this host is still catching up with the deployment",
+			})
+		}
 		key, found := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
 		if !found || key == "" {
 			c.Response().Header().Set(echo.HeaderWWWAuthenticate, "Bearer")
--- a/node/admin/message.go
+++ b/node/admin/message.go
@@ -23,6 +23,7 @@
 	CodeForbidden       = "forbidden"
 	CodeInvalid         = "invalid_configuration"
 	CodeVersionConflict = string(state.CodeVersionConflict)
+	CodeChangeIDReused  = "change_id_reused"
 	CodeUnknownHost     = "unknown_host"
 	CodeUnavailable     = "unavailable"
 )
--- /dev/null
+++ b/node/admin/metrics.go
@@ -0,0 +1,37 @@
+package admin
+
+import (
+	"fmt"
+
+	"github.com/labstack/echo/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Metrics count the requests of operators.
+type Metrics struct {
+	requests metric.Int64Counter
+}
+
+// NewMetrics creates the instruments.
+func NewMetrics(meter metric.Meter) (*Metrics, error) {
+	requests, err := meter.Int64Counter("pollenwheel.admin.requests",
+		metric.WithUnit("{request}"), metric.WithDescription("Administration requests by route and status."))
+	if err != nil {
+		return nil, fmt.Errorf("admin: metrics: %w", err)
+	}
+	return &Metrics{requests: requests}, nil
+}
+
+// count counts a request after it was answered. The route, unlike the path, has
+// few values.
+func (a *API) count(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		err := next(c)
+		if a.parts.Metrics != nil {
+			a.parts.Metrics.requests.Add(c.Request().Context(), 1, metric.WithAttributes(
+				attribute.String("route", c.Path()), attribute.Int("status", c.Response().Status)))
+		}
+		return err
+	}
+}
