--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -131,7 +131,7 @@
 			if got, body := send(t, h, r.method, r.path, key, ""); got != status {
 				t.Errorf("%s: %s %s with key %q: got %d %s, want %d", stage, r.method, r.path, key, got, body, status)
 			} else {
-				refusal(t, body)
+				_ = refusal(t, body)
 			}
 		}
 	}
@@ -189,7 +189,7 @@
 	for _, p := range got.ScopeMetrics[0].Metrics[0].Data.(metricdata.Sum[int64]).DataPoints {
 		route, _ := p.Attributes.Value("route")
 		status, _ := p.Attributes.Value("status")
-		counted[route.AsString()+" "+status.Emit()] = p.Value
+		counted[route.AsString()+" "+status.String()] = p.Value
 	}
 	if len(counted) != 2 || counted["/v1/admin/status 200"] != 1 || counted["/v1/admin/hosts/:host/drain 401"] != 1 {
 		t.Errorf("got %v", counted)
@@ -334,7 +334,7 @@
 			t.Fatalf("untyped error %v", err)
 		}
 		if err == nil {
-			check(*req.Configuration)
+			_ = check(*req.Configuration)
 		}
 	})
 }
--- a/node/documents/documents_test.go
+++ b/node/documents/documents_test.go
@@ -104,7 +104,7 @@
 // Guards against misspelt answers being ignored.
 func TestParseRefuses(t *testing.T) {
 	for name, c := range map[string]struct{ old, new, want string }{
-		"unknown section":      {"[model atlas]", "[modle atlas]", "[modle atlas]: must be one of the sections"},
+		"unknown section":      {"[model atlas]", "[mdl atlas]", "[mdl atlas]: must be one of the sections"},
 		"unknown key":          {"kv_mib", "kv_mb", "kv_mb = \"4000\": must be one of the keys"},
 		"model without name":   {"[model atlas]", "[model]", "[model]: must be named"},
 		"model twice":          {"[adapter atlas-letters]", "[model atlas]", "[model atlas]: must be given once"},
