Add routing by reported load, prefix affinity and breakers

Each attempt needs a server without a scan of the placement maps. Scanning per request was ruled out: it grows with the fleet.

--- /dev/null
+++ b/core/routing/router.go
@@ -0,0 +1,300 @@
+// Package routing chooses the backend server for one attempt and keeps the
+// bookkeeping of attempts, breakers and prefix caches. It performs no I/O and
+// reads no clock.
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Key is what a request needs: a model, a model with an adapter, or a plain
+// service.
+type Key struct{ Service, Model, Adapter string }
+
+// Server describes one backend server.
+type Server struct {
+	Name        string
+	Address     string
+	DataCentre  string
+	Incarnation uint64
+	// Closed servers receive no new work: they leave, are silent or returned
+	// with models that no placement accounts for.
+	Closed bool
+	// TrialUntil is when an open trial of a suspect on the server expires. The
+	// server receives no other work until then.
+	TrialUntil time.Duration
+}
+
+// Replica is one ready model, adapter or service on a server.
+type Replica struct {
+	Server string
+	Key    Key
+}
+
+// Options configure a router.
+type Options struct {
+	// DataCentre is preferred.
+	DataCentre string
+	// Spill is the load above which a server of another data centre is
+	// considered as well.
+	Spill int
+}
+
+// Router is not safe for concurrent use.
+type Router struct {
+	opts     Options
+	rng      *rand.Rand
+	servers  map[string]*server
+	targets  map[Key]*target
+	prefixes map[uint64]prefixEntry
+	places   map[Replica]*candidate
+}
+
+// target holds the candidates of one key; those in the own data centre first.
+type target struct {
+	candidates []*candidate
+	local      int
+}
+
+type candidate struct {
+	server  *server
+	breaker breaker
+}
+
+type server struct {
+	Server
+	// reported is the server's own figure. current and previous count own
+	// attempts that began after the newest report and after the one before it;
+	// because reports lag, neither is taken to be part of reported.
+	reported, previous, current int
+	epoch                       uint32
+	sequence                    uint64
+	// cacheEpoch invalidates all prefix entries of the server when it changes.
+	cacheEpoch    uint32
+	cacheSequence uint64
+}
+
+func (s *server) load() int { return s.reported + s.previous + s.current }
+
+// New returns a router without servers.
+func New(opts Options, rng *rand.Rand) *Router {
+	return &Router{
+		opts: opts, rng: rng, servers: map[string]*server{}, targets: map[Key]*target{},
+		prefixes: map[uint64]prefixEntry{}, places: map[Replica]*candidate{},
+	}
+}
+
+// Rebuild replaces the index of servers and replicas. Load, breakers and
+// prefix entries of server incarnations that remain are kept.
+func (r *Router) Rebuild(servers []Server, replicas []Replica) {
+	next := make(map[string]*server, len(servers))
+	for _, s := range servers {
+		old, ok := r.servers[s.Name]
+		if !ok || old.Incarnation != s.Incarnation {
+			old = &server{}
+		}
+		old.Server = s
+		next[s.Name] = old
+	}
+	targets := make(map[Key]*target, len(r.targets))
+	places := make(map[Replica]*candidate, len(replicas))
+	for _, p := range replicas {
+		s, ok := next[p.Server]
+		if !ok {
+			continue
+		}
+		c := r.places[p]
+		if c == nil || c.server != s {
+			c = &candidate{server: s}
+		}
+		places[p] = c
+		t := targets[p.Key]
+		if t == nil {
+			t = &target{}
+			targets[p.Key] = t
+		}
+		t.add(c, s.DataCentre == r.opts.DataCentre)
+	}
+	r.servers, r.targets, r.places = next, targets, places
+}
+
+func (t *target) add(c *candidate, local bool) {
+	t.candidates = append(t.candidates, c)
+	if !local {
+		return
+	}
+	last := len(t.candidates) - 1
+	t.candidates[t.local], t.candidates[last] = t.candidates[last], t.candidates[t.local]
+	t.local++
+}
+
+// Report merges a server's load report. Reports of an older sequence are
+// ignored.
+func (r *Router) Report(name string, incarnation, sequence uint64, load int) {
+	s, ok := r.servers[name]
+	if !ok || s.Incarnation != incarnation || sequence <= s.sequence {
+		return
+	}
+	s.sequence, s.reported = sequence, load
+	s.previous, s.current = s.current, 0
+	s.epoch++
+}
+
+// Count returns the number of open servers for a key.
+func (r *Router) Count(k Key) int {
+	t := r.targets[k]
+	if t == nil {
+		return 0
+	}
+	n := 0
+	for _, c := range t.candidates {
+		if !c.server.Closed {
+			n++
+		}
+	}
+	return n
+}
+
+// Query describes one attempt.
+type Query struct {
+	Key Key
+	// Prefix is the hash of the prompt's beginning; zero is none.
+	Prefix uint64
+	// Exclude names a server that the request has just failed on.
+	Exclude string
+}
+
+// Attempt is a chosen server. Done must be called once for each attempt.
+type Attempt struct {
+	Server      string
+	Address     string
+	Incarnation uint64
+	candidate   *candidate
+	epoch       uint32
+}
+
+// affinityFactor and affinitySlack bound how much more load a server with the
+// prefix in its cache may have than a sampled one.
+const (
+	affinityFactor = 1.25
+	affinitySlack  = 2
+)
+
+// samples is how many random candidates are tried before a scan.
+const samples = 4
+
+// Pick chooses the less loaded of two random servers for an attempt, or a
+// server that has the prefix cached unless its load is out of bounds. It
+// reports false if no server may receive the attempt.
+func (r *Router) Pick(now time.Duration, q Query) (Attempt, bool) {
+	t := r.targets[q.Key]
+	if t == nil {
+		return Attempt{}, false
+	}
+	best := r.sample(now, t.candidates[:t.local], q.Exclude)
+	if best == nil || best.server.load() >= r.opts.Spill {
+		remote := r.sample(now, t.candidates[t.local:], q.Exclude)
+		if best == nil || remote != nil && 2*remote.server.load() < best.server.load() {
+			best = remote
+		}
+	}
+	if best == nil {
+		return Attempt{}, false
+	}
+	if c := r.cached(now, q); c != nil && c.server.load() <= int(affinityFactor*float64(best.server.load()))+affinitySlack {
+		best = c
+	}
+	return r.begin(now, best), true
+}
+
+// sample returns the better of two random usable candidates.
+func (r *Router) sample(now time.Duration, list []*candidate, exclude string) *candidate {
+	if len(list) == 0 {
+		return nil
+	}
+	var first *candidate
+	for range samples {
+		c := list[r.rng.IntN(len(list))]
+		if c == first || !c.usable(now, exclude) {
+			continue
+		}
+		if first == nil {
+			first = c
+			continue
+		}
+		if c.server.load() < first.server.load() {
+			return c
+		}
+		return first
+	}
+	if first != nil {
+		return first
+	}
+	start := r.rng.IntN(len(list))
+	for i := range list {
+		if c := list[(start+i)%len(list)]; c.usable(now, exclude) {
+			return c
+		}
+	}
+	return nil
+}
+
+func (c *candidate) usable(now time.Duration, exclude string) bool {
+	s := c.server
+	return !s.Closed && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
+}
+
+func (r *Router) begin(now time.Duration, c *candidate) Attempt {
+	c.server.current++
+	c.breaker.begin(now)
+	return Attempt{
+		Server: c.server.Name, Address: c.server.Address, Incarnation: c.server.Incarnation,
+		candidate: c, epoch: c.server.epoch,
+	}
+}
+
+// Idle returns the least loaded server for a key, for the trial of a suspect.
+func (r *Router) Idle(now time.Duration, k Key, exclude string) (Attempt, bool) {
+	t := r.targets[k]
+	if t == nil {
+		return Attempt{}, false
+	}
+	var best *candidate
+	for _, c := range t.candidates {
+		if c.usable(now, exclude) && (best == nil || c.server.load() < best.server.load()) {
+			best = c
+		}
+	}
+	if best == nil {
+		return Attempt{}, false
+	}
+	return r.begin(now, best), true
+}
+
+// Result is how an attempt ended.
+type Result int
+
+// Results of an attempt.
+const (
+	// Success: the server answered.
+	Success Result = iota
+	// Failure: the server failed or could not be reached.
+	Failure
+	// Neutral: the attempt says nothing about the server's health.
+	Neutral
+)
+
+// Done records the end of an attempt.
+func (r *Router) Done(now time.Duration, a Attempt, result Result) {
+	s := a.candidate.server
+	switch {
+	case s.epoch == a.epoch:
+		s.current = max(0, s.current-1)
+	case s.epoch == a.epoch+1:
+		s.previous = max(0, s.previous-1)
+	default:
+		s.reported = max(0, s.reported-1)
+	}
+	a.candidate.breaker.done(now, result, r.rng)
+}
