Extend the stand-ins and identify claims and trials by nonce

A release of a claim whose proposal timed out could arrive late and end a later claim of the same host, so claims and trials carry a nonce. A trial of a host that died blocked its server for good; it now expires, and its holder can release it.

--- a/core/state/claim.go
+++ b/core/state/claim.go
@@ -37,6 +37,11 @@
 	if !ok || rec.Holder != o.Holder {
 		return reject(CodeStale, "claim is not held by host %s", o.Holder.Host)
 	}
+	// A delayed release of an earlier claim must not end a later one of the same
+	// holder, because the request could then run twice.
+	if rec.Nonce != o.Nonce && (!o.Unknown || o.Nonce != 0) {
+		return reject(CodeStale, "outcome is of an earlier claim")
+	}
 	if rec.Outcome != nil {
 		return reject(CodeStale, "outcome is already recorded")
 	}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -125,6 +125,8 @@
 	// is refused.
 	Fingerprint string `json:"fingerprint"`
 	Holder      Sender `json:"holder"`
+	// Nonce tells apart the claims that one holder makes on the same key.
+	Nonce uint64 `json:"nonce,omitempty"`
 }
 
 // Outcome records the result of a claimed request. An empty Body with
@@ -139,6 +141,8 @@
 	Unknown bool   `json:"unknown,omitempty"`
 	// NotRun releases the claim: the request was proven not to have run.
 	NotRun bool `json:"not_run,omitempty"`
+	// Nonce is that of the claim. Zero matches any claim if Unknown is set.
+	Nonce uint64 `json:"nonce,omitempty"`
 }
 
 // Suspect marks the requests that were in flight on a server that died.
@@ -154,6 +158,12 @@
 	Server      string `json:"server"`
 	Incarnation uint64 `json:"incarnation"`
 	Holder      Sender `json:"holder"`
+	Nonce       uint64 `json:"nonce,omitempty"`
+	// ExpiresMS ends the trial of a holder that died, in Unix milliseconds. The
+	// holder ends its attempt before. Zero never expires.
+	ExpiresMS int64 `json:"expires_ms,omitempty"`
+	// Release ends the same trial without a verdict.
+	Release bool `json:"release,omitempty"`
 }
 
 // Acquit clears a suspect after a clean run.
--- a/core/state/suspect.go
+++ b/core/state/suspect.go
@@ -33,14 +33,22 @@
 	if !ok {
 		return Result{}
 	}
+	if t.Release {
+		t.Release = false
+		if rec.Trial != nil && *rec.Trial == t {
+			rec.Trial = nil
+			s.Suspects[t.Fingerprint] = rec
+		}
+		return Result{}
+	}
 	if rec.Quarantined {
 		return reject(CodeQuarantined, "request crashed %d backend servers", len(rec.Crashes))
 	}
-	if rec.Trial != nil && *rec.Trial != t {
+	if s.open(rec.Trial) && *rec.Trial != t {
 		return reject(CodeBusy, "a trial of the request runs on %s", rec.Trial.Server)
 	}
 	for fp, other := range s.Suspects {
-		if fp != t.Fingerprint && other.Trial != nil && other.Trial.Server == t.Server {
+		if fp != t.Fingerprint && s.open(other.Trial) && other.Trial.Server == t.Server {
 			return reject(CodeBusy, "another trial runs on %s", t.Server)
 		}
 	}
@@ -49,6 +57,11 @@
 	return Result{}
 }
 
+// open reports whether a trial blocks others.
+func (s *State) open(t *Trial) bool {
+	return t != nil && (t.ExpiresMS == 0 || t.ExpiresMS >= s.ClockMS)
+}
+
 // acquit clears a suspect after a clean run.
 func (s *State) acquit(a Acquit) Result {
 	if rec, ok := s.Suspects[a.Fingerprint]; ok && !rec.Quarantined {
--- a/node/backend/client.go
+++ b/node/backend/client.go
@@ -71,8 +71,17 @@
 // Unwrap returns the transport error.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// Dial opens a connection to a backend server.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Client sends orders and requests to backend servers.
-type Client struct{ http *http.Client }
+type Client struct {
+	pooled *http.Client
+	// fresh uses every connection once. net/http silently resends some requests
+	// when a pooled connection fails, which must not happen to a request that
+	// may run only once.
+	fresh *http.Client
+}
 
 // connectTimeout bounds the wait for a backend server's TCP handshake.
 const connectTimeout = 500 * time.Millisecond
@@ -80,11 +89,33 @@
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 256,
-		DisableCompression:  true,
-	}}}
+	return NewClientWith(dialer.DialContext)
+}
+
+// NewClientWith returns a client that connects with dial.
+func NewClientWith(dial Dial) *Client {
+	return &Client{pooled: httpClient(dial, false), fresh: httpClient(dial, true)}
+}
+
+func httpClient(dial Dial, fresh bool) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: 256,
+			IdleConnTimeout:     90 * time.Second,
+			DisableCompression:  true,
+			DisableKeepAlives:   fresh,
+		},
+		// A redirect is the caller's to follow; following it here would send the
+		// request a second time.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// CloseIdle closes the connections that carry no request.
+func (c *Client) CloseIdle() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
 }
 
 // Order sends one order and waits for its answer.
@@ -107,12 +138,34 @@
 
 // Do sends one request. The caller closes the answer's body.
 func (c *Client) Do(ctx context.Context, address, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	return c.send(ctx, c.clientFor(method, header), address, method, path, header, body)
+}
+
+// DoOnce sends one request over a connection of its own, so that the transport
+// cannot resend it.
+func (c *Client) DoOnce(ctx context.Context, address, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	return c.send(ctx, c.fresh, address, method, path, header, body)
+}
+
+// clientFor avoids the pool for requests that net/http would resend by itself.
+func (c *Client) clientFor(method string, header http.Header) *http.Client {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return c.fresh
+	}
+	if header.Get("Idempotency-Key") != "" || header.Get("X-Idempotency-Key") != "" {
+		return c.fresh
+	}
+	return c.pooled
+}
+
+func (c *Client) send(ctx context.Context, client *http.Client, address, method, path string, header http.Header, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, &SendError{Address: address, Delivery: NotSent, Err: err}
 	}
 	req.Header = header
-	resp, err := c.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, &SendError{Address: address, Delivery: classify(err), Err: err}
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -1,6 +1,6 @@
 // Package engine is a small model engine for tests and the dev command. It
-// speaks the same HTTP as a real engine: announcements, orders and streamed
-// completions.
+// speaks the same HTTP as a real engine: announcements, orders, and streamed
+// completions with continuous batching, resume and cancel.
 package engine
 
 import (
@@ -11,13 +11,14 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/config"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/node/backend"
+	"github.com/pollenwheel/pollenwheel/standin/store"
 )
 
 // Options describe one engine.
@@ -26,16 +27,56 @@
 	Service    string
 	DataCentre string
 	Listen     string
-	// Hosts are entry host addresses to announce to.
+	// Listener replaces Listen if set.
+	Listener net.Listener
+	// Incarnation defaults to the start time in nanoseconds.
+	Incarnation uint64
+	// Hosts are entry host addresses to announce to. With none, the engine does
+	// not announce.
 	Hosts         []string
 	MemoryMiB     int64
 	ChecksFencing bool
-	LoadTime      time.Duration
-	TokenTime     time.Duration
+	// Loaded models and adapters are ready from the start.
+	Loaded   []membership.Report
+	LoadTime time.Duration
+	// Store, if set, serves loads in addition to LoadTime.
+	Store *store.Store
+	// TokenTime is the time of one batch step, in which each running request
+	// gets one token.
+	TokenTime time.Duration
+	// MaxBatch and MaxQueue bound the running and the waiting requests; zero
+	// means 64 and 256.
+	MaxBatch, MaxQueue int
+	// LoadLag delays load reports.
+	LoadLag time.Duration
+	// ResumeGrace is how long a request runs on without a reader; zero means 5 s.
+	ResumeGrace time.Duration
+	// CrashOn ends the process when a prompt that contains it is run.
+	CrashOn string
+	Journal *Journal
+	Faults  Faults
 }
 
-// announceInterval is the time between announcements without a change.
-const announceInterval = time.Second
+// Faults are injected where the function is set and says so.
+type Faults struct {
+	// CutAfter returns the number of events after which an answer is cut, or a
+	// negative number.
+	CutAfter func(attempt string) int
+	// LoseAnswer cuts the connection after the execution, before the answer.
+	LoseAnswer func(attempt string) bool
+	// Misdeliver returns an earlier attempt whose answer is sent instead.
+	Misdeliver func(attempt string) string
+	// Refuse reports that a request is not admitted.
+	Refuse func(attempt string) bool
+}
+
+// Defaults of the options.
+const (
+	announceInterval   = time.Second
+	defaultBatch       = 64
+	defaultQueue       = 256
+	defaultResumeGrace = 5 * time.Second
+)
 
 // Engine is a running stand-in.
 type Engine struct {
@@ -43,55 +84,179 @@
 	listener net.Listener
 	server   *http.Server
 	changed  chan struct{}
+	wake     chan struct{}
+	stopped  chan struct{}
+	loop     sync.WaitGroup
 
 	mu       sync.Mutex
 	sequence uint64
 	fence    uint64
 	reports  map[[2]string]membership.Report
-	running  int
+	jobs     map[string]*job
+	queue    []*job
+	active   []*job
+	loads    []loadSample
+	leaving  bool
+	down     bool
+	cache    cacheLog
+	// direct numbers the requests that came without an attempt id.
+	direct int
+}
+
+type loadSample struct {
+	at   time.Time
+	load membership.Load
 }
 
-// Start listens and begins to announce.
+// Start listens and begins to serve and announce. Cancelling ctx ends the
+// announcements.
 func Start(ctx context.Context, opts Options) (*Engine, error) {
-	l, err := net.Listen("tcp", opts.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("engine %s: %w", opts.Name, err)
+	l := opts.Listener
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", opts.Listen); err != nil {
+			return nil, fmt.Errorf("engine %s: %w", opts.Name, err)
+		}
+	}
+	e := &Engine{
+		opts: withDefaults(opts), listener: l, changed: make(chan struct{}, 1), wake: make(chan struct{}, 1),
+		stopped: make(chan struct{}), reports: map[[2]string]membership.Report{}, jobs: map[string]*job{},
+	}
+	for _, r := range opts.Loaded {
+		r.Phase = membership.ReportReady
+		e.reports[[2]string{r.Model, r.Adapter}] = r
+	}
+	e.server = &http.Server{Handler: e.routes(), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = e.server.Serve(l) }()
+	e.loop.Add(1)
+	go e.batch()
+	if len(opts.Hosts) > 0 {
+		go e.announce(ctx)
+	}
+	return e, nil
+}
+
+func withDefaults(o Options) Options {
+	if o.MaxBatch == 0 {
+		o.MaxBatch = defaultBatch
+	}
+	if o.MaxQueue == 0 {
+		o.MaxQueue = defaultQueue
+	}
+	if o.ResumeGrace == 0 {
+		o.ResumeGrace = defaultResumeGrace
 	}
-	e := &Engine{opts: opts, listener: l, changed: make(chan struct{}, 1), reports: map[[2]string]membership.Report{}}
+	if o.Incarnation == 0 {
+		o.Incarnation = uint64(time.Now().UnixNano())
+	}
+	if o.Journal == nil {
+		o.Journal = &Journal{}
+	}
+	return o
+}
+
+func (e *Engine) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/orders", e.order)
 	mux.HandleFunc("POST /v1/chat/completions", e.completion)
-	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = e.server.Serve(l) }()
-	go e.announce(ctx)
-	return e, nil
+	mux.HandleFunc("POST /v1/cancel", e.cancel)
+	mux.HandleFunc("GET /v1/incarnation", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"incarnation":%d}`, e.opts.Incarnation)
+	})
+	incarnation := strconv.FormatUint(e.opts.Incarnation, 10)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(backend.HeaderIncarnation, incarnation)
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // Address is where the engine listens.
 func (e *Engine) Address() string { return e.listener.Addr().String() }
 
-// Close stops the engine at once.
-func (e *Engine) Close() error { return e.server.Close() }
+// Journal is the record of what the engine executed.
+func (e *Engine) Journal() *Journal { return e.opts.Journal }
+
+// Close ends the process at once and cuts everything in progress.
+func (e *Engine) Close() error {
+	e.mu.Lock()
+	if e.down {
+		e.mu.Unlock()
+		return nil
+	}
+	e.down = true
+	for _, j := range append(e.active, e.queue...) {
+		e.opts.Journal.end(j.entry, EndCrashed)
+	}
+	e.mu.Unlock()
+	// The listener closes before the connections, so a probe that follows a cut
+	// connection is refused.
+	err := e.server.Close()
+	close(e.stopped)
+	e.loop.Wait()
+	return err
+}
+
+// Down reports whether the process has ended.
+func (e *Engine) Down() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down
+}
+
+// Leave announces that the engine leaves, refuses new work, waits for the
+// running requests and ends.
+func (e *Engine) Leave(ctx context.Context) error {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.notify()
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		e.mu.Lock()
+		idle := len(e.active)+len(e.queue) == 0
+		e.mu.Unlock()
+		if idle {
+			// Shutdown lets answers that are complete reach their readers.
+			if err := e.server.Shutdown(ctx); err != nil {
+				return err
+			}
+			return e.Close()
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
 
 func (e *Engine) announce(ctx context.Context) {
-	incarnation := uint64(time.Now().UnixNano())
 	for i := 0; ; i++ {
-		e.announceOnce(ctx, incarnation, e.opts.Hosts[i%len(e.opts.Hosts)])
+		host := e.opts.Hosts[i%len(e.opts.Hosts)]
+		e.post(ctx, host, "/v1/backend/announce", e.Announcement())
+		if report, ok := e.cacheReport(); ok {
+			for _, h := range e.opts.Hosts {
+				e.post(ctx, h, "/v1/backend/cache", report)
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-e.stopped:
+			return
 		case <-e.changed:
 		case <-time.After(announceInterval):
 		}
 	}
 }
 
-func (e *Engine) announceOnce(ctx context.Context, incarnation uint64, host string) {
-	data, err := json.Marshal(e.announcement(incarnation))
+func (e *Engine) post(ctx context.Context, host, path string, message any) {
+	data, err := json.Marshal(message)
 	if err != nil {
 		return
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/v1/backend/announce", bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+path, bytes.NewReader(data))
 	if err != nil {
 		return
 	}
@@ -104,15 +269,16 @@
 	_ = resp.Body.Close()
 }
 
-func (e *Engine) announcement(incarnation uint64) membership.Server {
+// Announcement returns the next announcement.
+func (e *Engine) Announcement() membership.Server {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
 	s := membership.Server{
 		Name: e.opts.Name, Service: e.opts.Service, Kind: config.KindEngine, DataCentre: e.opts.DataCentre,
-		Address: e.Address(), Incarnation: incarnation, Sequence: e.sequence, Accelerators: 1,
+		Address: e.Address(), Incarnation: e.opts.Incarnation, Sequence: e.sequence, Accelerators: 1,
 		MemoryMiB: e.opts.MemoryMiB, Engine: "stand-in", ChecksFencing: e.opts.ChecksFencing,
-		Load: membership.Load{Running: e.running},
+		Leaving: e.leaving, Load: e.laggingLoad(),
 	}
 	for _, r := range e.reports {
 		s.Models = append(s.Models, r)
@@ -120,79 +286,19 @@
 	return s
 }
 
+// laggingLoad returns the load as it was LoadLag ago. The caller holds the lock.
+func (e *Engine) laggingLoad() membership.Load {
+	now := time.Now()
+	e.loads = append(e.loads, loadSample{now, membership.Load{Running: len(e.active), Queued: len(e.queue)}})
+	for len(e.loads) > 1 && now.Sub(e.loads[1].at) >= e.opts.LoadLag {
+		e.loads = e.loads[1:]
+	}
+	return e.loads[0].load
+}
+
 func (e *Engine) notify() {
 	select {
 	case e.changed <- struct{}{}:
 	default:
 	}
 }
-
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var o backend.Order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	answer := e.accept(o)
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
-}
-
-func (e *Engine) accept(o backend.Order) backend.OrderAnswer {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.opts.ChecksFencing && o.Fence < e.fence {
-		return backend.OrderAnswer{Reason: "old fencing number", Sequence: e.sequence}
-	}
-	e.fence = max(e.fence, o.Fence)
-	key := [2]string{o.Model, o.Adapter}
-	phase, end := membership.ReportUnloading, membership.ReportAbsent
-	if o.Kind == backend.LoadModel || o.Kind == backend.LoadAdapter {
-		phase, end = membership.ReportLoading, membership.ReportReady
-	}
-	e.reports[key] = membership.Report{Model: o.Model, Adapter: o.Adapter, Version: o.Version, Phase: phase, Order: o.Fence}
-	time.AfterFunc(e.opts.LoadTime, func() { e.finish(key, o.Fence, end) })
-	return backend.OrderAnswer{Accepted: true, Sequence: e.sequence}
-}
-
-func (e *Engine) finish(key [2]string, fence uint64, phase membership.ReportPhase) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if r := e.reports[key]; r.Order == fence {
-		r.Phase = phase
-		e.reports[key] = r
-		e.notify()
-	}
-}
-
-type completionRequest struct {
-	Model     string `json:"model"`
-	Stream    bool   `json:"stream"`
-	MaxTokens int    `json:"max_tokens"`
-	Messages  []struct {
-		Content string `json:"content"`
-	} `json:"messages"`
-}
-
-func (e *Engine) completion(w http.ResponseWriter, r *http.Request) {
-	var q completionRequest
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	n := max(q.MaxTokens, 1)
-	if !q.Stream {
-		time.Sleep(time.Duration(n) * e.opts.TokenTime)
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = fmt.Fprintf(w, `{"object":"chat.completion","model":%q,"choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}]}`,
-			q.Model, strings.Repeat("token ", n))
-		return
-	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range n {
-		time.Sleep(e.opts.TokenTime)
-		_, _ = fmt.Fprintf(w, "data: {\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":\"token%d \"}}]}\n\n", q.Model, i)
-		w.(http.Flusher).Flush()
-	}
-	_, _ = io.WriteString(w, "data: [DONE]\n\n")
-}
--- /dev/null
+++ b/standin/plain/plain.go
@@ -0,0 +1,177 @@
+// Package plain is a plain service for tests and the dev command. It records
+// every call that it executes.
+package plain
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/node/backend"
+)
+
+// Options describe one server.
+type Options struct {
+	Name        string
+	Service     string
+	DataCentre  string
+	Incarnation uint64
+	Listener    net.Listener
+	// CallTime is how long one call runs.
+	CallTime time.Duration
+	// CrashOn ends the process when a body contains it.
+	CrashOn string
+	Journal *Journal
+	Faults  Faults
+}
+
+// Faults are injected where the function is set and says so.
+type Faults struct {
+	// LoseRequest cuts the connection before the execution.
+	LoseRequest func(attempt string) bool
+	// LoseAnswer cuts the connection after the execution.
+	LoseAnswer func(attempt string) bool
+	// Refuse reports that a call is not admitted.
+	Refuse func(attempt string) bool
+}
+
+// Call is one executed call.
+type Call struct {
+	Server  string
+	Attempt string
+	Method  string
+	Path    string
+	Body    string
+}
+
+// Journal records calls. It may be shared and is safe for concurrent use.
+type Journal struct {
+	mu    sync.Mutex
+	calls []Call
+}
+
+func (j *Journal) add(c Call) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.calls = append(j.calls, c)
+}
+
+// Calls returns a copy of the record.
+func (j *Journal) Calls() []Call {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]Call(nil), j.calls...)
+}
+
+// Server is a running stand-in.
+type Server struct {
+	opts    Options
+	server  *http.Server
+	once    sync.Once
+	stopped chan struct{}
+
+	mu       sync.Mutex
+	running  int
+	sequence uint64
+}
+
+// Start begins to serve on the listener of opts.
+func Start(opts Options) *Server {
+	if opts.Journal == nil {
+		opts.Journal = &Journal{}
+	}
+	s := &Server{opts: opts, stopped: make(chan struct{})}
+	s.server = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.server.Serve(opts.Listener) }()
+	return s
+}
+
+// Address is where the server listens.
+func (s *Server) Address() string { return s.opts.Listener.Addr().String() }
+
+// Close ends the process at once.
+func (s *Server) Close() {
+	s.once.Do(func() {
+		_ = s.server.Close()
+		close(s.stopped)
+	})
+}
+
+// Leave refuses new connections and waits for the running calls.
+func (s *Server) Leave(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
+// Announcement returns the next announcement.
+func (s *Server) Announcement() membership.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	return membership.Server{
+		Name: s.opts.Name, Service: s.opts.Service, Kind: config.KindPlain, DataCentre: s.opts.DataCentre,
+		Address: s.Address(), Incarnation: s.opts.Incarnation, Sequence: s.sequence,
+		Load: membership.Load{Running: s.running},
+	}
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(backend.HeaderIncarnation, strconv.FormatUint(s.opts.Incarnation, 10))
+	if r.URL.Path == "/v1/incarnation" {
+		return
+	}
+	attempt, f := r.Header.Get(backend.HeaderAttempt), s.opts.Faults
+	body, err := io.ReadAll(r.Body)
+	if err != nil || f.LoseRequest != nil && f.LoseRequest(attempt) {
+		panic(http.ErrAbortHandler)
+	}
+	if f.Refuse != nil && f.Refuse(attempt) {
+		refuse(w)
+		return
+	}
+	s.opts.Journal.add(Call{s.opts.Name, attempt, r.Method, r.URL.RequestURI(), string(body)})
+	s.count(1)
+	defer s.count(-1)
+	if !s.run(string(body)) || f.LoseAnswer != nil && f.LoseAnswer(attempt) {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(backend.HeaderAttempt, attempt)
+	w.Header().Set("Content-Type", "text/plain")
+	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.RequestURI(), body)
+}
+
+// run takes the time of a call and reports whether the process still runs.
+func (s *Server) run(body string) bool {
+	timer := time.NewTimer(s.opts.CallTime)
+	defer timer.Stop()
+	select {
+	case <-s.stopped:
+		return false
+	case <-timer.C:
+	}
+	if s.opts.CrashOn != "" && strings.Contains(body, s.opts.CrashOn) {
+		s.Close()
+		return false
+	}
+	return true
+}
+
+func (s *Server) count(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running += n
+}
+
+func refuse(w http.ResponseWriter) {
+	var body backend.RefusalBody
+	body.Error.Code, body.Error.Execution, body.Error.Reason = backend.CodeNotAdmitted, "not_run", "the server is full"
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = json.NewEncoder(w).Encode(body)
+}
