Take requests from admission to a whole answer or typed refusal

An entry host sent one attempt to a server found by a map scan and had no answer to a failure. It now queues by urgency, claims calls that may run once, resumes or reruns cut answers, commits suspects before a retry and drains. net/http's own resend was ruled out for calls that may run once: they use a connection of their own.

--- a/node/backend/attempt.go
+++ b/node/backend/attempt.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 
 	"github.com/labstack/echo/v4"
@@ -138,3 +139,9 @@
 		return c.NoContent(http.StatusNoContent)
 	}
 }
+
+// OnSent returns a context for one request that calls f once the request may
+// reach the server.
+func OnSent(ctx context.Context, f func()) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { f() }})
+}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -78,9 +78,12 @@
 // Run serves until ctx ends.
 func (h *Host) Run(ctx context.Context) error {
 	client := backend.NewClient()
-	callers := entry.New(h.replica, client, h.servers)
-	web := h.web(callers)
 	sender := state.Sender{Host: h.settings.Host, Incarnation: uint64(h.start.UnixNano())}
+	callers := entry.New(entry.Options{
+		Replica: h.replica, Client: client, Log: h.log, Servers: h.servers, Now: h.now, Self: sender,
+		DataCentre: h.settings.DataCentre,
+	})
+	web := h.web(callers)
 	leader := control.NewLeader(h.log, h.replica, client, control.Sources{
 		Servers: h.servers, Demand: callers.Demand, Now: h.now,
 	}, sender, h.logger)
@@ -88,6 +91,7 @@
 	var g run.Group
 	runCtx, cancel := context.WithCancel(ctx)
 	g.Add(func() error { return leader.Run(runCtx) }, func(error) { cancel() })
+	g.Add(func() error { return callers.Run(runCtx) }, func(error) { cancel() })
 	server := &http.Server{Handler: web, ReadHeaderTimeout: 10 * time.Second}
 	g.Add(func() error { return server.Serve(h.listener) }, func(error) { _ = server.Close() })
 	err := g.Run()
