Prove that every request ends once under injected faults

A small deployment runs in memory and virtual time: entry hosts, stand-in engines and plain servers, a log that loses or delays answers.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -236,10 +236,10 @@
 	if refusal != nil {
 		return e.respond(c, refusal)
 	}
-	ctx, cancel := context.WithTimeout(c.Request().Context(), q.timeout)
 	if e.opts.off.deadlines {
-		ctx, cancel = context.WithTimeout(c.Request().Context(), maxTimeout)
+		q.timeout = maxTimeout
 	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), q.timeout)
 	defer cancel()
 	w := &answer{c: c, now: e.opts.Now, keep: !q.idempotent || q.stream}
 	refusal = e.handle(ctx, q, w)
--- a/node/entry/queue.go
+++ b/node/entry/queue.go
@@ -56,7 +56,7 @@
 	r := admission.Request{
 		ID: q.nonce, Team: q.caller.Team, Weight: q.caller.Weight, Class: q.class, Arrived: now, Deadline: now + q.timeout,
 	}
-	if refused := qu.admission.Offer(now, r); refused != nil && !e.opts.off.deadlines {
+	if refused := qu.admission.Offer(now, r); refused != nil {
 		e.mu.Unlock()
 		return queueRefusal(*refused)
 	}
--- /dev/null
+++ b/node/entry/world_test.go
@@ -0,0 +1,440 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/backend"
+	"github.com/pollenwheel/pollenwheel/node/replica"
+	"github.com/pollenwheel/pollenwheel/standin/engine"
+	"github.com/pollenwheel/pollenwheel/standin/plain"
+)
+
+// network connects the processes of a test in memory, so that a test runs in
+// virtual time.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+}
+
+type listener struct {
+	net     *network
+	address string
+	accept  chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (n *network) listen(address string) *listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{net: n, address: address, accept: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr {
+	host, port, _ := strings.Cut(l.address, ":")
+	var p int
+	_, _ = fmt.Sscan(port, &p)
+	return &net.TCPAddr{IP: net.ParseIP(host), Port: p}
+}
+
+func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	refused := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, refused
+	}
+	ours, theirs := net.Pipe()
+	select {
+	case l.accept <- theirs:
+		return ours, nil
+	case <-l.closed:
+		return nil, refused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// errLog is what a proposal returns whose fate is unknown.
+var errLog = errors.New("no answer from the log")
+
+// commitFault is what happens to one proposal.
+type commitFault int
+
+const (
+	commitFine commitFault = iota
+	commitDropped
+	commitAnswerLost
+	commitLate
+	commitTwice
+)
+
+// commitLog is the replicated log of a test: it applies to the voters' state and
+// then, after a delay, to the replica of each host.
+type commitLog struct {
+	mu     sync.Mutex
+	index  uint64
+	state  *state.State
+	feeds  []chan state.Command
+	faults func(n uint64) commitFault
+	calls  uint64
+}
+
+func (l *commitLog) apply(c state.Command) state.Result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.index++
+	res := l.state.Apply(l.index, c)
+	for _, f := range l.feeds {
+		f <- c.ForFollowers()
+	}
+	return res
+}
+
+func (l *commitLog) propose(c state.Command) (state.Result, error) {
+	l.mu.Lock()
+	l.calls++
+	fault := commitFine
+	if l.faults != nil {
+		fault = l.faults(l.calls)
+	}
+	l.mu.Unlock()
+	time.Sleep(2 * time.Millisecond)
+	switch fault {
+	case commitDropped:
+		return state.Result{}, errLog
+	case commitAnswerLost:
+		l.apply(c)
+		return state.Result{}, errLog
+	case commitLate:
+		time.AfterFunc(300*time.Millisecond, func() { l.apply(c) })
+		return state.Result{}, errLog
+	case commitTwice:
+		defer time.AfterFunc(700*time.Millisecond, func() { l.apply(c) })
+	}
+	return l.apply(c), nil
+}
+
+// host is one entry host.
+type host struct {
+	world *world
+	entry *Entry
+	web   *echo.Echo
+	dead  bool
+	ctx   context.Context
+	kill  context.CancelFunc
+}
+
+// Propose ends with the process of the host.
+func (h *host) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	if h.ctx.Err() != nil {
+		return state.Result{}, errLog
+	}
+	type answer struct {
+		res state.Result
+		err error
+	}
+	done := make(chan answer, 1)
+	go func() {
+		res, err := h.world.log.propose(c)
+		done <- answer{res, err}
+	}()
+	select {
+	case a := <-done:
+		return a.res, a.err
+	case <-ctx.Done():
+		return state.Result{}, ctx.Err()
+	}
+}
+
+// world is a small deployment in memory.
+type world struct {
+	ctx     context.Context
+	stop    context.CancelFunc
+	net     *network
+	log     *commitLog
+	hosts   []*host
+	clients []*backend.Client
+	start   time.Time
+
+	mu      sync.Mutex
+	table   *membership.Table
+	engines []*engine.Engine
+	plains  []*plain.Server
+	options []engine.Options
+	journal engine.Journal
+	calls   plain.Journal
+	downs   int
+}
+
+type worldOptions struct {
+	hosts, engines, plains int
+	off                    mechanisms
+	engineFaults           engine.Faults
+	plainFaults            plain.Faults
+	commits                func(n uint64) commitFault
+	retention              int
+	seed                   uint64
+}
+
+const guide, orders = "pattern-guide", "supply-orders"
+
+func newWorld(o worldOptions) *world {
+	w := &world{net: &network{listeners: map[string]*listener{}}, table: membership.NewTable(), start: time.Now()}
+	w.ctx, w.stop = context.WithCancel(context.Background())
+	w.log = &commitLog{state: state.New()}
+	for i := range o.hosts {
+		w.addHost(fmt.Sprintf("entry-%d", i+1), o)
+	}
+	w.log.apply(state.Command{UnixMS: time.Now().UnixMilli(), Configure: &state.Configure{ChangeID: "first", Next: config.Configuration{
+		Deployment: config.Deployment{Name: "test", ClaimRetentionSeconds: o.retention},
+		Services:   []config.Service{{Name: "lace-assist", Kind: config.KindEngine}, {Name: orders, Kind: config.KindPlain}},
+		Models:     []config.Model{{Name: guide, Service: "lace-assist", Version: "1", MemoryMiB: 100, MaxReplicas: 20}},
+	}}})
+	for i := range o.engines {
+		w.options = append(w.options, engine.Options{
+			Name: fmt.Sprintf("runner-%d", i+1), Service: "lace-assist", DataCentre: "waco", MemoryMiB: 1000, Incarnation: 1,
+			Loaded: []membership.Report{{Model: guide, Version: "1"}}, TokenTime: 20 * time.Millisecond, CrashOn: "poison",
+			Journal: &w.journal, Faults: o.engineFaults, LoadLag: 100 * time.Millisecond,
+		})
+		w.engines = append(w.engines, nil)
+		w.startEngine(i)
+	}
+	for i := range o.plains {
+		p := plain.Start(plain.Options{
+			Name: fmt.Sprintf("desk-%d", i+1), Service: orders, DataCentre: "waco", Incarnation: 1,
+			Listener: w.net.listen(fmt.Sprintf("10.0.1.%d:80", i+1)), CallTime: 30 * time.Millisecond, Journal: &w.calls, Faults: o.plainFaults,
+		})
+		w.plains = append(w.plains, p)
+		w.register(p.Announcement())
+	}
+	w.log.mu.Lock()
+	w.log.faults = o.commits
+	w.log.mu.Unlock()
+	go w.watch()
+	time.Sleep(100 * time.Millisecond)
+	return w
+}
+
+func (w *world) addHost(name string, o worldOptions) {
+	h := &host{world: w}
+	h.ctx, h.kill = context.WithCancel(w.ctx)
+	r := replica.New(state.New())
+	feed := make(chan state.Command, 10000)
+	w.log.feeds = append(w.log.feeds, feed)
+	go func() {
+		for index := uint64(1); ; index++ {
+			select {
+			case <-w.ctx.Done():
+				return
+			case c := <-feed:
+				time.Sleep(time.Millisecond)
+				r.Apply(index, c)
+			}
+		}
+	}()
+	client := backend.NewClientWith(func(ctx context.Context, network, address string) (net.Conn, error) {
+		if h.ctx.Err() != nil {
+			return nil, errors.New("the host is dead")
+		}
+		return w.net.dial(ctx, network, address)
+	})
+	w.clients = append(w.clients, client)
+	h.entry = New(Options{
+		Replica: r, Client: client, Log: h, Servers: w.servers, Now: func() time.Duration { return time.Since(w.start) },
+		Self: state.Sender{Host: name, Incarnation: 1}, DataCentre: "waco", Seed: o.seed + 1, off: o.off, RetryShare: 0.5,
+	})
+	h.web = echo.New()
+	h.entry.Routes(h.web)
+	w.hosts = append(w.hosts, h)
+	go func() { _ = h.entry.Run(h.ctx) }()
+}
+
+func (w *world) servers() []membership.Presence {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.table.Servers(time.Since(w.start))
+}
+
+func (w *world) startEngine(i int) {
+	opts := w.options[i]
+	opts.Listener = w.net.listen(fmt.Sprintf("10.0.0.%d:80", i+1))
+	eng, err := engine.Start(w.ctx, opts)
+	if err != nil {
+		panic(err)
+	}
+	w.mu.Lock()
+	w.engines[i] = eng
+	w.mu.Unlock()
+	w.register(eng.Announcement())
+}
+
+// register commits a server and, for an engine, the placement of the model.
+func (w *world) register(s membership.Server) {
+	w.mu.Lock()
+	w.table.Announce(time.Since(w.start), s)
+	w.mu.Unlock()
+	w.log.apply(state.Command{Register: &state.Register{
+		Server: s.Name, Incarnation: s.Incarnation, Service: s.Service, Kind: s.Kind, DataCentre: s.DataCentre,
+		Address: s.Address, MemoryMiB: s.MemoryMiB, ChecksFencing: true,
+	}})
+	if s.Kind != config.KindEngine {
+		return
+	}
+	res := w.log.apply(state.Command{Load: &state.Load{Server: s.Name, Incarnation: s.Incarnation, Model: guide}})
+	w.log.apply(state.Command{Settle: &state.Settle{
+		Server: s.Name, Incarnation: s.Incarnation, Model: guide, Fence: res.Index, Loaded: true, Sequence: s.Sequence,
+	}})
+}
+
+// watch announces the servers and restarts engines that have crashed.
+func (w *world) watch() {
+	for w.ctx.Err() == nil {
+		time.Sleep(200 * time.Millisecond)
+		for i := range w.engines {
+			w.mu.Lock()
+			eng := w.engines[i]
+			w.mu.Unlock()
+			if !eng.Down() {
+				s := eng.Announcement()
+				w.mu.Lock()
+				w.table.Announce(time.Since(w.start), s)
+				w.mu.Unlock()
+				continue
+			}
+			w.downs++
+			w.options[i].Incarnation++
+			w.startEngine(i)
+		}
+		for _, p := range w.plains {
+			s := p.Announcement()
+			w.mu.Lock()
+			w.table.Announce(time.Since(w.start), s)
+			w.mu.Unlock()
+		}
+	}
+}
+
+func (w *world) close() {
+	w.stop()
+	time.Sleep(15 * time.Minute) // lets background commits and answers end
+	for _, e := range w.engines {
+		_ = e.Close()
+	}
+	for _, p := range w.plains {
+		p.Close()
+	}
+	for _, c := range w.clients {
+		c.CloseIdle()
+	}
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	body    string
+	header  http.Header
+	refusal *Refusal
+	// aborted answers ended with a cut connection.
+	aborted bool
+	// gone callers left before an answer.
+	gone bool
+	took time.Duration
+}
+
+func (h *host) call(ctx context.Context, method, path string, header map[string]string, body string) (r reply) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(h.ctx, cancel)()
+	req := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	rec := httptest.NewRecorder()
+	begun := time.Now()
+	defer func() {
+		if p := recover(); p != nil {
+			r.aborted = true
+		}
+		r.took, r.gone = time.Since(begun), ctx.Err() != nil
+		r.status, r.body, r.header = rec.Code, rec.Body.String(), rec.Header()
+		text := r.body
+		if _, event, ok := strings.Cut(text, "event: error\ndata: "); ok {
+			text = event
+		}
+		var e struct{ Error *Refusal }
+		if json.Unmarshal([]byte(text), &e) == nil {
+			r.refusal = e.Error
+		}
+	}()
+	h.web.ServeHTTP(rec, req)
+	return r
+}
+
+func chatBody(prompt string, stream bool, tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, guide, stream, tokens, prompt)
+}
+
+// text returns the answer's text and whether it has its terminal mark.
+func (r reply) text(stream bool) (string, bool) {
+	type choice struct {
+		Delta, Message struct{ Content string }
+	}
+	var one struct{ Choices []choice }
+	if !stream {
+		err := json.Unmarshal([]byte(r.body), &one)
+		if err != nil || len(one.Choices) != 1 {
+			return r.body, false
+		}
+		return one.Choices[0].Message.Content, !r.aborted
+	}
+	var out strings.Builder
+	for event := range strings.SplitSeq(r.body, "\n\n") {
+		one.Choices = nil
+		if json.Unmarshal([]byte(strings.TrimPrefix(event, "data: ")), &one) == nil && len(one.Choices) == 1 {
+			out.WriteString(one.Choices[0].Delta.Content)
+		}
+	}
+	return out.String(), strings.HasSuffix(r.body, "data: [DONE]\n\n")
+}
+
+func wholeText(prompt string, tokens int) string {
+	var out strings.Builder
+	for i := range tokens {
+		out.WriteString(engine.Token(prompt, i))
+	}
+	return out.String()
+}
