--- a/node/entry/claim.go
+++ b/node/entry/claim.go
@@ -29,10 +29,14 @@
 
 // commit proposes a command in the background until it is applied. All
 // commands that it is used for may be applied more than once.
-func (e *Entry) commit(c state.Command) {
+func (e *Entry) commit(c state.Command) { e.commitThen(c, func() {}) }
+
+// commitThen calls then once the command is applied or given up.
+func (e *Entry) commitThen(c state.Command, then func()) {
 	e.hold()
 	go func() {
 		defer e.end()
+		defer then()
 		for stop := time.Now().Add(commitFor); time.Now().Before(stop); {
 			if _, err := e.propose(context.Background(), c); err == nil {
 				return
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -95,7 +95,9 @@
 	queues  map[routing.Key]*queue
 	flights map[process]map[*flight]struct{}
 	crashes map[process]*crash
-	nextID  uint64
+	// withheld counts uncommitted crashes by fingerprint.
+	withheld map[string]int
+	nextID   uint64
 	// presence is what the router was last told of each server.
 	presence map[string]presenceMark
 
@@ -123,7 +125,7 @@
 	rng := rand.New(rand.NewPCG(seed, opts.Self.Incarnation))
 	e := &Entry{
 		opts: opts, rng: rng, queues: map[routing.Key]*queue{},
-		flights: map[process]map[*flight]struct{}{}, crashes: map[process]*crash{},
+		flights: map[process]map[*flight]struct{}{}, crashes: map[process]*crash{}, withheld: map[string]int{},
 		router: routing.New(routing.Options{DataCentre: opts.DataCentre, Spill: spillLoad}, rng),
 		idle:   make(chan struct{}), presence: map[string]presenceMark{},
 	}
@@ -255,8 +257,8 @@
 
 // handle returns nil if the caller got a whole answer.
 func (e *Entry) handle(ctx context.Context, q *call, w *answer) *Refusal {
-	if rec, ok := e.view.Load().suspects[q.fingerprint]; ok && rec.Quarantined && !e.opts.off.suspects {
-		return quarantined()
+	if r := e.refuseSuspect(q); r != nil && !e.opts.off.suspects {
+		return r
 	}
 	if q.idempotent || e.opts.off.claims {
 		return e.run(ctx, q, w)
--- a/node/entry/suspect.go
+++ b/node/entry/suspect.go
@@ -100,12 +100,40 @@
 	c := state.Command{Suspect: &state.Suspect{Server: p.server, Incarnation: p.incarnation, Fingerprints: fingerprints}}
 	res, err := e.propose(ctx, c)
 	if err != nil {
-		e.commit(c)
+		e.withhold(fingerprints, 1)
+		e.commitThen(c, func() { e.withhold(fingerprints, -1) })
 		return err
 	}
 	return e.visible(ctx, res)
 }
 
+// withhold counts the suspects whose crash is not committed yet. They are not
+// run here until it is.
+func (e *Entry) withhold(fingerprints []string, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, fp := range fingerprints {
+		e.withheld[fp] += n
+		if e.withheld[fp] == 0 {
+			delete(e.withheld, fp)
+		}
+	}
+}
+
+// refuseSuspect refuses a request that is quarantined or whose crash is not
+// committed yet.
+func (e *Entry) refuseSuspect(q *call) *Refusal {
+	if rec, ok := e.view.Load().suspects[q.fingerprint]; ok && rec.Quarantined {
+		return quarantined()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.withheld[q.fingerprint] > 0 {
+		return unavailable("no_quorum", "a server ended while it ran the request, and that could not be recorded")
+	}
+	return nil
+}
+
 // visible waits until the view includes a result.
 func (e *Entry) visible(ctx context.Context, res state.Result) error {
 	if err := e.opts.Replica.WaitIndex(ctx, res.Index); err != nil {
