Add a load command and check the input of callers

Latency added by an entry host needs both paths measured in one run. The load command alternates between them.

--- a/cmd/pollenwheel/dev.go
+++ b/cmd/pollenwheel/dev.go
@@ -19,9 +19,9 @@
 
 const devRequest = `{"model":"pattern-guide","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"Which thread for Torchon?"}]}`
 
-// runDev runs one host and one stand-in engine. With check it sends a cold and
-// a warm request and returns.
-func runDev(ctx context.Context, check bool) error {
+// runDev runs one host and, unless bare, one stand-in engine. With check it sends
+// a cold and a warm request and returns.
+func runDev(ctx context.Context, check, bare bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	folder, err := os.MkdirTemp("", "pollenwheel-dev-")
@@ -41,6 +41,10 @@
 	if _, err := h.Configure(ctx, "dev", 0, devConfiguration()); err != nil {
 		return err
 	}
+	if bare {
+		fmt.Println(h.Address())
+		return <-done
+	}
 	eng, err := engine.Start(ctx, engine.Options{
 		Name: "engine-1", Service: "assist", DataCentre: "dev", Listen: "127.0.0.1:0", Hosts: []string{h.Address()},
 		MemoryMiB: 80_000, ChecksFencing: true, LoadTime: 400 * time.Millisecond, TokenTime: 10 * time.Millisecond,
--- /dev/null
+++ b/cmd/pollenwheel/load.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pollenwheel/pollenwheel/standin/engine"
+	"github.com/pollenwheel/pollenwheel/standin/load"
+)
+
+const loadRequest = `{"model":"pattern-guide","max_tokens":1,"messages":[{"role":"user","content":"Which thread for Torchon?"}]}`
+
+// loadFlags are the settings of the load command.
+type loadFlags struct {
+	entry       string
+	rate        float64
+	length      time.Duration
+	connections int
+	tokenTime   time.Duration
+}
+
+func addLoadFlags(cmd *kingpin.CmdClause) *loadFlags {
+	f := &loadFlags{}
+	cmd.Flag("entry", "Address of an entry host that serves the dev configuration.").Required().StringVar(&f.entry)
+	cmd.Flag("rate", "Requests a second to each path in the paced run.").Default("35").Float64Var(&f.rate)
+	cmd.Flag("length", "Length of each run.").Default("30s").DurationVar(&f.length)
+	cmd.Flag("connections", "Connections in the run without pauses.").Default("64").IntVar(&f.connections)
+	cmd.Flag("token-time", "Time of one token of the engine.").Default("0s").DurationVar(&f.tokenTime)
+	return f
+}
+
+// runLoad starts a stand-in engine for the entry host, waits until the model is
+// loaded and measures both paths.
+func runLoad(ctx context.Context, f loadFlags) error {
+	eng, err := engine.Start(ctx, engine.Options{
+		Name: "engine-1", Service: "assist", DataCentre: "dev", Listen: "127.0.0.1:0", Hosts: []string{f.entry},
+		MemoryMiB: 80_000, ChecksFencing: true, LoadTime: 100 * time.Millisecond, TokenTime: f.tokenTime,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = eng.Close() }()
+	direct := load.NewTarget("direct", eng.Address(), loadRequest, f.connections)
+	entry := load.NewTarget("entry host", f.entry, loadRequest, f.connections)
+	for _, t := range []*load.Target{entry, direct} {
+		if err := t.Send(ctx); err != nil {
+			return err
+		}
+		load.Closed(ctx, 4, time.Second, t)
+	}
+	fmt.Printf("paced run: %.0f requests/s to each path for %s\n", f.rate, f.length)
+	paced := load.Paced(ctx, f.rate, f.length, direct, entry)
+	for _, r := range paced {
+		printReport(r)
+	}
+	for _, q := range []float64{0.5, 0.99} {
+		fmt.Printf("added at p%.0f: %s\n", 100*q, paced[1].Quantile(q)-paced[0].Quantile(q))
+	}
+	fmt.Printf("run without pauses: %d connections for %s\n", f.connections, f.length)
+	closed := []*load.Report{load.Closed(ctx, f.connections, f.length, direct), load.Closed(ctx, f.connections, f.length, entry)}
+	for _, r := range closed {
+		printReport(r)
+	}
+	for _, r := range append(paced, closed...) {
+		if r.Failed > 0 {
+			return errors.Join(fmt.Errorf("%s: %d requests failed", r.Name, r.Failed), r.LastErr)
+		}
+	}
+	return nil
+}
+
+func printReport(r *load.Report) {
+	fmt.Printf("%-10s whole %d failed %d rate %.0f/s p50 %s p99 %s max %s\n",
+		r.Name, r.Whole(), r.Failed, r.Rate(), r.Quantile(0.5), r.Quantile(0.99), r.Quantile(1))
+}
--- a/cmd/pollenwheel/main.go
+++ b/cmd/pollenwheel/main.go
@@ -30,6 +30,9 @@
 	checkFile := checkCmd.Arg("settings", "INI settings file.").Required().String()
 	devCmd := app.Command("dev", "Run one host with a stand-in engine on loopback.")
 	devCheck := devCmd.Flag("check", "Send one cold and one warm request, print both answers and exit.").Bool()
+	devBare := devCmd.Flag("bare", "Start no engine and print only the host's address.").Bool()
+	loadCmd := app.Command("load", "Measure the path through an entry host against a direct call to the same stand-in engines.")
+	loadFlags := addLoadFlags(loadCmd)
 
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -40,7 +43,9 @@
 		_, err := settings.Load(*checkFile)
 		return err
 	case devCmd.FullCommand():
-		return runDev(ctx, *devCheck)
+		return runDev(ctx, *devCheck, *devBare)
+	case loadCmd.FullCommand():
+		return runLoad(ctx, *loadFlags)
 	}
 	return nil
 }
--- /dev/null
+++ b/node/entry/call_test.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/backend"
+	"github.com/pollenwheel/pollenwheel/node/replica"
+)
+
+// parser returns an entry that serves a configuration without servers.
+func parser(callers ...config.Caller) *Entry {
+	s := state.New()
+	s.Apply(1, state.Command{Configure: &state.Configure{ChangeID: "first", Next: config.Configuration{
+		Services: []config.Service{{Name: "lace-assist", Kind: config.KindEngine}, {Name: orders, Kind: config.KindPlain}},
+		Models:   []config.Model{{Name: guide, Service: "lace-assist", Version: "1", MaxReplicas: 1}},
+		Adapters: []config.Adapter{{Name: "torchon", Model: guide}},
+		Callers:  callers,
+	}}})
+	return New(Options{
+		Replica: replica.New(s), Client: backend.NewClient(), Servers: func() []membership.Presence { return nil },
+		Now: func() time.Duration { return 0 }, Self: state.Sender{Host: "entry-1", Incarnation: 1}, Seed: 1,
+	})
+}
+
+// Guards against bad input that is accepted or gets an unclear error.
+func TestBadRequests(t *testing.T) {
+	sum := sha256.Sum256([]byte("secret"))
+	e := parser(config.Caller{Name: "desk", Team: "lace", KeySHA256: hex.EncodeToString(sum[:])})
+	good := chatBody("x", false, 1)
+	cases := []struct {
+		name, path, body string
+		header           map[string]string
+		status           int
+		code             string
+	}{
+		{"no key", "/v1/chat/completions", good, map[string]string{"Authorization": ""}, 401, "unauthorized"},
+		{"wrong key", "/v1/chat/completions", good, map[string]string{"Authorization": "Bearer other"}, 401, "unauthorized"},
+		{"no model", "/v1/chat/completions", `{}`, nil, 400, "bad_request"},
+		{"no JSON", "/v1/chat/completions", `model`, nil, 400, "bad_request"},
+		{"unknown model", "/v1/chat/completions", `{"model":"bobbin"}`, nil, 404, "unknown_model"},
+		{"large body", "/v1/chat/completions", strings.Repeat("x", maxBodyBytes+1), nil, 413, "bad_request"},
+		{"urgency", "/v1/chat/completions", good, map[string]string{"X-Urgency": "now"}, 400, "bad_request"},
+		{"zero deadline", "/v1/chat/completions", good, map[string]string{"X-Deadline-Ms": "0"}, 400, "bad_request"},
+		{"long deadline", "/v1/chat/completions", good, map[string]string{"X-Deadline-Ms": "99999999999"}, 400, "bad_request"},
+		{"idempotent", "/v1/services/" + orders + "/", "", map[string]string{"X-Idempotent": "no"}, 400, "bad_request"},
+		{"no idempotency key", "/v1/services/" + orders + "/", "", map[string]string{"X-Idempotent": "false"}, 400, "bad_request"},
+		{"key without time", "/v1/services/" + orders + "/", "", map[string]string{"X-Idempotent": "false", "Idempotency-Key": "abc"}, 400, "bad_request"},
+		{"engine as service", "/v1/services/lace-assist/", "", nil, 404, "unknown_service"},
+	}
+	web := echo.New()
+	e.Routes(web)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			req := httptest.NewRequest("POST", c.path, strings.NewReader(c.body))
+			req.Header.Set("Authorization", "Bearer secret")
+			for k, v := range c.header {
+				req.Header.Set(k, v)
+			}
+			rec := httptest.NewRecorder()
+			web.ServeHTTP(rec, req)
+			if rec.Code != c.status || !strings.Contains(rec.Body.String(), `"code":"`+c.code+`","execution":"not_run"`) {
+				t.Errorf("%d %s", rec.Code, rec.Body)
+			}
+		})
+	}
+}
+
+// Guards against a method, path, query, body or header that is changed on its
+// way, and against a caller's key that leaks to a service.
+func TestServiceCallIsKept(t *testing.T) {
+	e := parser()
+	req := httptest.NewRequest("PUT", "/v1/services/"+orders+"/a%2Fb/c?x=%20y", strings.NewReader("body"))
+	req.Header.Set("X-Trace", "7")
+	req.Header.Set("Authorization", "Bearer secret")
+	req.Header.Set("Connection", "X-Hop")
+	req.Header.Set("X-Hop", "1")
+	c := echo.New().NewContext(req, httptest.NewRecorder())
+	c.SetParamNames("service")
+	c.SetParamValues(orders)
+	q, r := e.parseService(c, e.view.Load())
+	if r != nil {
+		t.Fatal(r)
+	}
+	if q.method != "PUT" || q.path != "/a%2Fb/c?x=%20y" || string(q.body) != "body" {
+		t.Errorf("%s %s %s", q.method, q.path, q.body)
+	}
+	if len(q.header) != 1 || q.header.Get("X-Trace") != "7" {
+		t.Errorf("headers %v", q.header)
+	}
+}
+
+// Guards against late refusals: without a server, a request waits no longer
+// than its deadline, and one that cannot be served in time is refused at once.
+func TestColdModelRefusals(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		w := newWorld(worldOptions{hosts: 1, plains: 1})
+		defer w.close()
+		w.hosts[0].entry.opts.Predict = func(string, string) (time.Duration, bool) { return time.Since(w.start) + 30*time.Second, true }
+		for deadline, want := range map[string]time.Duration{"20000": 0, "35000": 35 * time.Second} {
+			r := w.hosts[0].call(context.Background(), "POST", "/v1/chat/completions", map[string]string{"X-Deadline-Ms": deadline}, chatBody("x", true, 1))
+			if r.refusal == nil || r.refusal.Code != "deadline" || r.refusal.Execution != NotRun || r.took > want || r.refusal.RetryAfterMS == 0 {
+				t.Errorf("deadline %s ms: took %s, refusal %+v", deadline, r.took, r.refusal)
+			}
+		}
+	})
+}
+
+// FuzzCaller checks that any body and headers give a call or a typed refusal.
+func FuzzCaller(f *testing.F) {
+	f.Add(chatBody("x", true, 3), "interactive", "1000", "false", "1700000000000.a", "/v1/services/supply-orders/x")
+	f.Add(`{"model":"torchon","messages":[{"content":[{"type":"text"}]}]}`, "patient", "-1", "", "", "/v1/services/supply-orders")
+	f.Add(`{"model":1}`, "", "1e9", "true", "1.", "/v1/services/supply-orders/%zz?%")
+	e := parser()
+	web := echo.New()
+	f.Fuzz(func(t *testing.T, body, urgency, deadline, idempotent, key, path string) {
+		for _, parse := range []func(echo.Context, *view) (*call, *Refusal){e.parseCompletion, e.parseService} {
+			req := httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(body))
+			req.URL.Path = path
+			req.Header = http.Header{"X-Urgency": {urgency}, "X-Deadline-Ms": {deadline}, "X-Idempotent": {idempotent}, "Idempotency-Key": {key}}
+			c := web.NewContext(req, httptest.NewRecorder())
+			c.SetParamNames("service")
+			c.SetParamValues(orders)
+			q, r := parse(c, e.view.Load())
+			switch {
+			case (q == nil) == (r == nil):
+				t.Fatal("neither or both of a call and a refusal")
+			case r != nil && (r.Status < 400 || r.Status > 499 || r.Code == "" || r.Execution != NotRun):
+				t.Fatalf("refusal %+v", r)
+			case q != nil && (q.timeout <= 0 || q.timeout > maxTimeout || q.path[0] != '/' || !q.idempotent && q.createdMS <= 0):
+				t.Fatalf("call %+v", q)
+			}
+		}
+	})
+}
