Run the order executor on every control host

Cause: the leader sent orders by itself and forgot them when it lost the lease. Change: a dispatcher owns the executor for the life of the process, sends the orders to one server in the order of their numbers, checks the lease before each, and probes silent servers, since a refused connection proves that the process has ended. Placements that no intent accounts for become surplus in package orders, which replaces the returned flag in the state.

--- a/core/placement/idle.go
+++ b/core/placement/idle.go
@@ -24,14 +24,10 @@
 	leadMargin = 30 * time.Second
 )
 
-// unloadSurplus unloads what must not be loaded: surplus on returned servers,
-// replicas beyond the limit, old versions and targets without configuration.
+// unloadSurplus unloads replicas beyond the limit, old versions and targets
+// without configuration. What a server holds without a placement is adopted
+// and unloaded by package orders.
 func (p *Planner) unloadSurplus(in Input) {
-	for i := range p.view.servers {
-		if srv := &p.view.servers[i]; srv.usable && srv.registered.Returned {
-			p.unloadReturned(in, i)
-		}
-	}
 	for name, list := range p.view.models {
 		if len(list) > 0 {
 			p.unloadExcess(in, name, list)
@@ -46,20 +42,6 @@
 	return state.PlaceKey{Server: d.Unload.Server, Model: d.Unload.Model, Adapter: d.Unload.Adapter}
 }
 
-// unloadReturned unloads what a returned server holds without a placement. A
-// model waits until none of its adapters is left.
-func (p *Planner) unloadReturned(in Input, server int) {
-	list := p.view.unaccounted(server)
-	for _, r := range list {
-		adapters := slices.ContainsFunc(list, func(x replicaView) bool {
-			return x.key.Model == r.key.Model && x.key.Adapter != ""
-		})
-		if r.key.Adapter != "" || !adapters {
-			p.unload(in, r)
-		}
-	}
-}
-
 func (p *Planner) unloadExcess(in Input, name string, list []replicaView) {
 	i, ok := p.index.models[name]
 	limit := 0
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -457,7 +457,7 @@
 		return
 	}
 	fence := r.index
-	_ = r.apply(state.Command{Resolve: &state.Resolve{Server: l.Server, Model: l.Model, Adapter: l.Adapter, Fence: fence, Sender: l.Sender, Sequence: 1}})
+	_ = r.apply(state.Command{Resolve: &state.Resolve{Server: l.Server, Model: l.Model, Adapter: l.Adapter, Index: fence, Sender: l.Sender, Sequence: 1}})
 	t := placement.Target{Model: l.Model, Adapter: l.Adapter}
 	took, tier := r.loadTime(x, t)
 	done := func() {}
--- a/core/placement/view.go
+++ b/core/placement/view.go
@@ -70,6 +70,8 @@
 	usable bool
 	// open servers also accept loads: they hold nothing unaccounted for.
 	open bool
+	// surplus servers hold what package orders is about to unload.
+	surplus bool
 	// reservedMiB covers every phase; freeingMiB is the part being unloaded.
 	reservedMiB int64
 	freeingMiB  int64
@@ -119,7 +121,7 @@
 	}
 	for i := range v.servers {
 		srv := &v.servers[i]
-		srv.open = srv.usable && (!srv.registered.Returned || len(v.unaccounted(i)) == 0)
+		srv.open = srv.usable && !srv.surplus && !v.unaccounted(i)
 	}
 	sortedReplicas(v.loading)
 }
@@ -163,6 +165,7 @@
 	if pl.Phase == state.PhaseUnloading {
 		srv.freeingMiB += pl.MemoryMiB
 	}
+	srv.surplus = srv.surplus || pl.Phase == state.PhaseSurplus
 	if pl.Phase == state.PhaseLoading {
 		v.loading = append(v.loading, r)
 	}
@@ -256,30 +259,21 @@
 	return true
 }
 
-// unaccounted returns what a server reports although no placement, or only a
-// held one, accounts for it; adapters first.
-func (v *view) unaccounted(server int) []replicaView {
+// unaccounted reports whether a server holds something that no placement, or
+// only a held one, accounts for.
+func (v *view) unaccounted(server int) bool {
 	srv := &v.servers[server]
 	if srv.presence == nil {
-		return nil
+		return false
 	}
-	var out []replicaView
-	for _, r := range srv.presence.Models {
-		t := Target{r.Model, r.Adapter}
-		pl, placed := v.on(t, server)
-		if placed && pl.placement.Phase != state.PhaseHeld || r.Phase == membership.ReportAbsent {
-			continue
+	for i := range srv.presence.Models {
+		r := &srv.presence.Models[i]
+		pl, placed := v.on(Target{r.Model, r.Adapter}, server)
+		if r.Phase != membership.ReportAbsent && (!placed || pl.placement.Phase == state.PhaseHeld) {
+			return true
 		}
-		key := state.PlaceKey{Server: srv.name, Model: r.Model, Adapter: r.Adapter}
-		out = append(out, replicaView{key: key, server: server, placement: pl.placement})
 	}
-	slices.SortFunc(out, func(a, b replicaView) int {
-		if (a.key.Adapter == "") != (b.key.Adapter == "") {
-			return cmp.Compare(b.key.Adapter, a.key.Adapter)
-		}
-		return compareKeys(a.key, b.key)
-	})
-	return out
+	return false
 }
 
 func compareKeys(a, b state.PlaceKey) int {
--- a/core/state/placement.go
+++ b/core/state/placement.go
@@ -96,15 +96,11 @@
 
 // unload opens an unload intent. A model's adapters must be unloaded first.
 func (s *State) unload(u Unload) Result {
-	srv, rej := s.liveServer(u.Server, u.Incarnation)
-	if rej != nil {
+	if _, rej := s.liveServer(u.Server, u.Incarnation); rej != nil {
 		return Result{Rejection: rej}
 	}
 	key := PlaceKey{u.Server, u.Model, u.Adapter}
 	p, ok := s.Placements[key]
-	if !ok && srv.Returned {
-		p, ok = s.surplus(u), true
-	}
 	if !ok {
 		return reject(CodeNotPlaced, "%s is not placed on %s", u.Model, u.Server)
 	}
@@ -119,18 +115,6 @@
 	return Result{}
 }
 
-// surplus describes what a returned server holds without a placement, so that
-// it can be unloaded and counts against the limits until then.
-func (s *State) surplus(u Unload) Placement {
-	p := Placement{Incarnation: u.Incarnation}
-	if a, ok := s.Config.Adapter(u.Adapter); u.Adapter != "" && ok {
-		p.Version, p.MemoryMiB = a.Version, a.MemoryMiB
-	} else if m, ok := s.Config.Model(u.Model); u.Adapter == "" && ok {
-		p.Version, p.MemoryMiB = m.Version, m.MemoryMiB+m.KVMiB
-	}
-	return p
-}
-
 func (s *State) hasAdapters(server, model string) bool {
 	for k := range s.Placements {
 		if k.Server == server && k.Model == model && k.Adapter != "" {
--- a/node/backend/client.go
+++ b/node/backend/client.go
@@ -144,7 +144,7 @@
 
 // Point asks a backend server for its incarnation and announcement sequence.
 func (c *Client) Point(ctx context.Context, address string) (Point, error) {
-	resp, err := c.Do(ctx, address, http.MethodGet, "/v1/announcement", http.Header{}, nil)
+	resp, err := c.Do(ctx, address, http.MethodGet, "/v1/incarnation", http.Header{}, nil)
 	if err != nil {
 		return Point{}, err
 	}
--- a/node/entry/view.go
+++ b/node/entry/view.go
@@ -89,13 +89,17 @@
 		}
 		trials[rec.Trial.Server] = max(trials[rec.Trial.Server], now+left)
 	}
+	surplus := map[string]bool{}
+	for k, p := range s.Placements {
+		surplus[k.Server] = surplus[k.Server] || p.Phase == state.PhaseSurplus
+	}
 	for name, srv := range s.Servers {
 		if srv.Lost {
 			continue
 		}
 		v.servers = append(v.servers, routing.Server{
 			Name: name, Address: srv.Address, DataCentre: srv.DataCentre, Incarnation: srv.Incarnation,
-			Closed: srv.Returned, TrialUntil: trials[name],
+			Closed: surplus[name], TrialUntil: trials[name],
 		})
 		if v.plain[srv.Service] {
 			v.replicas = append(v.replicas, routing.Replica{Server: name, Key: routing.Key{Service: srv.Service}})
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -84,13 +84,18 @@
 		DataCentre: h.settings.DataCentre,
 	})
 	web := h.web(callers)
-	leader := control.NewLeader(h.log, h.replica, client, control.Sources{
+	leader := control.NewLeader(h.log, h.replica, control.Sources{
 		Servers: h.servers, Demand: callers.Demand, Now: h.now,
 	}, sender, h.logger)
+	dispatcher := control.NewDispatcher(h.log, h.replica, client, control.DispatcherSources{
+		Servers: h.servers, Hosts: func() []membership.Host { return nil }, Now: h.now,
+		Leading: func() bool { return true },
+	}, sender, h.logger)
 
 	var g run.Group
 	runCtx, cancel := context.WithCancel(ctx)
 	g.Add(func() error { return leader.Run(runCtx) }, func(error) { cancel() })
+	g.Add(func() error { return dispatcher.Run(runCtx) }, func(error) { cancel() })
 	g.Add(func() error { return callers.Run(runCtx) }, func(error) { cancel() })
 	server := &http.Server{Handler: web, ReadHeaderTimeout: 10 * time.Second}
 	g.Add(func() error { return server.Serve(h.listener) }, func(error) { _ = server.Close() })
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -160,9 +160,7 @@
 	mux.HandleFunc("POST /v1/orders", e.order)
 	mux.HandleFunc("POST /v1/chat/completions", e.completion)
 	mux.HandleFunc("POST /v1/cancel", e.cancel)
-	mux.HandleFunc("GET /v1/incarnation", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = fmt.Fprintf(w, `{"incarnation":%d}`, e.opts.Incarnation)
-	})
+	mux.HandleFunc("GET /v1/incarnation", e.current)
 	incarnation := strconv.FormatUint(e.opts.Incarnation, 10)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(backend.HeaderIncarnation, incarnation)
@@ -278,7 +276,7 @@
 		Name: e.opts.Name, Service: e.opts.Service, Kind: config.KindEngine, DataCentre: e.opts.DataCentre,
 		Address: e.Address(), Incarnation: e.opts.Incarnation, Sequence: e.sequence, Accelerators: 1,
 		MemoryMiB: e.opts.MemoryMiB, Engine: "stand-in", ChecksFencing: e.opts.ChecksFencing,
-		Leaving: e.leaving, Load: e.laggingLoad(),
+		Leaving: e.leaving, NewestOrder: e.fence, Load: e.laggingLoad(),
 	}
 	for _, r := range e.reports {
 		s.Models = append(s.Models, r)
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -25,17 +25,38 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.opts.ChecksFencing && o.Fence < e.fence {
-		return backend.OrderAnswer{Reason: "old fencing number", Sequence: e.sequence}
+		return backend.OrderAnswer{Reason: "old fencing number", Point: e.point()}
 	}
 	e.fence = max(e.fence, o.Fence)
 	key := [2]string{o.Model, o.Adapter}
+	if old := e.reports[key]; o.Kind != backend.UnloadModel && o.Kind != backend.UnloadAdapter &&
+		old.Phase == membership.ReportReady && old.Version == o.Version {
+		old.Order = o.Fence
+		e.reports[key] = old
+		e.notify()
+		return backend.OrderAnswer{Accepted: true, Point: e.point()}
+	}
 	phase, end := membership.ReportUnloading, membership.ReportAbsent
 	if o.Kind == backend.LoadModel || o.Kind == backend.LoadAdapter {
 		phase, end = membership.ReportLoading, membership.ReportReady
 	}
 	e.reports[key] = membership.Report{Model: o.Model, Adapter: o.Adapter, Version: o.Version, Phase: phase, Order: o.Fence}
 	go e.execute(o, key, end)
-	return backend.OrderAnswer{Accepted: true, Sequence: e.sequence}
+	return backend.OrderAnswer{Accepted: true, Point: e.point()}
+}
+
+// point is how far the engine has announced itself. The caller holds e.mu.
+func (e *Engine) point() backend.Point {
+	return backend.Point{Incarnation: e.opts.Incarnation, Sequence: e.sequence}
+}
+
+// current answers GET /v1/incarnation.
+func (e *Engine) current(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	p := e.point()
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(p)
 }
 
 // execute takes the time of an order and then reports its end. Checkpoints
