Answer a resend of the first configuration with the bootstrap key

The tests had used one key for both.

Change: the API answers a resend of the change that made version 1 for the bootstrap key, and nothing else. pollenctl says that a change was applied when only the wait failed or was refused, and no longer reports a wait that timed out as an unknown outcome.

Ruled out: keeping the bootstrap key valid for a while, which needs a clock and leaves a second operator key.

--- a/cmd/pollenctl/apply.go
+++ b/cmd/pollenctl/apply.go
@@ -48,7 +48,9 @@
 		defer cancel()
 		out, err := c.apply(ctx, req)
 		if err == nil && *wait {
-			out.Hosts, err = c.awaitVersion(ctx, out.Version)
+			if out.Hosts, err = c.awaitVersion(ctx, out.Version); err != nil {
+				err = &waitError{version: out.Version, err: err}
+			}
 		}
 		return answer{value: out, text: out.print}, err
 	}}
@@ -130,6 +132,18 @@
 
 func (e *conflictError) Unwrap() error { return e.refusal }
 
+// waitError reports that a change was applied, but not where it is in force.
+type waitError struct {
+	version uint64
+	err     error
+}
+
+func (e *waitError) Error() string {
+	return fmt.Sprintf("the change is version %d, but it is not known to be in force everywhere: %v", e.version, e.err)
+}
+
+func (e *waitError) Unwrap() error { return e.err }
+
 // awaitVersion asks every host until all that are not silent have the version.
 func (c *client) awaitVersion(ctx context.Context, version uint64) ([]string, error) {
 	shown := -1
@@ -158,7 +172,7 @@
 			return have, nil
 		}
 		if err := c.e.sleep(ctx, pollPause); err != nil {
-			return have, &noAnswerError{fmt.Errorf("version %d was accepted, but these hosts do not have it yet: %s", version, lines(lack, "none"))}
+			return have, &waitTimeoutError{"these hosts do not have it yet: " + lines(lack, "none")}
 		}
 	}
 }
--- a/cmd/pollenctl/deployment_test.go
+++ b/cmd/pollenctl/deployment_test.go
@@ -35,10 +35,12 @@
 	// took effect.
 	loseAnswers int
 	requests    int
+	// bootstrap is the hash of the key before the first configuration.
+	bootstrap string
 }
 
-func newDeployment(t *testing.T) *deployment {
-	d := &deployment{state: state.New()}
+func newDeployment(t *testing.T, bootstrap string) *deployment {
+	d := &deployment{state: state.New(), bootstrap: admin.HashKey(bootstrap)}
 	for _, name := range []string{"nord-1", "sud-1"} {
 		web := echo.New()
 		logger := logrus.New()
@@ -46,7 +48,7 @@
 		admin.New(admin.Parts{
 			Host: name, Proposer: d, Replica: d, Members: d, Drainer: d, Counter: d, Control: d,
 			Ready: func() bool { return true }, Now: func() time.Time { return time.UnixMilli(1) },
-			BootstrapKeySHA256: admin.HashKey("operator"), Logger: logrus.NewEntry(logger),
+			BootstrapKeySHA256: d.bootstrap, Logger: logrus.NewEntry(logger),
 		}).Routes(web)
 		s := httptest.NewServer(d.lossy(web))
 		t.Cleanup(s.Close)
@@ -127,9 +129,12 @@
 	pause func() error
 }
 
-func newTool(t *testing.T) *tool {
-	d := newDeployment(t)
-	tl := &tool{t: t, deployment: d, folder: t.TempDir(), key: "operator"}
+// newTool returns a tool whose key is both the bootstrap key and an operator's.
+func newTool(t *testing.T) *tool { return newToolWithKey(t, "operator") }
+
+func newToolWithKey(t *testing.T, bootstrap string) *tool {
+	d := newDeployment(t, bootstrap)
+	tl := &tool{t: t, deployment: d, folder: t.TempDir(), key: bootstrap}
 	for _, s := range d.servers {
 		tl.addresses = append(tl.addresses, s.Listener.Addr().String())
 	}
--- a/cmd/pollenctl/drain.go
+++ b/cmd/pollenctl/drain.go
@@ -66,7 +66,7 @@
 			c.e.progress("%s is %s", name, now)
 		}
 		if err := c.e.sleep(ctx, pollPause); err != nil {
-			return &noAnswerError{fmt.Errorf("%s has begun to leave, but has not ended yet", name)}
+			return &waitTimeoutError{name + " has begun to leave, but has not ended yet"}
 		}
 	}
 }
--- a/cmd/pollenctl/main.go
+++ b/cmd/pollenctl/main.go
@@ -24,7 +24,7 @@
   2  wrong usage, or an invalid file
   3  refused by the deployment
   4  version conflict: another change was applied first
-  5  no answer: the outcome is not known, and repeating the command is safe
+  5  no answer, or a wait that timed out: repeating the command is safe
   6  diff found differences`
 
 func main() {
--- a/cmd/pollenctl/output.go
+++ b/cmd/pollenctl/output.go
@@ -86,9 +86,10 @@
 		faults  config.Errors
 		refusal *admin.Refusal
 		silence *noAnswerError
+		waiting *waitTimeoutError
 	)
 	switch {
-	case errors.As(err, &silence):
+	case errors.As(err, &silence), errors.As(err, &waiting):
 		return exitNoAnswer
 	case errors.As(err, &refusal) && refusal.Code == admin.CodeVersionConflict:
 		return exitConflict
--- a/cmd/pollenctl/pollenctl_test.go
+++ b/cmd/pollenctl/pollenctl_test.go
@@ -58,6 +58,29 @@
 	}
 }
 
+// Guards against the first change being reported as refused because the
+// bootstrap key ended with it.
+func TestFirstApplyResends(t *testing.T) {
+	tl := newToolWithKey(t, "first")
+	tl.deployment.loseAnswers = 3
+	file := tl.file("c.ini", configurationFile("2"))
+	code, out, errs := tl.run("apply", file, "--expected", "0")
+	expect(t, code, out, errs, exitOK, "is version 1\n")
+	code, out, errs = tl.run("apply", file, "--expected", "0", "--wait")
+	expect(t, code, out, errs, exitRefused, "the change is version 1, but it is not known to be in force everywhere")
+	code, out, errs = tl.run("apply", tl.file("d.ini", configurationFile("3")), "--expected", "1")
+	expect(t, code, out, errs, exitRefused, "the bootstrap key ended with the first configuration")
+}
+
+// Guards against a wait that ends as a success before every host has followed.
+func TestApplyWaitGivesUp(t *testing.T) {
+	tl := newTool(t)
+	tl.deployment.hosts[1].CallerAddress = closedAddress(t)
+	code, out, errs := tl.run("apply", tl.file("c.ini", configurationFile("2")), "--expected", "0", "--wait")
+	expect(t, code, out, errs, exitNoAnswer, "the change is version 1, but it is not known to be in force everywhere: these hosts do not have it yet: sud-1")
+	expect(t, code, out, errs, exitNoAnswer, "1 of 2 hosts have version 1; waiting for sud-1")
+}
+
 // Guards against operators who overwrite each other's changes.
 func TestApplyConflict(t *testing.T) {
 	tl := newTool(t)
@@ -203,6 +226,13 @@
 	}
 }
 
+// Guards against a drain that is reported as complete while streams go on.
+func TestDrainWaitGivesUp(t *testing.T) {
+	tl := newTool(t)
+	code, out, errs := tl.run("drain", "sud-1", "--wait")
+	expect(t, code, out, errs, exitNoAnswer, "sud-1 has begun to leave, but has not ended yet; repeating the command is safe")
+}
+
 // Guards against new questionnaires that cannot be read, and keys that do not
 // fit their hash.
 func TestQuestionnaire(t *testing.T) {
--- a/cmd/pollenctl/remote.go
+++ b/cmd/pollenctl/remote.go
@@ -52,6 +52,11 @@
 
 func (e *noAnswerError) Unwrap() error { return e.last }
 
+// waitTimeoutError reports that something that was begun has not ended in time.
+type waitTimeoutError struct{ state string }
+
+func (e *waitTimeoutError) Error() string { return e.state + "; repeating the command is safe" }
+
 // client sends requests to the administration API. All of them may be repeated,
 // so it resends after a lost answer, to the next host.
 type client struct {
--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -209,11 +209,15 @@
 		t.Errorf("lost answer: got %d %s", status, body)
 	}
 	w.fail = nil
-	for _, key := range []string{"operator", "operator"} {
-		if status, body = apply(key, applyBody(t, "one", 0, nil)); status != http.StatusOK || w.state.Config.Version != 1 {
-			t.Errorf("resend: got %d %s at version %d", status, body, w.state.Config.Version)
+	for _, key := range []string{"operator", "first"} {
+		if status, body = apply(key, applyBody(t, "one", 0, nil)); status != http.StatusOK || !strings.Contains(body, `"version":1`) || w.state.Config.Version != 1 {
+			t.Errorf("resend with key %q: got %d %s at version %d", key, status, body, w.state.Config.Version)
 		}
 	}
+	index := w.state.Index
+	if status, body = apply("first", applyBody(t, "two", 1, nil)); status != http.StatusUnauthorized || w.state.Index != index {
+		t.Errorf("another change with the bootstrap key: got %d %s", status, body)
+	}
 	status, body = apply("operator", applyBody(t, "two", 0, nil))
 	if r := refusal(t, body); status != http.StatusConflict || r.Code != CodeVersionConflict || r.Winner != "one" || r.Version != 1 || r.Execution != NotRun {
 		t.Errorf("conflict: got %d %s", status, body)
--- a/node/admin/authorize.go
+++ b/node/admin/authorize.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/labstack/echo/v4"
@@ -32,7 +33,11 @@
 			c.Response().Header().Set(echo.HeaderWWWAuthenticate, "Bearer")
 			return refuse(c, http.StatusUnauthorized, Refusal{Code: CodeUnauthorized, Reason: "the request carries no key"})
 		}
-		role, known := a.role(HashKey(key))
+		hash := HashKey(key)
+		role, known := a.role(hash)
+		if !known && equal(hash, a.parts.BootstrapKeySHA256) && c.Request().Method == http.MethodPost && c.Path() == Prefix+"/configuration" {
+			return a.resendFirst(c)
+		}
 		if !known {
 			c.Response().Header().Set(echo.HeaderWWWAuthenticate, "Bearer")
 			return refuse(c, http.StatusUnauthorized, Refusal{Code: CodeUnauthorized, Reason: "the key is not known"})
@@ -44,6 +49,23 @@
 	}
 }
 
+// resendFirst answers a resend of the change that made version 1. Its sender has
+// only the bootstrap key, which ended with that change, and may not know yet that
+// it was applied. Nothing else is done for this key.
+func (a *API) resendFirst(c echo.Context) error {
+	req, err := decodeApply(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
+	first := false
+	a.parts.Replica.View(func(s *state.State) {
+		first = slices.Contains(s.Changes, state.Change{ID: req.ChangeID, Version: 1})
+	})
+	if err != nil || !first {
+		return refuse(c, http.StatusUnauthorized, Refusal{
+			Code: CodeUnauthorized, Reason: "the bootstrap key ended with the first configuration; use an operator's key",
+		})
+	}
+	return c.JSON(http.StatusOK, ApplyAnswer{ChangeID: req.ChangeID, Version: 1})
+}
+
 // role returns the role of the key with the given hash. The bootstrap key ends
 // with the first configuration.
 func (a *API) role(hash string) (role config.Role, known bool) {
