--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -131,7 +131,7 @@
 	p.queued = 0
 	clear(p.ready)
 	p.index.refresh(&in.State.Config)
-	p.view.build(in, &p.index)
+	p.view.build(in)
 	p.arrivals.observe(in, &p.view)
 	p.observeFlights(in)
 	p.store.configure(in.Now, storeRate(in.State.Config.Deployment))
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -86,7 +86,6 @@
 	starts   []time.Duration
 	busyFrom map[state.PlaceKey]time.Duration
 	result   result
-	nextPlan time.Duration
 }
 
 func newReplay(w workload, seed int64, p *placement.Planner, days int, faults bool) *replay {
@@ -95,7 +94,7 @@
 		queues: map[placement.Target]*queue{}, running: map[*request]*runner{}, busyFrom: map[state.PlaceKey]time.Duration{},
 		measured: time.Duration(days-1) * day,
 	}
-	r.apply(state.Command{Configure: &state.Configure{ChangeID: "first", Next: w.config}})
+	_ = r.apply(state.Command{Configure: &state.Configure{ChangeID: "first", Next: w.config}})
 	for i := range 12 {
 		r.addRunner(i)
 	}
@@ -124,7 +123,7 @@
 }
 
 func (r *replay) register(x *runner) {
-	r.apply(state.Command{Register: &state.Register{
+	_ = r.apply(state.Command{Register: &state.Register{
 		Server: x.Name, Incarnation: x.Incarnation, Service: x.Service, Kind: x.Kind,
 		DataCentre: x.DataCentre, MemoryMiB: x.MemoryMiB, ChecksFencing: x.ChecksFencing,
 	}})
@@ -561,7 +560,8 @@
 	}
 	for k, p := range r.st.Placements {
 		loaded := x.loaded[placement.Target{Model: k.Model, Adapter: k.Adapter}]
-		if k.Server != x.Name || !(p.Phase == state.PhaseLoading && loaded || p.Phase == state.PhaseUnloading && !loaded) {
+		reported := p.Phase == state.PhaseLoading && loaded || p.Phase == state.PhaseUnloading && !loaded
+		if k.Server != x.Name || !reported {
 			continue
 		}
 		_ = r.apply(state.Command{Settle: &state.Settle{Server: x.Name, Incarnation: x.Incarnation, Model: k.Model, Adapter: k.Adapter, Fence: p.Fence, Loaded: loaded, Sequence: x.Sequence}})
--- a/core/placement/view.go
+++ b/core/placement/view.go
@@ -103,7 +103,7 @@
 	loading  []replicaView
 }
 
-func (v *view) build(in Input, x *configIndex) {
+func (v *view) build(in Input) {
 	if v.byName == nil {
 		v.byName = map[string]int{}
 		v.models = map[string][]replicaView{}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -288,10 +288,10 @@
 // Done records the end of an attempt.
 func (r *Router) Done(now time.Duration, a Attempt, result Result) {
 	s := a.candidate.server
-	switch {
-	case s.epoch == a.epoch:
+	switch s.epoch {
+	case a.epoch:
 		s.current = max(0, s.current-1)
-	case s.epoch == a.epoch+1:
+	case a.epoch + 1:
 		s.previous = max(0, s.previous-1)
 	default:
 		s.reported = max(0, s.reported-1)
