Refuse a change id that is reused for another change

Cause: a resend is recognised by its change id alone, so a second change under the same id got the first answer and looked applied. Change: the state keeps a digest of each accepted change. Conclusion: the table test covers resends, races and reused ids.

--- a/core/state/state.go
+++ b/core/state/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"maps"
@@ -81,6 +82,8 @@
 type Change struct {
 	ID      string `json:"id"`
 	Version uint64 `json:"version"`
+	// Digest tells a resend from another change under the same id.
+	Digest uint64 `json:"digest"`
 }
 
 // ClaimRecord is a claim and, once known, its outcome.
@@ -229,10 +232,14 @@
 }
 
 func (s *State) configure(c Configure) Result {
+	digest := digestOf(c)
 	for _, ch := range s.Changes {
-		if ch.ID == c.ChangeID {
+		if ch.ID == c.ChangeID && ch.Digest == digest {
 			return Result{Version: ch.Version}
 		}
+		if ch.ID == c.ChangeID {
+			return reject(CodeKeyReused, "change id %q was used for another change", c.ChangeID)
+		}
 	}
 	if c.Expected != s.Config.Version {
 		return s.versionConflict(c)
@@ -240,13 +247,24 @@
 	next := c.Next
 	next.Version = s.Config.Version + 1
 	s.Config = next
-	s.Changes = append(s.Changes, Change{ID: c.ChangeID, Version: next.Version})
+	s.Changes = append(s.Changes, Change{ID: c.ChangeID, Version: next.Version, Digest: digest})
 	if len(s.Changes) > maxChanges {
 		s.Changes = append([]Change(nil), s.Changes[len(s.Changes)-maxChanges:]...)
 	}
 	return Result{Version: next.Version}
 }
 
+// digestOf covers what a resend repeats: the expected version and the content.
+func digestOf(c Configure) uint64 {
+	c.Next.Version = 0
+	data, err := json.Marshal(c)
+	if err != nil {
+		return 0
+	}
+	sum := sha256.Sum256(data)
+	return binary.BigEndian.Uint64(sum[:8])
+}
+
 func (s *State) versionConflict(c Configure) Result {
 	r := reject(CodeVersionConflict, "expected version %d, current version is %d", c.Expected, s.Config.Version)
 	for _, ch := range s.Changes {
--- /dev/null
+++ b/core/state/state_test.go
@@ -0,0 +1,68 @@
+package state
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+)
+
+func named(name string) config.Configuration {
+	return config.Configuration{Deployment: config.Deployment{Name: name}}
+}
+
+// TestConfigureAnswers guards against a resend that applies twice, a change id
+// that hides another change, and a lost race that is not told who won.
+func TestConfigureAnswers(t *testing.T) {
+	cases := []struct {
+		name    string
+		change  Configure
+		version uint64
+		code    Code
+		winner  string
+	}{
+		{"first change", Configure{"a", 0, named("x")}, 1, "", ""},
+		{"resend of an accepted change", Configure{"a", 0, named("x")}, 1, "", ""},
+		{"other change under the same id", Configure{"a", 0, named("y")}, 0, CodeKeyReused, ""},
+		{"other change under the same version", Configure{"b", 0, named("y")}, 1, CodeVersionConflict, "a"},
+		{"next change", Configure{"c", 1, named("z")}, 2, "", ""},
+		{"resend after a later change", Configure{"a", 0, named("x")}, 1, "", ""},
+		{"version from the future", Configure{"d", 7, named("z")}, 2, CodeVersionConflict, ""},
+	}
+	s := New()
+	for i, c := range cases {
+		r := s.Apply(uint64(i+1), Command{Configure: &c.change})
+		var rej *Rejection
+		errors.As(r.Err(), &rej)
+		if rej == nil {
+			rej = &Rejection{}
+		}
+		if r.Version != c.version || rej.Code != c.code || rej.Winner != c.winner {
+			t.Errorf("%s: got version %d, rejection %+v", c.name, r.Version, rej)
+		}
+	}
+	if s.Config.Deployment.Name != "z" || s.Config.Version != 2 {
+		t.Errorf("in force: %s version %d", s.Config.Deployment.Name, s.Config.Version)
+	}
+}
+
+// TestClaimsAfterRetentionChange guards against a second execution when the
+// retention is raised after claims were dropped under a shorter one.
+func TestClaimsAfterRetentionChange(t *testing.T) {
+	s := New()
+	retention := func(seconds int) *Configure {
+		c := named("x")
+		c.Deployment.ClaimRetentionSeconds = seconds
+		return &Configure{ChangeID: string(rune('a' + seconds)), Expected: s.Config.Version, Next: c}
+	}
+	claim := &Claim{Key: "k", Caller: "c", CreatedMS: 1000, Fingerprint: "f"}
+	s.Apply(1, Command{Configure: retention(10), UnixMS: 1000})
+	if r := s.Apply(2, Command{Claim: claim, UnixMS: 1000}); r.Rejection != nil {
+		t.Fatal(r.Rejection)
+	}
+	s.Apply(3, Command{UnixMS: 20_000})
+	s.Apply(4, Command{Configure: retention(100), UnixMS: 20_000})
+	if r := s.Apply(5, Command{Claim: claim, UnixMS: 20_000}); r.Rejection == nil || r.Rejection.Code != CodeKeyExpired {
+		t.Fatalf("the claim was granted again: %+v", r)
+	}
+}
