Count open servers when the index is built

The queue asked for the number of open servers on every admission, which took time proportional to the fleet. The index now keeps it.

--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -55,6 +55,8 @@
 type target struct {
 	candidates []*candidate
 	local      int
+	// open counts the candidates whose server is not closed.
+	open int
 }
 
 type candidate struct {
@@ -121,6 +123,9 @@
 
 func (t *target) add(c *candidate, local bool) {
 	t.candidates = append(t.candidates, c)
+	if !c.server.Closed {
+		t.open++
+	}
 	if !local {
 		return
 	}
@@ -147,13 +152,7 @@
 	if t == nil {
 		return 0
 	}
-	n := 0
-	for _, c := range t.candidates {
-		if !c.server.Closed {
-			n++
-		}
-	}
-	return n
+	return t.open
 }
 
 // Query describes one attempt.
@@ -288,10 +287,10 @@
 // Done records the end of an attempt.
 func (r *Router) Done(now time.Duration, a Attempt, result Result) {
 	s := a.candidate.server
-	switch {
-	case s.epoch == a.epoch:
+	switch s.epoch {
+	case a.epoch:
 		s.current = max(0, s.current-1)
-	case s.epoch == a.epoch+1:
+	case a.epoch + 1:
 		s.previous = max(0, s.previous-1)
 	default:
 		s.reported = max(0, s.reported-1)
--- a/node/entry/call_test.go
+++ b/node/entry/call_test.go
@@ -64,7 +64,7 @@
 	e.Routes(web)
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			req := httptest.NewRequest("POST", c.path, strings.NewReader(c.body))
+			req := httptest.NewRequest(http.MethodPost, c.path, strings.NewReader(c.body))
 			req.Header.Set("Authorization", "Bearer secret")
 			for k, v := range c.header {
 				req.Header.Set(k, v)
@@ -82,7 +82,7 @@
 // way, and against a caller's key that leaks to a service.
 func TestServiceCallIsKept(t *testing.T) {
 	e := parser()
-	req := httptest.NewRequest("PUT", "/v1/services/"+orders+"/a%2Fb/c?x=%20y", strings.NewReader("body"))
+	req := httptest.NewRequest(http.MethodPut, "/v1/services/"+orders+"/a%2Fb/c?x=%20y", strings.NewReader("body"))
 	req.Header.Set("X-Trace", "7")
 	req.Header.Set("Authorization", "Bearer secret")
 	req.Header.Set("Connection", "X-Hop")
@@ -110,7 +110,7 @@
 		defer w.close()
 		w.hosts[0].entry.opts.Predict = func(string, string) (time.Duration, bool) { return time.Since(w.start) + 30*time.Second, true }
 		for deadline, want := range map[string]time.Duration{"20000": 0, "35000": 35 * time.Second} {
-			r := w.hosts[0].call(context.Background(), "POST", "/v1/chat/completions", map[string]string{"X-Deadline-Ms": deadline}, chatBody("x", true, 1))
+			r := w.hosts[0].call(context.Background(), "/v1/chat/completions", map[string]string{"X-Deadline-Ms": deadline}, chatBody("x", true, 1))
 			if r.refusal == nil || r.refusal.Code != "deadline" || r.refusal.Execution != NotRun || r.took > want || r.refusal.RetryAfterMS == 0 {
 				t.Errorf("deadline %s ms: took %s, refusal %+v", deadline, r.took, r.refusal)
 			}
@@ -127,7 +127,7 @@
 	web := echo.New()
 	f.Fuzz(func(t *testing.T, body, urgency, deadline, idempotent, key, path string) {
 		for _, parse := range []func(echo.Context, *view) (*call, *Refusal){e.parseCompletion, e.parseService} {
-			req := httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(body))
+			req := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
 			req.URL.Path = path
 			req.Header = http.Header{"X-Urgency": {urgency}, "X-Deadline-Ms": {deadline}, "X-Idempotent": {idempotent}, "Idempotency-Key": {key}}
 			c := web.NewContext(req, httptest.NewRecorder())
--- a/node/entry/crash_test.go
+++ b/node/entry/crash_test.go
@@ -37,14 +37,14 @@
 		for i, at := range starts {
 			group.Go(func() {
 				time.Sleep(at)
-				replies[i] = w.hosts[i%2].call(context.Background(), "POST", "/v1/chat/completions",
+				replies[i] = w.hosts[i%2].call(context.Background(), "/v1/chat/completions",
 					map[string]string{"X-Deadline-Ms": "60000"}, chatBody(fmt.Sprintf("innocent-%d.", i), true, 20))
 			})
 		}
 		time.Sleep(time.Duration(below(1000)) * time.Millisecond)
 		var last [2]reply
 		for i := range 8 {
-			last[i%2] = w.hosts[i%2].call(context.Background(), "POST", "/v1/chat/completions",
+			last[i%2] = w.hosts[i%2].call(context.Background(), "/v1/chat/completions",
 				map[string]string{"X-Deadline-Ms": "20000"}, chatBody("poison", true, 5))
 			time.Sleep(time.Second)
 		}
@@ -105,7 +105,7 @@
 		defer w.close()
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
-		w.hosts[0].call(ctx, "POST", "/v1/chat/completions", nil, chatBody("long", true, 1000))
+		w.hosts[0].call(ctx, "/v1/chat/completions", nil, chatBody("long", true, 1000))
 		time.Sleep(200 * time.Millisecond)
 		x := w.journal.Executions()
 		if len(x) != 1 || x[0].End != engine.EndCancelled {
@@ -122,7 +122,7 @@
 		var group sync.WaitGroup
 		var r reply
 		group.Go(func() {
-			r = w.hosts[0].call(context.Background(), "POST", "/v1/chat/completions", nil, chatBody("stream", true, 100))
+			r = w.hosts[0].call(context.Background(), "/v1/chat/completions", nil, chatBody("stream", true, 100))
 		})
 		time.Sleep(500 * time.Millisecond)
 		short, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
@@ -130,7 +130,7 @@
 		if w.hosts[0].entry.Drain(short) == nil {
 			t.Error("drained while a stream was open")
 		}
-		refused := w.hosts[0].call(context.Background(), "POST", "/v1/chat/completions", nil, chatBody("late", true, 1))
+		refused := w.hosts[0].call(context.Background(), "/v1/chat/completions", nil, chatBody("late", true, 1))
 		if refused.refusal == nil || refused.refusal.Code != "draining" || refused.refusal.Execution != NotRun {
 			t.Errorf("new request: %d %s", refused.status, refused.body)
 		}
@@ -153,7 +153,7 @@
 			defer w.close()
 			header := map[string]string{"X-Idempotent": "false", "Idempotency-Key": fmt.Sprintf("%d.once", time.Now().UnixMilli())}
 			send := func(host int) reply {
-				return w.hosts[host].call(context.Background(), "POST", "/v1/services/"+orders+"/orders", header, "once")
+				return w.hosts[host].call(context.Background(), "/v1/services/"+orders+"/orders", header, "once")
 			}
 			send(0)
 			time.Sleep(10 * time.Second)
--- a/node/entry/proof_test.go
+++ b/node/entry/proof_test.go
@@ -173,13 +173,13 @@
 	}
 	header := map[string]string{"X-Deadline-Ms": fmt.Sprint(c.deadline.Milliseconds())}
 	if c.chat {
-		return w.hosts[c.host].call(ctx, "POST", "/v1/chat/completions", header, chatBody(c.prompt(i), c.stream, c.tokens))
+		return w.hosts[c.host].call(ctx, "/v1/chat/completions", header, chatBody(c.prompt(i), c.stream, c.tokens))
 	}
 	if c.key > 0 {
 		header["X-Idempotent"] = "false"
 		header["Idempotency-Key"] = fmt.Sprintf("%d.key-%d", created, c.key)
 	}
-	return w.hosts[c.host].call(ctx, "POST", "/v1/services/"+orders+"/orders?by=test", header, c.prompt(i))
+	return w.hosts[c.host].call(ctx, "/v1/services/"+orders+"/orders?by=test", header, c.prompt(i))
 }
 
 // check is the oracle. What the backend servers recorded decides.
--- a/node/entry/queue.go
+++ b/node/entry/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/admission"
@@ -89,7 +90,7 @@
 // ended returns the refusal for a request whose context has ended.
 func ended(ctx context.Context, reason string) *Refusal {
 	r := deadlinePassed(reason)
-	if context.Cause(ctx) == context.Canceled {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
 		r.Code, r.Reason, r.gone = "cancelled", "the caller cancelled the request", true
 	}
 	return r
--- a/node/entry/world_test.go
+++ b/node/entry/world_test.go
@@ -153,7 +153,6 @@
 	world *world
 	entry *Entry
 	web   *echo.Echo
-	dead  bool
 	ctx   context.Context
 	kill  context.CancelFunc
 }
@@ -375,11 +374,11 @@
 	took time.Duration
 }
 
-func (h *host) call(ctx context.Context, method, path string, header map[string]string, body string) (r reply) {
+func (h *host) call(ctx context.Context, path string, header map[string]string, body string) (r reply) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(h.ctx, cancel)()
-	req := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+	req := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader(body))
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,97 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/node/backend"
+)
+
+func started(t *testing.T, opts Options) *Engine {
+	t.Helper()
+	opts.Name, opts.Listen, opts.Loaded = "runner-1", "127.0.0.1:0", []membership.Report{{Model: "guide"}}
+	e, err := Start(t.Context(), opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.Close() })
+	return e
+}
+
+func post(t *testing.T, e *Engine, attempt string, offset, tokens int) (string, error) {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"guide","stream":true,"max_tokens":%d,"messages":[{"content":"x"}]}`, tokens)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+e.Address()+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(backend.HeaderAttempt, attempt)
+	if offset > 0 {
+		req.Header.Set(backend.HeaderResume, fmt.Sprint(offset))
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+// Guards against a stand-in whose resumed stream repeats or skips events, or
+// runs the request again.
+func TestResumeContinuesTheSameExecution(t *testing.T) {
+	e := started(t, Options{Faults: Faults{CutAfter: func(string) int { return 2 }}})
+	first, err := post(t, e, "a", 0, 5)
+	if err == nil || strings.Count(first, "data:") != 2 {
+		t.Fatalf("cut answer %q, error %v", first, err)
+	}
+	rest, err := post(t, e, "a", 2, 5)
+	if err != nil || strings.Count(rest, "data:") != 4 || !strings.Contains(rest, Token("x", 2)) {
+		t.Errorf("resumed answer %q, error %v", rest, err)
+	}
+	if n := len(e.Journal().Executions()); n != 1 {
+		t.Errorf("%d executions", n)
+	}
+	if unknown, _ := post(t, e, "b", 1, 5); !strings.Contains(unknown, backend.CodeUnknownAttempt) {
+		t.Errorf("resume of an unknown attempt: %q", unknown)
+	}
+}
+
+// Guards against a stand-in that accepts old orders although it checks fencing.
+func TestFencing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		e := started(t, Options{ChecksFencing: checks})
+		e.accept(backend.Order{Kind: backend.UnloadModel, Model: "guide", Fence: 9})
+		if a := e.accept(backend.Order{Kind: backend.LoadModel, Model: "guide", Fence: 5}); a.Accepted == checks {
+			t.Errorf("checks fencing %t: old order accepted %t", checks, a.Accepted)
+		}
+	}
+}
+
+// Guards against a planned stop that cuts a request.
+func TestLeaveFinishesRequests(t *testing.T) {
+	e := started(t, Options{TokenTime: 5 * time.Millisecond})
+	answer := make(chan string)
+	go func() {
+		text, _ := post(t, e, "a", 0, 20)
+		answer <- text
+	}()
+	for len(e.Journal().Executions()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	left := make(chan error, 1)
+	go func() { left <- e.Leave(context.Background()) }()
+	if text := <-answer; !strings.HasSuffix(text, "[DONE]\n\n") {
+		t.Errorf("answer %q", text)
+	}
+	if err := <-left; err != nil {
+		t.Error(err)
+	}
+}
