End claims whose holder stopped without an outcome

Cause: a claim of a host that died stayed in progress until its key expired, and a repeated proposal of a claim was refused to its own holder. Change: a claim carries the time by which its holder has stopped; after it a resend gets outcome_unknown, and a late outcome still counts. The same holder and nonce is granted again, since only one call makes that proposal. Ruled out: settling by the leader from membership, which needs a second message and a view of every host's requests. Conclusion: table tests cover the dead holder, the late outcome and the repeated proposal.

--- a/core/state/claim.go
+++ b/core/state/claim.go
@@ -20,6 +20,11 @@
 		return Result{}
 	case old.Fingerprint != c.Fingerprint:
 		return reject(CodeKeyReused, "key was used for another request")
+	case old.Outcome == nil && old.Holder == c.Holder && old.Nonce == c.Nonce && c.Nonce != 0:
+		// The proposal was repeated because its first answer was lost.
+		return Result{}
+	case old.Outcome == nil && old.ExpiresMS != 0 && s.ClockMS > old.ExpiresMS:
+		return reject(CodeOutcomeUnknown, "host %s did not record an outcome", old.Holder.Host)
 	case old.Outcome == nil:
 		return reject(CodeClaimHeld, "request is being executed by host %s", old.Holder.Host)
 	case old.Outcome.Unknown:
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -139,6 +139,10 @@
 	// is refused.
 	Fingerprint string `json:"fingerprint"`
 	Holder      Sender `json:"holder"`
+	// ExpiresMS is when the holder has stopped working on the request, in Unix
+	// milliseconds. After it a claim without an outcome is unknown, so that the
+	// death of the holder does not leave it in progress. Zero never expires.
+	ExpiresMS int64 `json:"expires_ms,omitempty"`
 	// Nonce tells apart the claims that one holder makes on the same key.
 	Nonce uint64 `json:"nonce,omitempty"`
 }
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -46,6 +46,39 @@
 	}
 }
 
+// TestClaimOfDeadHolder guards against a call that stays in progress for the
+// whole retention after its host died, and against a late outcome that is lost.
+func TestClaimOfDeadHolder(t *testing.T) {
+	s := New()
+	holder := Sender{Host: "h1", Incarnation: 1}
+	claim := Claim{Key: "k", Caller: "c", CreatedMS: 1000, Fingerprint: "f", Holder: holder, Nonce: 1, ExpiresMS: 5000}
+	other := claim
+	other.Holder = Sender{Host: "h2", Incarnation: 1}
+	outcome := &Outcome{Key: "k", Caller: "c", Holder: holder, Nonce: 1, Status: 200}
+	steps := []struct {
+		name    string
+		command Command
+		code    Code
+	}{
+		{"first claim", Command{UnixMS: 1000, Claim: &claim}, ""},
+		{"repeated proposal of the holder", Command{UnixMS: 2000, Claim: &claim}, ""},
+		{"resend through another host", Command{UnixMS: 3000, Claim: &other}, CodeClaimHeld},
+		{"resend after the holder's deadline", Command{UnixMS: 6000, Claim: &other}, CodeOutcomeUnknown},
+		{"late outcome", Command{UnixMS: 7000, Outcome: outcome}, ""},
+		{"resend after the late outcome", Command{UnixMS: 8000, Claim: &other}, ""},
+	}
+	for i, c := range steps {
+		var rej *Rejection
+		got := Code("")
+		if errors.As(s.Apply(uint64(i+1), c.command).Err(), &rej) {
+			got = rej.Code
+		}
+		if got != c.code {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.code)
+		}
+	}
+}
+
 // TestClaimsAfterRetentionChange guards against a second execution when the
 // retention is raised after claims were dropped under a shorter one.
 func TestClaimsAfterRetentionChange(t *testing.T) {
--- a/node/entry/claim.go
+++ b/node/entry/claim.go
@@ -16,6 +16,9 @@
 	// that a claim without an outcome is settled by the control hosts.
 	commitFor   = 10 * time.Minute
 	commitPause = 200 * time.Millisecond
+	// claimMargin covers the difference of the hosts' wall clocks beyond the
+	// deadline of a claimed call. An outcome that comes later still counts.
+	claimMargin = time.Minute
 )
 
 // propose makes one proposal. Its error means that the command may or may not
@@ -51,7 +54,7 @@
 func (e *Entry) claim(ctx context.Context, q *call) (*state.Outcome, *Refusal) {
 	res, err := e.propose(ctx, state.Command{Claim: &state.Claim{
 		Key: q.claimKey, Caller: q.caller.Name, CreatedMS: q.createdMS, Fingerprint: q.fingerprint,
-		Holder: e.opts.Self, Nonce: q.nonce,
+		Holder: e.opts.Self, Nonce: q.nonce, ExpiresMS: time.Now().Add(q.timeout + claimMargin).UnixMilli(),
 	}})
 	if err != nil {
 		// The claim may be committed all the same; nothing was sent for it.
