--- a/core/membership/server.go
+++ b/core/membership/server.go
@@ -101,5 +101,7 @@
 	Incarnation   uint64 `json:"incarnation"`
 	Sequence      uint64 `json:"sequence"`
 	Control       bool   `json:"control,omitempty"`
-	Leaving       bool   `json:"leaving,omitempty"`
+	// Ready hosts serve callers. Leaving hosts finish what they have.
+	Ready   bool `json:"ready,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
 }
