--- /dev/null
+++ b/node/peer/log.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/consensus"
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/control"
+	"github.com/pollenwheel/pollenwheel/node/peer/peerpb"
+)
+
+func commandToProto(c state.Command) (*peerpb.ProposeRequest, error) {
+	data, err := state.EncodeCommand(c)
+	if err != nil {
+		return nil, &MessageError{Part: "command", Err: err}
+	}
+	return &peerpb.ProposeRequest{Command: data}, nil
+}
+
+func resultToProto(r state.Result, err error) (*peerpb.ProposeReply, error) {
+	switch e := err.(type) {
+	case nil:
+		data, err := json.Marshal(r)
+		if err != nil {
+			return &peerpb.ProposeReply{Unknown: err.Error()}, nil
+		}
+		return &peerpb.ProposeReply{Result: data}, nil
+	case *control.NotLeaderError:
+		return &peerpb.ProposeReply{NotLeader: true, Leader: e.Leader}, nil
+	}
+	return &peerpb.ProposeReply{Unknown: err.Error()}, nil
+}
+
+func resultFromProto(r *peerpb.ProposeReply) (state.Result, error) {
+	var out state.Result
+	switch {
+	case r.NotLeader:
+		return out, &control.NotLeaderError{Leader: r.Leader}
+	case r.Unknown != "":
+		return out, &control.OutcomeUnknownError{Reason: r.Unknown}
+	}
+	if err := json.Unmarshal(r.Result, &out); err != nil {
+		return out, &control.OutcomeUnknownError{Reason: "the answer cannot be read: " + err.Error()}
+	}
+	return out, nil
+}
+
+func updateToProto(u control.Update) (*peerpb.FollowUpdate, error) {
+	out := &peerpb.FollowUpdate{Snapshot: u.Snapshot}
+	for _, e := range u.Entries {
+		data, err := state.EncodeCommand(e.Command)
+		if err != nil {
+			return nil, &MessageError{Part: "command", Err: err}
+		}
+		out.Entries = append(out.Entries, &peerpb.FollowEntry{Index: e.Index, Command: data})
+	}
+	return out, nil
+}
+
+func updateFromProto(u *peerpb.FollowUpdate) (control.Update, error) {
+	out := control.Update{Snapshot: u.Snapshot}
+	for _, e := range u.Entries {
+		c, err := state.DecodeCommand(e.Command)
+		if err != nil {
+			return out, &MessageError{Part: "command", Err: err}
+		}
+		out.Entries = append(out.Entries, control.UpdateEntry{Index: e.Index, Command: c})
+	}
+	return out, nil
+}
+
+func statusToProto(host string, s control.Status) *peerpb.StatusReply {
+	out := &peerpb.StatusReply{
+		Host: host, Leader: s.Leader, Term: s.Term, Applied: s.Applied, LeaseValid: s.LeaseValid,
+	}
+	for _, m := range s.Members {
+		if m.Voter {
+			out.Voters = append(out.Voters, memberToProto(m.Member))
+		} else {
+			out.Learners = append(out.Learners, memberToProto(m.Member))
+		}
+	}
+	return out
+}
+
+func statusFromProto(r *peerpb.StatusReply) control.Status {
+	out := control.Status{Leader: r.Leader, Term: r.Term, Applied: r.Applied, LeaseValid: r.LeaseValid}
+	for _, m := range r.Voters {
+		out.Members = append(out.Members, control.MemberStatus{Member: memberFromProto(m), Voter: true})
+	}
+	for _, m := range r.Learners {
+		out.Members = append(out.Members, control.MemberStatus{Member: memberFromProto(m)})
+	}
+	return out
+}
+
+func memberToProto(m consensus.Member) *peerpb.Member {
+	return &peerpb.Member{Id: m.ID, Host: m.Host, PeerAddress: m.PeerAddress}
+}
+
+func memberFromProto(m *peerpb.Member) consensus.Member {
+	return consensus.Member{ID: m.GetId(), Host: m.GetHost(), PeerAddress: m.GetPeerAddress()}
+}
+
+func membersToProto(list []consensus.Member) []*peerpb.Member {
+	var out []*peerpb.Member
+	for _, m := range list {
+		out = append(out, memberToProto(m))
+	}
+	return out
+}
+
+func membersFromProto(list []*peerpb.Member) []consensus.Member {
+	var out []consensus.Member
+	for _, m := range list {
+		out = append(out, memberFromProto(m))
+	}
+	return out
+}
+
+func consensusToProto(m consensus.Message) *peerpb.ConsensusMessage {
+	out := &peerpb.ConsensusMessage{
+		Kind: uint32(m.Kind), From: m.From, To: m.To, Term: m.Term, LogIndex: m.LogIndex, LogTerm: m.LogTerm,
+		Commit: m.Commit, Reject: m.Reject, Hint: m.Hint, Transfer: m.Transfer, SentAtNs: int64(m.SentAt),
+	}
+	for _, e := range m.Entries {
+		out.Entries = append(out.Entries, &peerpb.LogEntry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data})
+	}
+	if s := m.Snapshot; s != nil {
+		g := &peerpb.Membership{Voters: membersToProto(s.Membership.Voters), Learners: membersToProto(s.Membership.Learners)}
+		if r := s.Membership.Repair; r != nil {
+			g.RepairLost, g.RepairSpare = r.Lost, r.Spare
+		}
+		out.Snapshot = &peerpb.LogSnapshot{Index: s.Index, Term: s.Term, Membership: g, Data: s.Data}
+	}
+	if h := m.Hello; h != nil {
+		out.Hello = &peerpb.Hello{Member: memberToProto(h.Member), Formed: h.Formed, Reply: h.Reply, Members: membersToProto(h.Members)}
+	}
+	return out
+}
+
+func consensusFromProto(m *peerpb.ConsensusMessage) consensus.Message {
+	out := consensus.Message{
+		Kind: consensus.MessageKind(m.Kind), From: m.From, To: m.To, Term: m.Term, LogIndex: m.LogIndex, LogTerm: m.LogTerm,
+		Commit: m.Commit, Reject: m.Reject, Hint: m.Hint, Transfer: m.Transfer, SentAt: time.Duration(m.SentAtNs),
+	}
+	for _, e := range m.Entries {
+		out.Entries = append(out.Entries, consensus.Entry{Index: e.Index, Term: e.Term, Kind: consensus.EntryKind(e.Kind), Data: e.Data})
+	}
+	if s := m.Snapshot; s != nil {
+		out.Snapshot = &consensus.Snapshot{Index: s.Index, Term: s.Term, Data: s.Data, Membership: consensus.Membership{
+			Voters: membersFromProto(s.Membership.GetVoters()), Learners: membersFromProto(s.Membership.GetLearners()),
+		}}
+		if lost := s.Membership.GetRepairLost(); lost != 0 {
+			out.Snapshot.Membership.Repair = &consensus.Repair{Lost: lost, Spare: s.Membership.GetRepairSpare()}
+		}
+	}
+	if h := m.Hello; h != nil {
+		out.Hello = &consensus.Hello{Member: memberFromProto(h.Member), Formed: h.Formed, Reply: h.Reply, Members: membersFromProto(h.Members)}
+	}
+	return out
+}
