--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -37,12 +37,19 @@
 // Client calls other hosts. It keeps one connection to each address and is
 // safe for concurrent use.
 type Client struct {
+	traffic *Traffic
+
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client { return &Client{conns: map[string]*grpc.ClientConn{}} }
+// NewClient returns a client without connections. Traffic may be nil.
+func NewClient(t *Traffic) *Client {
+	if t == nil {
+		t = &Traffic{}
+	}
+	return &Client{traffic: t, conns: map[string]*grpc.ClientConn{}}
+}
 
 // Close closes all connections.
 func (c *Client) Close() {
@@ -63,7 +70,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
-		grpc.WithIdleTimeout(idleTimeout), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(),
+		grpc.WithStatsHandler(c.traffic), grpc.WithIdleTimeout(idleTimeout), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
@@ -131,7 +138,7 @@
 	return nil
 }
 
-// Gossip delivers a membership message to m.To and returns its encoded size.
+// Gossip delivers a membership message to m.To.
 func (c *Client) Gossip(ctx context.Context, m membership.Message) error {
 	return c.call(ctx, OpGossip, m.To, func(ctx context.Context, s peerpb.PeerClient) error {
 		_, err := s.Gossip(ctx, gossipToProto(m))
--- a/node/peer/demand.go
+++ b/node/peer/demand.go
@@ -36,6 +36,11 @@
 		if d.LastArrival != 0 {
 			d.LastArrival += shift
 		}
+		for c := range d.Classes {
+			if d.Classes[c].Earliest != 0 {
+				d.Classes[c].Earliest += shift
+			}
+		}
 		out.Demand[i] = d
 	}
 	return out
@@ -44,7 +49,18 @@
 func demandToProto(r DemandReport) *peerpb.DemandRequest {
 	out := &peerpb.DemandRequest{Host: r.Host, Incarnation: r.Incarnation}
 	for _, d := range r.Demand {
-		m := &peerpb.Demand{Model: d.Model, Adapter: d.Adapter, Waiting: int64(d.Waiting), Running: int64(d.Running)}
+		m := &peerpb.Demand{
+			Model: d.Model, Adapter: d.Adapter, Waiting: int64(d.Waiting), Running: int64(d.Running), Arrivals: d.Arrivals,
+		}
+		for _, c := range d.Classes {
+			m.Classes = append(m.Classes, &peerpb.ClassDemand{Waiting: int64(c.Waiting), EarliestInMs: relative(c.Earliest, r.Now)})
+		}
+		for server, n := range d.RunningOn {
+			if m.RunningOn == nil {
+				m.RunningOn = map[string]int64{}
+			}
+			m.RunningOn[server] = int64(n)
+		}
 		if d.Earliest != 0 {
 			m.HasEarliest, m.EarliestInMs = true, (d.Earliest - r.Now).Milliseconds()
 		}
@@ -56,11 +72,36 @@
 	return out
 }
 
+// relative returns a deadline in milliseconds from now, and zero for none.
+func relative(at, now time.Duration) int64 {
+	if at == 0 {
+		return 0
+	}
+	if ms := (at - now).Milliseconds(); ms != 0 {
+		return ms
+	}
+	return 1
+}
+
 // demandFromProto returns a report on a clock that shows zero.
 func demandFromProto(m *peerpb.DemandRequest) DemandReport {
 	out := DemandReport{Host: m.Host, Incarnation: m.Incarnation}
 	for _, x := range m.Demand {
-		d := placement.Demand{Model: x.Model, Adapter: x.Adapter, Waiting: int(x.Waiting), Running: int(x.Running)}
+		d := placement.Demand{
+			Model: x.Model, Adapter: x.Adapter, Waiting: int(x.Waiting), Running: int(x.Running), Arrivals: x.Arrivals,
+		}
+		for i, c := range x.Classes {
+			if i < len(d.Classes) {
+				d.Classes[i].Waiting = int(c.Waiting)
+				d.Classes[i].Earliest = time.Duration(c.EarliestInMs) * time.Millisecond
+			}
+		}
+		for server, n := range x.RunningOn {
+			if d.RunningOn == nil {
+				d.RunningOn = map[string]int{}
+			}
+			d.RunningOn[server] = int(n)
+		}
 		if x.HasEarliest {
 			d.Earliest = nonZero(time.Duration(x.EarliestInMs) * time.Millisecond)
 		}
--- a/node/peer/follow.go
+++ b/node/peer/follow.go
@@ -40,11 +40,15 @@
 	logger    *logrus.Entry
 	rand      *rand.Rand
 	failovers atomic.Int64
+	// self and local are this host's name and its member of the log, if any.
+	self  string
+	local Group
 }
 
-// NewFollower returns a follower that feeds r.
-func NewFollower(c *Client, d Directory, r *replica.Replica, logger *logrus.Entry, rng *rand.Rand) *Follower {
-	return &Follower{client: c, directory: d, replica: r, logger: logger, rand: rng}
+// NewFollower returns a follower that feeds r. A control host, whose own member
+// feeds r, passes it as local and uses only WaitCurrent.
+func NewFollower(c *Client, d Directory, r *replica.Replica, logger *logrus.Entry, rng *rand.Rand, self string, local Group) *Follower {
+	return &Follower{client: c, directory: d, replica: r, logger: logger, rand: rng, self: self, local: local}
 }
 
 // Failovers counts the streams that ended.
@@ -204,6 +208,10 @@
 	}
 	heard := map[string]bool{}
 	var highest control.Status
+	if f.local != nil {
+		highest = f.local.Status()
+		heard[f.self] = true
+	}
 	for range addresses {
 		a := <-answers
 		if a.err != nil {
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -39,6 +39,8 @@
 	// waits for. Its error is *control.NotLeaderError if this host does not lead.
 	Demand func(DemandReport) ([]Prediction, error)
 	Drain  func()
+	// Traffic may be nil.
+	Traffic *Traffic
 }
 
 // Server serves the protocol.
@@ -50,7 +52,10 @@
 
 // NewServer returns a server that is not started.
 func NewServer(h Handlers) *Server {
-	s := &Server{handlers: h, grpc: grpc.NewServer(
+	if h.Traffic == nil {
+		h.Traffic = &Traffic{}
+	}
+	s := &Server{handlers: h, grpc: grpc.NewServer(grpc.StatsHandler(h.Traffic),
 		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ConnectionTimeout(connectTimeout),
 	)}
