--- /dev/null
+++ b/cmd/pollenwheel/check.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"io"
+
+	"github.com/pollenwheel/pollenwheel/node/settings"
+)
+
+// checkSettings prints the settings with their defaults.
+func checkSettings(out io.Writer, path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	_, err = out.Write(settings.Format(s))
+	return err
+}
--- a/cmd/pollenwheel/dev.go
+++ b/cmd/pollenwheel/dev.go
@@ -31,7 +31,7 @@
 	defer func() { _ = os.RemoveAll(folder) }()
 	h, err := host.New(settings.Settings{
 		Host: "dev-1", DataCentre: "dev", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
-		Control: true, DataFolder: folder,
+		Control: true, DataFolder: folder, Voters: []settings.Peer{{Name: "dev-1", Address: "127.0.0.1:0"}},
 	}, logrus.WithField("host", "dev-1"))
 	if err != nil {
 		return err
--- a/cmd/pollenwheel/main.go
+++ b/cmd/pollenwheel/main.go
@@ -5,14 +5,8 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/sirupsen/logrus"
-
-	"github.com/pollenwheel/pollenwheel/node/host"
-	"github.com/pollenwheel/pollenwheel/node/settings"
 )
 
 func main() {
@@ -26,33 +20,20 @@
 	app := kingpin.New("pollenwheel", "Serves rarely used models.")
 	runCmd := app.Command("run", "Run the process of one host.")
 	runFile := runCmd.Arg("settings", "INI settings file.").Required().String()
-	checkCmd := app.Command("check", "Check a settings file.")
+	checkCmd := app.Command("check", "Check a settings file and print what it sets.")
 	checkFile := checkCmd.Arg("settings", "INI settings file.").Required().String()
 	devCmd := app.Command("dev", "Run one host with a stand-in engine on loopback.")
 	devCheck := devCmd.Flag("check", "Send one cold and one warm request, print both answers and exit.").Bool()
 
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := stopSignals(context.Background())
 	defer stop()
 	switch kingpin.MustParse(app.Parse(args)) {
 	case runCmd.FullCommand():
 		return runHost(ctx, *runFile)
 	case checkCmd.FullCommand():
-		_, err := settings.Load(*checkFile)
-		return err
+		return checkSettings(os.Stdout, *checkFile)
 	case devCmd.FullCommand():
 		return runDev(ctx, *devCheck)
 	}
 	return nil
 }
-
-func runHost(ctx context.Context, path string) error {
-	s, err := settings.Load(path)
-	if err != nil {
-		return err
-	}
-	h, err := host.New(s, logrus.WithField("host", s.Host))
-	if err != nil {
-		return err
-	}
-	return h.Run(ctx)
-}
--- /dev/null
+++ b/cmd/pollenwheel/run.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pollenwheel/pollenwheel/node/host"
+	"github.com/pollenwheel/pollenwheel/node/settings"
+	"github.com/pollenwheel/pollenwheel/node/telemetry"
+)
+
+// stopSignals returns a context that the first signal ends. A second signal
+// ends the process at once.
+func stopSignals(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
+
+// runHost serves until a signal arrives and the host has left.
+func runHost(ctx context.Context, path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	logger, err := telemetry.NewLogger(os.Stderr, s)
+	if err != nil {
+		return err
+	}
+	h, err := host.New(s, logger)
+	if err != nil {
+		return err
+	}
+	return h.Run(ctx)
+}
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -38,9 +38,12 @@
 	client  *backend.Client
 	sources Sources
 	sender  state.Sender
-	planner *placement.Planner
 	logger  *logrus.Entry
 
+	// planning guards the planner.
+	planning sync.Mutex
+	planner  *placement.Planner
+
 	mu   sync.Mutex
 	sent map[state.PlaceKey]uint64
 }
@@ -79,13 +82,26 @@
 		Now: l.sources.Now(), State: snapshot, Servers: servers,
 		Demand: l.sources.Demand(), Sender: l.sender,
 	}
-	for _, d := range l.planner.Plan(in) {
+	for _, d := range l.plan(in) {
 		l.propose(ctx, state.Command{Load: d.Load, Unload: d.Unload})
 	}
 	l.replica.View(func(s *state.State) { snapshot = s.ForFollowers() })
 	l.order(ctx, snapshot)
 }
 
+func (l *Leader) plan(in placement.Input) []placement.Decision {
+	l.planning.Lock()
+	defer l.planning.Unlock()
+	return l.planner.Plan(in)
+}
+
+// Predict returns what the newest plan says about a target that is waited for.
+func (l *Leader) Predict(t placement.Target) (placement.Prediction, bool) {
+	l.planning.Lock()
+	defer l.planning.Unlock()
+	return l.planner.Ready(t)
+}
+
 func (l *Leader) propose(ctx context.Context, c state.Command) {
 	c.UnixMS = time.Now().UnixMilli()
 	res, err := l.log.Propose(ctx, c)
--- a/node/host/demand.go
+++ b/node/host/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -76,8 +77,8 @@
 	return at, ok
 }
 
-// reporter sends this host's demand to the leader: at once when it changes, and
-// once a second while there is any.
+// reporter sends this host's demand to the leader: at once when the number of
+// waiting requests changes, and once a second while there is any demand.
 type reporter struct {
 	host        string
 	incarnation uint64
@@ -86,8 +87,8 @@
 	forward     *peer.Forwarder
 	board       *board
 
-	sent   map[placement.Target][2]int
-	sentAt time.Duration
+	waiting map[placement.Target]int
+	sentAt  time.Duration
 }
 
 func (r *reporter) run(ctx context.Context) error {
@@ -105,11 +106,14 @@
 
 func (r *reporter) report(ctx context.Context) {
 	demand := r.demand()
-	counts := map[placement.Target][2]int{}
+	waiting := map[placement.Target]int{}
 	for _, d := range demand {
-		counts[placement.Target{Model: d.Model, Adapter: d.Adapter}] = [2]int{d.Waiting, d.Running}
+		if d.Waiting > 0 {
+			waiting[placement.Target{Model: d.Model, Adapter: d.Adapter}] = d.Waiting
+		}
 	}
-	if !r.due(counts) {
+	repeat := len(demand) > 0 && r.now()-r.sentAt >= demandRefresh
+	if !repeat && maps.Equal(waiting, r.waiting) {
 		return
 	}
 	report := peer.DemandReport{Host: r.host, Incarnation: r.incarnation, Now: r.now(), Demand: demand}
@@ -117,19 +121,6 @@
 	if err != nil {
 		return
 	}
-	r.sent, r.sentAt = counts, report.Now
+	r.waiting, r.sentAt = waiting, report.Now
 	r.board.predicted(predictions)
 }
-
-// due reports whether the demand changed, or waits for its repetition.
-func (r *reporter) due(counts map[placement.Target][2]int) bool {
-	if len(counts) != len(r.sent) {
-		return true
-	}
-	for t, n := range counts {
-		if r.sent[t] != n {
-			return true
-		}
-	}
-	return len(counts) > 0 && r.now()-r.sentAt >= demandRefresh
-}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -5,57 +5,161 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
 	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/core/consensus"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/backend"
 	"github.com/pollenwheel/pollenwheel/node/control"
 	"github.com/pollenwheel/pollenwheel/node/entry"
+	"github.com/pollenwheel/pollenwheel/node/peer"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 	"github.com/pollenwheel/pollenwheel/node/settings"
+	"github.com/pollenwheel/pollenwheel/node/telemetry"
 )
 
+// group is this host's member of the replicated log.
+type group interface {
+	peer.Group
+	Run(ctx context.Context) error
+	CheckLease() bool
+	TransferLeader(ctx context.Context) error
+}
+
+var openGroup = func(o control.Options) (group, error) { return control.OpenGroup(o) }
+
 // Host is one process.
 type Host struct {
 	settings settings.Settings
 	logger   *logrus.Entry
 	start    time.Time
-	replica  *replica.Replica
-	log      control.Log
-	listener net.Listener
+	sender   state.Sender
 
-	mu    sync.Mutex
-	table *membership.Table
+	callerListener, peerListener net.Listener
+
+	replica   *replica.Replica
+	peers     *peer.Client
+	traffic   *peer.Traffic
+	transport *peer.Transport
+	members   *members
+	group     group
+	forward   *peer.Forwarder
+	follower  *peer.Follower
+	backend   *backend.Client
+	entry     *entry.Entry
+	board     *board
+	lead      *lead
+	burn      *burnCounter
+	metrics   *telemetry.Metrics
+
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	leave    chan struct{}
+	leftOnce sync.Once
 }
 
-// New opens the host's listener and state.
+// New opens the host's listeners and, with the control role, its data folder.
 func New(s settings.Settings, logger *logrus.Entry) (*Host, error) {
-	l, err := net.Listen("tcp", s.CallerAddress)
+	h := &Host{
+		settings: s, logger: logger, start: time.Now(), leave: make(chan struct{}),
+		replica: replica.New(state.New()), traffic: &peer.Traffic{}, backend: backend.NewClient(),
+	}
+	h.sender = state.Sender{Host: s.Host, Incarnation: uint64(h.start.UnixNano())}
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	h.peers = peer.NewClient(h.traffic)
+	h.members = newMembers(s, h.record(), h.peers, h.now)
+	if s.Control {
+		if err := h.openGroup(); err != nil {
+			h.close()
+			return nil, err
+		}
+	}
+	h.forward = peer.NewForwarder(s.Host, h.peerGroup(), h.peers, h.members)
+	rng := rand.New(rand.NewSource(int64(h.sender.Incarnation)))
+	h.follower = peer.NewFollower(h.peers, h.members, h.replica, logger, rng, s.Host, h.peerGroup())
+	h.board = newBoard(h.now)
+	h.lead = &lead{host: h}
+	h.burn = newBurnCounter(h)
+	h.entry = entry.New(entry.Options{
+		Replica: h.replica, Client: h.backend, Log: h.forward, Servers: h.members.Servers, Now: h.now,
+		Self: h.sender, DataCentre: s.DataCentre, Predict: h.predict, Observe: h.burn.observe,
+	})
+	return h, h.measure()
+}
+
+func (h *Host) listen() error {
+	var err error
+	if h.callerListener, err = net.Listen("tcp", h.settings.CallerAddress); err != nil {
+		return fmt.Errorf("host: listen for callers: %w", err)
+	}
+	if h.peerListener, err = net.Listen("tcp", h.settings.PeerAddress); err != nil {
+		_ = h.callerListener.Close()
+		return fmt.Errorf("host: listen for hosts: %w", err)
+	}
+	return nil
+}
+
+func (h *Host) close() {
+	_ = h.callerListener.Close()
+	_ = h.peerListener.Close()
+	h.peers.Close()
+}
+
+func (h *Host) record() membership.Host {
+	return membership.Host{
+		Name: h.settings.Host, DataCentre: h.settings.DataCentre, CallerAddress: h.Address(),
+		PeerAddress: h.peerListener.Addr().String(), Incarnation: h.sender.Incarnation, Control: h.settings.Control,
+	}
+}
+
+func (h *Host) openGroup() error {
+	h.transport = peer.NewTransport(h.peers)
+	options := control.Options{
+		Folder: h.settings.DataFolder, Host: h.settings.Host, PeerAddress: h.peerListener.Addr().String(),
+		Transport: h.transport, Replica: h.replica, Logger: h.logger,
+	}
+	for _, v := range h.settings.Voters {
+		address := v.Address
+		if v.Name == h.settings.Host {
+			address = h.peerListener.Addr().String()
+		}
+		options.Bootstrap = append(options.Bootstrap, consensus.Member{Host: v.Name, PeerAddress: address})
+	}
+	g, err := openGroup(options)
 	if err != nil {
-		return nil, fmt.Errorf("host: listen for callers: %w", err)
+		h.transport.Close()
+		return fmt.Errorf("host: open the data folder: %w", err)
+	}
+	h.group = g
+	return nil
+}
+
+// peerGroup is nil without the control role.
+func (h *Host) peerGroup() peer.Group {
+	if h.group == nil {
+		return nil
 	}
-	r := replica.New(state.New())
-	return &Host{
-		settings: s, logger: logger, start: time.Now(), replica: r, log: control.NewLocalLog(r),
-		listener: l, table: membership.NewTable(),
-	}, nil
+	return h.group
 }
 
 // Address is where callers connect.
-func (h *Host) Address() string { return h.listener.Addr().String() }
+func (h *Host) Address() string { return h.callerListener.Addr().String() }
 
 // Configure applies a configuration.
 func (h *Host) Configure(ctx context.Context, changeID string, expected uint64, c config.Configuration) (state.Result, error) {
-	return h.log.Propose(ctx, state.Command{
+	return h.forward.Propose(ctx, state.Command{
 		UnixMS:    time.Now().UnixMilli(),
 		Configure: &state.Configure{ChangeID: changeID, Expected: expected, Next: c},
 	})
@@ -63,51 +167,72 @@
 
 func (h *Host) now() time.Duration { return time.Since(h.start) }
 
-func (h *Host) announce(s membership.Server) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.table.Announce(h.now(), s)
-}
-
-func (h *Host) servers() []membership.Presence {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.table.Servers(h.now())
+// predict returns when a model or adapter will be ready, as far as the leader
+// has told.
+func (h *Host) predict(model, adapter string) (time.Duration, bool) {
+	if at, ok := h.lead.predict(model, adapter); ok {
+		return at, true
+	}
+	return h.board.predict(model, adapter)
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends and the host has left, or until a part fails.
 func (h *Host) Run(ctx context.Context) error {
-	client := backend.NewClient()
-	sender := state.Sender{Host: h.settings.Host, Incarnation: uint64(h.start.UnixNano())}
-	callers := entry.New(entry.Options{
-		Replica: h.replica, Client: client, Log: h.log, Servers: h.servers, Now: h.now, Self: sender,
-		DataCentre: h.settings.DataCentre,
-	})
-	web := h.web(callers)
-	leader := control.NewLeader(h.log, h.replica, client, control.Sources{
-		Servers: h.servers, Demand: callers.Demand, Now: h.now,
-	}, sender, h.logger)
-
 	var g run.Group
-	runCtx, cancel := context.WithCancel(ctx)
-	g.Add(func() error { return leader.Run(runCtx) }, func(error) { cancel() })
-	g.Add(func() error { return callers.Run(runCtx) }, func(error) { cancel() })
-	server := &http.Server{Handler: web, ReadHeaderTimeout: 10 * time.Second}
-	g.Add(func() error { return server.Serve(h.listener) }, func(error) { _ = server.Close() })
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	actor := func(f func(context.Context) error) {
+		g.Add(func() error { return f(running) }, func(error) { stop() })
+	}
+	actor(h.members.run)
+	actor(h.entry.Run)
+	actor(h.becomeReady)
+	if h.group == nil {
+		actor(h.follower.Run)
+	} else {
+		actor(h.group.Run)
+		actor(h.lead.run)
+	}
+	actor((&reporter{
+		host: h.settings.Host, incarnation: h.sender.Incarnation, now: h.now,
+		demand: h.entry.Demand, forward: h.forward, board: h.board,
+	}).run)
+	h.servePeers(&g)
+	h.serveCallers(&g)
+	g.Add(func() error { return h.depart(ctx, running) }, func(error) { stop() })
 	err := g.Run()
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	h.peers.Close()
+	if h.transport != nil {
+		h.transport.Close()
 	}
+	h.backend.CloseIdle()
 	return err
 }
 
-func (h *Host) web(callers *entry.Entry) *echo.Echo {
-	web := echo.New()
-	web.HideBanner, web.HidePort = true, true
-	callers.Routes(web)
-	web.POST("/v1/backend/announce", backend.AnnounceHandler(h.announce, func() backend.AnnouncementAnswer {
-		return backend.AnnouncementAnswer{Hosts: []string{h.Address()}, KeepSeconds: 10}
-	}))
-	web.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	return web
+func (h *Host) servePeers(g *run.Group) {
+	server := peer.NewServer(peer.Handlers{
+		Host: h.settings.Host, Group: h.peerGroup(), Gossip: h.members.step, Demand: h.lead.demand,
+		Drain: h.beginLeave, Burn: h.burn.snapshot, Traffic: h.traffic,
+	})
+	g.Add(func() error { return server.Serve(h.peerListener) }, func(error) { server.Stop() })
+}
+
+// shutdownTimeout bounds the wait for the last bytes of answers.
+const shutdownTimeout = 5 * time.Second
+
+func (h *Host) serveCallers(g *run.Group) {
+	server := &http.Server{Handler: h.web(), ReadHeaderTimeout: 10 * time.Second}
+	serve := func() error {
+		if err := server.Serve(h.callerListener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("host: serve callers: %w", err)
+		}
+		return nil
+	}
+	g.Add(serve, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	})
 }
--- /dev/null
+++ b/node/host/lifecycle.go
@@ -0,0 +1,83 @@
+package host
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// syncInterval is how often a starting host checks its membership table.
+	syncInterval = 50 * time.Millisecond
+	// transferTimeout bounds a transfer of leadership. If it fails, the other
+	// members elect a leader once this host is gone.
+	transferTimeout = 5 * time.Second
+)
+
+// becomeReady publishes this host once its membership table was compared with
+// those of the other hosts and its replica is as new as a majority's.
+func (h *Host) becomeReady(ctx context.Context) error {
+	for !h.members.synced() {
+		if !sleep(ctx, syncInterval) {
+			return nil
+		}
+	}
+	if err := h.follower.WaitCurrent(ctx); err != nil {
+		return nil //nolint:nilerr // the process is stopping
+	}
+	h.ready.Store(true)
+	h.members.setReady(true)
+	h.logger.Info("ready")
+	<-ctx.Done()
+	return nil
+}
+
+// beginLeave starts the departure. Further calls have no effect.
+func (h *Host) beginLeave() { h.leftOnce.Do(func() { close(h.leave) }) }
+
+// depart waits for the end of ctx or a drain, and then leaves: the host drops
+// out of the address list, hands over leadership, serves for as long as callers
+// keep the list, and ends once its requests have ended. It returns at once
+// when another part of the process ended.
+func (h *Host) depart(ctx, running context.Context) error {
+	select {
+	case <-running.Done():
+		return nil
+	case <-ctx.Done():
+	case <-h.leave:
+	}
+	h.leaving.Store(true)
+	h.members.leave()
+	h.logger.Info("leaving: no longer in the address list")
+	h.transfer(running)
+	if !sleep(running, h.settings.AddressKeep) {
+		return nil
+	}
+	if h.entry.Drain(running) != nil {
+		return nil
+	}
+	h.transfer(running)
+	h.logger.Info("leaving: all requests have ended")
+	return nil
+}
+
+// transfer hands over leadership, if this host leads.
+func (h *Host) transfer(ctx context.Context) {
+	if h.group == nil || h.group.Status().Leader != h.settings.Host {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	if err := h.group.TransferLeader(ctx); err != nil {
+		h.logger.WithError(err).Warn("leadership was not handed over")
+	}
+}
+
+// sleep waits for d and reports whether ctx is still live.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/node/host/web.go
@@ -0,0 +1,130 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/admin"
+	"github.com/pollenwheel/pollenwheel/node/backend"
+)
+
+// AddressAnswer is the body of GET /v1/addresses.
+type AddressAnswer struct {
+	Addresses   []membership.Address `json:"addresses"`
+	KeepSeconds int                  `json:"keep_seconds"`
+}
+
+// ReadyAnswer is the body of GET /readyz.
+type ReadyAnswer struct {
+	Ready   bool `json:"ready"`
+	Leaving bool `json:"leaving"`
+	// Quorum is false while no configuration, order or claim can be accepted;
+	// warm requests are served all the same.
+	Quorum  bool   `json:"quorum"`
+	Applied uint64 `json:"applied"`
+	// Version is the configuration in force on this host.
+	Version uint64 `json:"version"`
+}
+
+// web returns the routes of the caller address.
+func (h *Host) web() *echo.Echo {
+	web := echo.New()
+	web.HideBanner, web.HidePort = true, true
+	h.entry.Routes(web)
+	h.administration().Routes(web)
+	web.GET("/v1/addresses", h.addresses)
+	web.POST("/v1/backend/announce", backend.AnnounceHandler(h.members.announce, h.announcementAnswer))
+	web.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	web.GET("/readyz", h.readiness)
+	web.GET("/metrics", echo.WrapHandler(h.metrics.Handler()))
+	return web
+}
+
+// addresses lists the hosts of the caller's data centre first. A caller that
+// names none counts as being in this host's.
+func (h *Host) addresses(c echo.Context) error {
+	dataCentre := c.QueryParam("data_centre")
+	if dataCentre == "" {
+		dataCentre = h.settings.DataCentre
+	}
+	list := h.members.addresses(dataCentre)
+	if list == nil {
+		list = []membership.Address{}
+	}
+	return c.JSON(http.StatusOK, AddressAnswer{Addresses: list, KeepSeconds: h.keepSeconds()})
+}
+
+func (h *Host) keepSeconds() int { return int(h.settings.AddressKeep / time.Second) }
+
+func (h *Host) announcementAnswer() backend.AnnouncementAnswer {
+	out := backend.AnnouncementAnswer{KeepSeconds: h.keepSeconds(), Hosts: []string{}}
+	for _, a := range h.members.addresses(h.settings.DataCentre) {
+		out.Hosts = append(out.Hosts, a.Address)
+	}
+	if len(out.Hosts) == 0 && !h.leaving.Load() {
+		out.Hosts = append(out.Hosts, h.Address())
+	}
+	return out
+}
+
+func (h *Host) readiness(c echo.Context) error {
+	out := ReadyAnswer{Ready: h.ready.Load(), Leaving: h.leaving.Load(), Quorum: h.Control().Quorum}
+	h.replica.View(func(s *state.State) { out.Applied, out.Version = s.Index, s.Config.Version })
+	if !out.Ready || out.Leaving {
+		return c.JSON(http.StatusServiceUnavailable, out)
+	}
+	return c.JSON(http.StatusOK, out)
+}
+
+func (h *Host) administration() *admin.API {
+	return admin.New(admin.Parts{
+		Host: h.settings.Host, Proposer: h.forward, Replica: h.replica, Members: h.members, Drainer: h,
+		Counter: h.burn, Control: h, Now: time.Now, BootstrapKeySHA256: h.settings.BootstrapKeySHA256, Logger: h.logger,
+	})
+}
+
+// Drain tells a host to leave.
+func (h *Host) Drain(ctx context.Context, host string) error {
+	if host == h.settings.Host {
+		h.beginLeave()
+		return nil
+	}
+	return h.members.drain(ctx, host)
+}
+
+// controlTimeout bounds the wait for a control host's status.
+const controlTimeout = 500 * time.Millisecond
+
+// Control returns the state of the consensus group: that of the own member, or
+// of the first control host that answers.
+func (h *Host) Control() admin.ControlStatus {
+	if h.group != nil {
+		return controlStatus(h.group.Status())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	hosts := h.members.ControlHosts()
+	answers := make(chan admin.ControlStatus, len(hosts))
+	for _, address := range hosts {
+		go func() {
+			s, err := h.peers.Status(ctx, address)
+			if err != nil {
+				answers <- admin.ControlStatus{}
+				return
+			}
+			answers <- controlStatus(s)
+		}()
+	}
+	var out admin.ControlStatus
+	for range hosts {
+		if s := <-answers; s.Term > out.Term || s.Term == out.Term && s.Quorum {
+			out = s
+		}
+	}
+	return out
+}
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/pollenwheel/pollenwheel/core/burn"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/control"
@@ -167,6 +169,19 @@
 	})
 }
 
+// Burn returns a host's counts against the objectives.
+func (c *Client) Burn(ctx context.Context, address string) (burn.Snapshot, error) {
+	var out burn.Snapshot
+	err := c.call(ctx, OpBurn, address, func(ctx context.Context, s peerpb.PeerClient) error {
+		r, err := s.Burn(ctx, &peerpb.BurnRequest{})
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(r.Snapshot, &out)
+	})
+	return out, err
+}
+
 // Demand sends a report to the leader and returns its predictions. On a host
 // that does not lead it returns *control.NotLeaderError.
 func (c *Client) Demand(ctx context.Context, address string, r DemandReport) ([]Prediction, error) {
--- a/node/peer/errors.go
+++ b/node/peer/errors.go
@@ -20,6 +20,7 @@
 	OpDemand    Op = "demand"
 	OpStatus    Op = "status"
 	OpDrain     Op = "drain"
+	OpBurn      Op = "burn"
 )
 
 // Delivery says whether a call that failed may have reached the other host.
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/pollenwheel/pollenwheel/core/burn"
 	"github.com/pollenwheel/pollenwheel/core/consensus"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/state"
@@ -39,6 +41,7 @@
 	// waits for. Its error is *control.NotLeaderError if this host does not lead.
 	Demand func(DemandReport) ([]Prediction, error)
 	Drain  func()
+	Burn   func() burn.Snapshot
 	// Traffic may be nil.
 	Traffic *Traffic
 }
@@ -179,3 +182,9 @@
 	s.handlers.Drain()
 	return &peerpb.DrainReply{}, nil
 }
+
+// Burn implements the protocol.
+func (s *Server) Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnReply, error) {
+	data, err := json.Marshal(s.handlers.Burn())
+	return &peerpb.BurnReply{Snapshot: data}, statusError(err)
+}
