--- a/cmd/pollenwheel/main.go
+++ b/cmd/pollenwheel/main.go
@@ -24,6 +24,9 @@
 	checkFile := checkCmd.Arg("settings", "INI settings file.").Required().String()
 	devCmd := app.Command("dev", "Run one host with a stand-in engine on loopback.")
 	devCheck := devCmd.Flag("check", "Send one cold and one warm request, print both answers and exit.").Bool()
+	devBare := devCmd.Flag("bare", "Start no engine and print only the host's address.").Bool()
+	loadCmd := app.Command("load", "Measure the path through an entry host against a direct call to the same stand-in engines.")
+	loadFlags := addLoadFlags(loadCmd)
 
 	ctx, stop := stopSignals(context.Background())
 	defer stop()
@@ -33,7 +36,9 @@
 	case checkCmd.FullCommand():
 		return checkSettings(os.Stdout, *checkFile)
 	case devCmd.FullCommand():
-		return runDev(ctx, *devCheck)
+		return runDev(ctx, *devCheck, *devBare)
+	case loadCmd.FullCommand():
+		return runLoad(ctx, *loadFlags)
 	}
 	return nil
 }
--- a/core/membership/network_test.go
+++ b/core/membership/network_test.go
@@ -63,7 +63,7 @@
 	m := w.members[i]
 	m.host.Incarnation = uint64(w.now) + uint64(w.rand.Intn(1000)) + m.host.Incarnation + 1
 	seeds := []string{w.members[0].host.PeerAddress, w.members[min(1, len(w.members)-1)].host.PeerAddress}
-	m.table = NewTable(Options{Self: m.host, Seeds: seeds, Rand: rand.New(rand.NewSource(w.rand.Int63()))})
+	m.table = New(Options{Self: m.host, Seeds: seeds, Rand: rand.New(rand.NewSource(w.rand.Int63()))})
 	m.frozen, m.held = false, nil
 }
 
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -73,8 +73,11 @@
 	fresh bool
 }
 
-// NewTable returns a table that knows only its own host.
-func NewTable(o Options) *Table {
+// NewTable returns an empty table that exchanges nothing with other hosts.
+func NewTable() *Table { return New(Options{}) }
+
+// New returns a table that knows only its own host.
+func New(o Options) *Table {
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewSource(1))
 	}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -120,20 +120,28 @@
 func (h *Host) record() membership.Host {
 	return membership.Host{
 		Name: h.settings.Host, DataCentre: h.settings.DataCentre, CallerAddress: h.Address(),
-		PeerAddress: h.peerListener.Addr().String(), Incarnation: h.sender.Incarnation, Control: h.settings.Control,
+		PeerAddress: h.peerAddress(), Incarnation: h.sender.Incarnation, Control: h.settings.Control,
 	}
 }
 
+// peerAddress is where other hosts connect.
+func (h *Host) peerAddress() string {
+	if h.settings.AdvertisedPeerAddress != "" {
+		return h.settings.AdvertisedPeerAddress
+	}
+	return h.peerListener.Addr().String()
+}
+
 func (h *Host) openGroup() error {
 	h.transport = peer.NewTransport(h.peers)
 	options := control.Options{
-		Folder: h.settings.DataFolder, Host: h.settings.Host, PeerAddress: h.peerListener.Addr().String(),
+		Folder: h.settings.DataFolder, Host: h.settings.Host, PeerAddress: h.peerAddress(),
 		Transport: h.transport, Replica: h.replica, Logger: h.logger,
 	}
 	for _, v := range h.settings.Voters {
 		address := v.Address
 		if v.Name == h.settings.Host {
-			address = h.peerListener.Addr().String()
+			address = h.peerAddress()
 		}
 		options.Bootstrap = append(options.Bootstrap, consensus.Member{Host: v.Name, PeerAddress: address})
 	}
--- a/node/host/members.go
+++ b/node/host/members.go
@@ -50,7 +50,7 @@
 func newMembers(s settings.Settings, self membership.Host, client *peer.Client, now func() time.Duration) *members {
 	return &members{
 		client: client, now: now, voters: s.Voters, self: s.Host, calls: map[string]int{},
-		table: membership.NewTable(membership.Options{
+		table: membership.New(membership.Options{
 			Self: self, Seeds: s.Seeds, Rand: rand.New(rand.NewSource(int64(self.Incarnation))),
 		}),
 	}
