--- /dev/null
+++ b/cmd/pollenwheel/forwarder_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"net"
+	"sync"
+	"testing"
+)
+
+// forwarder copies connections to a target. While it stalls, connections stay
+// open and nothing passes, as on a link that loses every packet.
+type forwarder struct {
+	listener net.Listener
+	target   string
+
+	mu      sync.Mutex
+	stalled bool
+	resume  *sync.Cond
+	conns   []net.Conn
+}
+
+func newForwarder(t testing.TB, target string) *forwarder {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &forwarder{listener: l, target: target}
+	f.resume = sync.NewCond(&f.mu)
+	go f.serve()
+	t.Cleanup(f.close)
+	return f
+}
+
+func (f *forwarder) address() string { return f.listener.Addr().String() }
+
+func (f *forwarder) stall(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stalled = on
+	f.resume.Broadcast()
+}
+
+func (f *forwarder) close() {
+	_ = f.listener.Close()
+	f.stall(false)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.conns {
+		_ = c.Close()
+	}
+}
+
+func (f *forwarder) serve() {
+	for {
+		in, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		go f.forward(in)
+	}
+}
+
+func (f *forwarder) forward(in net.Conn) {
+	f.wait()
+	out, err := net.Dial("tcp", f.target)
+	if err != nil {
+		_ = in.Close()
+		return
+	}
+	f.mu.Lock()
+	f.conns = append(f.conns, in, out)
+	f.mu.Unlock()
+	go f.copy(out, in)
+	f.copy(in, out)
+}
+
+// wait blocks while the link is stalled.
+func (f *forwarder) wait() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for f.stalled {
+		f.resume.Wait()
+	}
+}
+
+func (f *forwarder) copy(to, from net.Conn) {
+	defer func() { _, _ = to.Close(), from.Close() }()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		f.wait()
+		if _, werr := to.Write(buf[:n]); err != nil || werr != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/cmd/pollenwheel/processes_test.go
@@ -0,0 +1,287 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/node/admin"
+	"github.com/pollenwheel/pollenwheel/node/host"
+	"github.com/pollenwheel/pollenwheel/node/settings"
+	"github.com/pollenwheel/pollenwheel/standin/engine"
+)
+
+// patience bounds every wait. It only ends a test that would hang.
+const patience = 90 * time.Second
+
+const operatorKey = "operator-key"
+
+var testCentres = []string{"waco", "temple", "bryan"}
+
+// process is one pollenwheel process and its settings.
+type process struct {
+	settings settings.Settings
+	file     string
+	binary   string
+	log      *os.File
+	cmd      *exec.Cmd
+	exited   chan error
+	// link is in front of the peer address of a control host.
+	link *forwarder
+	// started counts the starts; floor is the highest version that was accepted
+	// before the newest one.
+	started atomic.Int64
+	floor   atomic.Uint64
+}
+
+// deployment is several processes with stand-in engines.
+type deployment struct {
+	t         *testing.T
+	processes []*process
+	engines   []*engine.Engine
+	client    *http.Client
+	// accepted is the highest configuration version that an answer reported.
+	accepted atomic.Uint64
+	models   []string
+}
+
+func buildBinary(t testing.TB) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "pollenwheel")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+// freeAddress returns an address whose port the kernel chose.
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// newDeployment starts hosts over three data centres; the first three have the
+// control role.
+func newDeployment(t *testing.T, hosts int) *deployment {
+	d := &deployment{t: t, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	binary, folder := buildBinary(t), t.TempDir()
+	var peers, voters []settings.Peer
+	for i := range hosts {
+		p := &process{binary: binary, file: filepath.Join(folder, fmt.Sprintf("host-%d.ini", i))}
+		p.settings = settings.Settings{
+			Host: fmt.Sprintf("host-%d", i), DataCentre: testCentres[i%len(testCentres)],
+			CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), AddressKeep: time.Second,
+			BootstrapKeySHA256: admin.HashKey(operatorKey), LogLevel: settings.LogInfo,
+		}
+		if i < controlHosts {
+			p.settings.Control = true
+			p.settings.DataFolder = filepath.Join(folder, p.settings.Host)
+			p.link = newForwarder(t, p.settings.PeerAddress)
+			p.settings.AdvertisedPeerAddress = p.link.address()
+			voter := settings.Peer{Name: p.settings.Host, Address: p.link.address()}
+			voters, peers = append(voters, voter), append(peers, voter)
+		}
+		d.processes = append(d.processes, p)
+	}
+	for _, p := range d.processes {
+		p.settings.Peers = peers
+		if p.settings.Control {
+			p.settings.Voters = voters
+		}
+		if err := os.WriteFile(p.file, settings.Format(p.settings), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		d.start(p)
+	}
+	t.Cleanup(d.close)
+	for i := range hosts {
+		d.models = append(d.models, fmt.Sprintf("model-%d", i))
+	}
+	return d
+}
+
+func (d *deployment) start(p *process) {
+	d.t.Helper()
+	var err error
+	if p.log == nil {
+		if p.log, err = os.Create(p.file + ".log"); err != nil {
+			d.t.Fatal(err)
+		}
+	}
+	p.floor.Store(d.accepted.Load())
+	p.cmd = exec.Command(p.binary, "run", p.file)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		d.t.Fatal(err)
+	}
+	p.started.Add(1)
+	cmd, exited := p.cmd, make(chan error, 1)
+	p.exited = exited
+	go func() { exited <- cmd.Wait() }()
+}
+
+func (d *deployment) close() {
+	for _, e := range d.engines {
+		_ = e.Close()
+	}
+	for _, p := range d.processes {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+	}
+	if !d.t.Failed() {
+		return
+	}
+	for _, p := range d.processes {
+		data, err := os.ReadFile(p.log.Name())
+		if err == nil {
+			d.t.Logf("log of %s:\n%s", p.settings.Host, data)
+		}
+	}
+}
+
+func (d *deployment) startEngines(ctx context.Context, n int) {
+	d.t.Helper()
+	for i := range n {
+		var hosts []string
+		for _, p := range d.processes {
+			hosts = append(hosts, p.settings.CallerAddress)
+		}
+		e, err := engine.Start(ctx, engine.Options{
+			Name: fmt.Sprintf("engine-%d", i), Service: "lace-assist", DataCentre: testCentres[i%len(testCentres)],
+			Listen: "127.0.0.1:0", Hosts: append(hosts[i%len(hosts):], hosts[:i%len(hosts)]...),
+			MemoryMiB: 80_000, ChecksFencing: true, LoadTime: 50 * time.Millisecond, TokenTime: 20 * time.Millisecond,
+		})
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		d.engines = append(d.engines, e)
+	}
+}
+
+// await waits until f holds.
+func (d *deployment) await(what string, f func() bool) {
+	d.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !f() {
+		if time.Now().After(deadline) {
+			d.t.Fatalf("waited %s for: %s", patience, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// get decodes the answer of a GET request to a host.
+func (d *deployment) get(p *process, path string, out any) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.settings.CallerAddress+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+operatorKey)
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(out)
+}
+
+func (d *deployment) readiness(p *process) (out host.ReadyAnswer, err error) {
+	_, err = d.get(p, "/readyz", &out)
+	return out, err
+}
+
+func (d *deployment) awaitReady(p *process) {
+	d.t.Helper()
+	d.await(p.settings.Host+" is ready", func() bool {
+		r, err := d.readiness(p)
+		return err == nil && r.Ready
+	})
+}
+
+// configuration of the given generation. The description of the deployment
+// differs, so that every change is a real one.
+func (d *deployment) configuration(generation int) config.Configuration {
+	c := config.Configuration{
+		Deployment: config.Deployment{Name: fmt.Sprintf("test-%d", generation), ColdStartWeight: 1, IdleHourWeight: 1},
+		Services:   []config.Service{{Name: "lace-assist", Kind: config.KindEngine}},
+		Callers:    []config.Caller{{Name: "operators", Team: "platform", Role: config.RoleOperator, KeySHA256: admin.HashKey(operatorKey)}},
+	}
+	for _, name := range d.models {
+		c.Models = append(c.Models, config.Model{
+			Name: name, Service: "lace-assist", Version: "1", MemoryMiB: 8_000, KVMiB: 2_000, MaxReplicas: 2, QueueLimit: 100,
+		})
+	}
+	return c
+}
+
+// apply sends one change through the hosts in turn until it is accepted.
+func (d *deployment) apply(generation int, through ...*process) uint64 {
+	d.t.Helper()
+	expected := d.accepted.Load()
+	c := d.configuration(generation)
+	body, err := json.Marshal(admin.ApplyRequest{ChangeID: fmt.Sprintf("change-%d", generation), Expected: &expected, Configuration: &c})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	var version uint64
+	try := 0
+	d.await(fmt.Sprintf("change %d is accepted", generation), func() bool {
+		p := through[try%len(through)]
+		try++
+		version, err = d.post(p, body)
+		return err == nil
+	})
+	if version != expected+1 {
+		d.t.Fatalf("change %d got version %d after %d", generation, version, expected)
+	}
+	d.accepted.Store(version)
+	return version
+}
+
+func (d *deployment) post(p *process, body []byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.settings.CallerAddress+"/v1/admin/configuration", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+operatorKey)
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err
+	}
+	if resp.StatusCode == http.StatusConflict {
+		d.t.Errorf("a change was refused: %s", data)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("status %d: %s", resp.StatusCode, data)
+	}
+	var a admin.ApplyAnswer
+	err = json.Unmarshal(data, &a)
+	return a.Version, err
+}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -19,6 +19,7 @@
 	"github.com/pollenwheel/pollenwheel/core/consensus"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/admin"
 	"github.com/pollenwheel/pollenwheel/node/backend"
 	"github.com/pollenwheel/pollenwheel/node/control"
 	"github.com/pollenwheel/pollenwheel/node/entry"
@@ -61,6 +62,8 @@
 	lead      *lead
 	burn      *burnCounter
 	metrics   *telemetry.Metrics
+	// adminMetrics count the requests of operators.
+	adminMetrics *admin.Metrics
 
 	ready    atomic.Bool
 	leaving  atomic.Bool
--- a/node/host/status.go
+++ b/node/host/status.go
@@ -25,6 +25,12 @@
 	return out
 }
 
+// instrument is a value that is read when metrics are collected.
+type instrument struct {
+	name, unit, description string
+	read                    func() int64
+}
+
 // measure registers the instruments of this host.
 func (h *Host) measure() error {
 	var err error
@@ -32,32 +38,47 @@
 		return err
 	}
 	meter := h.metrics.Meter()
-	counters := map[string]func() int64{
-		"pollenwheel_peer_sent_bytes":      h.traffic.Sent,
-		"pollenwheel_peer_received_bytes":  h.traffic.Received,
-		"pollenwheel_peer_calls":           h.traffic.Calls,
-		"pollenwheel_gossip_dropped":       h.members.dropped.Load,
-		"pollenwheel_follow_streams_ended": h.follower.Failovers,
+	if h.adminMetrics, err = admin.NewMetrics(meter); err != nil {
+		return err
 	}
-	for name, read := range counters {
-		if _, err := meter.Int64ObservableCounter(name, metric.WithInt64Callback(observe(read))); err != nil {
-			return &telemetry.Error{Part: name, Err: err}
+	for _, i := range h.counters() {
+		if _, err := meter.Int64ObservableCounter(i.name, metric.WithUnit(i.unit),
+			metric.WithDescription(i.description), metric.WithInt64Callback(observe(i.read))); err != nil {
+			return &telemetry.Error{Part: i.name, Err: err}
 		}
 	}
-	gauges := map[string]func() int64{
-		"pollenwheel_hosts_heard":           h.hostsHeard,
-		"pollenwheel_servers_known":         func() int64 { return int64(len(h.members.Servers())) },
-		"pollenwheel_applied_index":         func() int64 { return int64(h.view(func(s *state.State) uint64 { return s.Index })) },
-		"pollenwheel_configuration_version": func() int64 { return int64(h.view(func(s *state.State) uint64 { return s.Config.Version })) },
-	}
-	for name, read := range gauges {
-		if _, err := meter.Int64ObservableGauge(name, metric.WithInt64Callback(observe(read))); err != nil {
-			return &telemetry.Error{Part: name, Err: err}
+	for _, i := range h.gauges() {
+		if _, err := meter.Int64ObservableGauge(i.name, metric.WithUnit(i.unit),
+			metric.WithDescription(i.description), metric.WithInt64Callback(observe(i.read))); err != nil {
+			return &telemetry.Error{Part: i.name, Err: err}
 		}
 	}
 	return nil
 }
 
+func (h *Host) counters() []instrument {
+	return []instrument{
+		{"pollenwheel.peer.sent", "By", "Bytes of messages sent to other hosts.", h.traffic.Sent},
+		{"pollenwheel.peer.received", "By", "Bytes of messages received from other hosts.", h.traffic.Received},
+		{"pollenwheel.peer.calls", "{call}", "Calls to and from other hosts.", h.traffic.Calls},
+		{"pollenwheel.gossip.dropped", "{message}", "Membership messages dropped because a host did not answer.", h.members.dropped.Load},
+		{"pollenwheel.follow.ended", "{stream}", "Streams from a control host that ended.", h.follower.Failovers},
+	}
+}
+
+func (h *Host) gauges() []instrument {
+	return []instrument{
+		{"pollenwheel.hosts.heard", "{host}", "Hosts that are heard from.", h.hostsHeard},
+		{"pollenwheel.servers.known", "{server}", "Backend servers that are known.", func() int64 { return int64(len(h.members.Servers())) }},
+		{"pollenwheel.applied.index", "{entry}", "Last applied log entry.", func() int64 {
+			return int64(h.view(func(s *state.State) uint64 { return s.Index }))
+		}},
+		{"pollenwheel.configuration.version", "{version}", "Configuration in force.", func() int64 {
+			return int64(h.view(func(s *state.State) uint64 { return s.Config.Version }))
+		}},
+	}
+}
+
 func observe(read func() int64) metric.Int64Callback {
 	return func(_ context.Context, o metric.Int64Observer) error {
 		o.Observe(read())
--- a/node/host/web.go
+++ b/node/host/web.go
@@ -84,7 +84,8 @@
 func (h *Host) administration() *admin.API {
 	return admin.New(admin.Parts{
 		Host: h.settings.Host, Proposer: h.forward, Replica: h.replica, Members: h.members, Drainer: h,
-		Counter: h.burn, Control: h, Now: time.Now, BootstrapKeySHA256: h.settings.BootstrapKeySHA256, Logger: h.logger,
+		Counter: h.burn, Control: h, Ready: h.ready.Load, Now: time.Now,
+		BootstrapKeySHA256: h.settings.BootstrapKeySHA256, Logger: h.logger, Metrics: h.adminMetrics,
 	})
 }
 
