--- /dev/null
+++ b/node/host/status.go
@@ -0,0 +1,102 @@
+package host
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/admin"
+	"github.com/pollenwheel/pollenwheel/node/control"
+	"github.com/pollenwheel/pollenwheel/node/telemetry"
+)
+
+// controlStatus translates the status of a member. A member that knows a leader
+// heard from it within the election timeout.
+func controlStatus(s control.Status) admin.ControlStatus {
+	out := admin.ControlStatus{Leader: s.Leader, Term: s.Term, Quorum: s.Leader != "", Voters: []string{}}
+	for _, m := range s.Members {
+		if m.Voter {
+			out.Voters = append(out.Voters, m.Host)
+		} else {
+			out.Learners = append(out.Learners, m.Host)
+		}
+	}
+	return out
+}
+
+// instrument is a value that is read when metrics are collected.
+type instrument struct {
+	name, unit, description string
+	read                    func() int64
+}
+
+// measure registers the instruments of this host.
+func (h *Host) measure() error {
+	var err error
+	if h.metrics, err = telemetry.NewMetrics(h.logger); err != nil {
+		return err
+	}
+	meter := h.metrics.Meter()
+	if h.adminMetrics, err = admin.NewMetrics(meter); err != nil {
+		return err
+	}
+	for _, i := range h.counters() {
+		if _, err := meter.Int64ObservableCounter(i.name, metric.WithUnit(i.unit),
+			metric.WithDescription(i.description), metric.WithInt64Callback(observe(i.read))); err != nil {
+			return &telemetry.Error{Part: i.name, Err: err}
+		}
+	}
+	for _, i := range h.gauges() {
+		if _, err := meter.Int64ObservableGauge(i.name, metric.WithUnit(i.unit),
+			metric.WithDescription(i.description), metric.WithInt64Callback(observe(i.read))); err != nil {
+			return &telemetry.Error{Part: i.name, Err: err}
+		}
+	}
+	return nil
+}
+
+func (h *Host) counters() []instrument {
+	return []instrument{
+		{"pollenwheel.peer.sent", "By", "Bytes of messages sent to other hosts.", h.traffic.Sent},
+		{"pollenwheel.peer.received", "By", "Bytes of messages received from other hosts.", h.traffic.Received},
+		{"pollenwheel.peer.calls", "{call}", "Calls to and from other hosts.", h.traffic.Calls},
+		{"pollenwheel.gossip.dropped", "{message}", "Membership messages dropped because a host did not answer.", h.members.dropped.Load},
+		{"pollenwheel.follow.ended", "{stream}", "Streams from a control host that ended.", h.follower.Failovers},
+	}
+}
+
+func (h *Host) gauges() []instrument {
+	return []instrument{
+		{"pollenwheel.hosts.heard", "{host}", "Hosts that are heard from.", h.hostsHeard},
+		{"pollenwheel.servers.known", "{server}", "Backend servers that are known.", func() int64 { return int64(len(h.members.Servers())) }},
+		{"pollenwheel.applied.index", "{entry}", "Last applied log entry.", func() int64 {
+			return int64(h.view(func(s *state.State) uint64 { return s.Index }))
+		}},
+		{"pollenwheel.configuration.version", "{version}", "Configuration in force.", func() int64 {
+			return int64(h.view(func(s *state.State) uint64 { return s.Config.Version }))
+		}},
+	}
+}
+
+func observe(read func() int64) metric.Int64Callback {
+	return func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(read())
+		return nil
+	}
+}
+
+func (h *Host) hostsHeard() int64 {
+	n := int64(0)
+	for _, x := range h.members.hosts() {
+		if !x.Silent {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *Host) view(f func(*state.State) uint64) (out uint64) {
+	h.replica.View(func(s *state.State) { out = f(s) })
+	return out
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -231,8 +231,7 @@
 
 func (e *Engine) announce(ctx context.Context) {
 	for i := 0; ; i++ {
-		host := e.opts.Hosts[i%len(e.opts.Hosts)]
-		e.post(ctx, host, "/v1/backend/announce", e.Announcement())
+		e.announceOnce(ctx, i)
 		if report, ok := e.cacheReport(); ok {
 			for _, h := range e.opts.Hosts {
 				e.post(ctx, h, "/v1/backend/cache", report)
@@ -249,22 +248,39 @@
 	}
 }
 
-func (e *Engine) post(ctx context.Context, host, path string, message any) {
+// announceOnce sends one announcement to the hosts in turn until one takes it.
+func (e *Engine) announceOnce(ctx context.Context, first int) {
+	for i := range e.opts.Hosts {
+		if e.post(ctx, e.opts.Hosts[(first+i)%len(e.opts.Hosts)], "/v1/backend/announce", e.Announcement()) || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// postTimeout keeps a host that is stopped from delaying the announcements to
+// the others.
+const postTimeout = time.Second
+
+// post sends a message and reports whether it was answered.
+func (e *Engine) post(ctx context.Context, host, path string, message any) bool {
+	ctx, cancel := context.WithTimeout(ctx, postTimeout)
+	defer cancel()
 	data, err := json.Marshal(message)
 	if err != nil {
-		return
+		return false
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+path, bytes.NewReader(data))
 	if err != nil {
-		return
+		return false
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return
+		return false
 	}
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 // Announcement returns the next announcement.
