Recognise the resend of the first configuration by its content

Cause: the bootstrap key's resend was recognised by id and version, which no longer equals the recorded change since it carries a digest. Change: state.Accepted compares the whole change; the administration API maps the reused id and no longer compares contents itself.

--- a/core/state/state.go
+++ b/core/state/state.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"maps"
+	"slices"
 
 	"github.com/pollenwheel/pollenwheel/core/config"
 )
@@ -232,14 +233,11 @@
 }
 
 func (s *State) configure(c Configure) Result {
-	digest := digestOf(c)
-	for _, ch := range s.Changes {
-		if ch.ID == c.ChangeID && ch.Digest == digest {
-			return Result{Version: ch.Version}
-		}
-		if ch.ID == c.ChangeID {
-			return reject(CodeKeyReused, "change id %q was used for another change", c.ChangeID)
-		}
+	if ch, ok := s.Accepted(c); ok {
+		return Result{Version: ch.Version}
+	}
+	if slices.ContainsFunc(s.Changes, func(ch Change) bool { return ch.ID == c.ChangeID }) {
+		return reject(CodeKeyReused, "change id %q was used for another change", c.ChangeID)
 	}
 	if c.Expected != s.Config.Version {
 		return s.versionConflict(c)
@@ -247,13 +245,22 @@
 	next := c.Next
 	next.Version = s.Config.Version + 1
 	s.Config = next
-	s.Changes = append(s.Changes, Change{ID: c.ChangeID, Version: next.Version, Digest: digest})
+	s.Changes = append(s.Changes, Change{ID: c.ChangeID, Version: next.Version, Digest: digestOf(c)})
 	if len(s.Changes) > maxChanges {
 		s.Changes = append([]Change(nil), s.Changes[len(s.Changes)-maxChanges:]...)
 	}
 	return Result{Version: next.Version}
 }
 
+// Accepted returns the accepted change that c repeats.
+func (s *State) Accepted(c Configure) (Change, bool) {
+	i := slices.IndexFunc(s.Changes, func(ch Change) bool { return ch.ID == c.ChangeID })
+	if i < 0 || s.Changes[i].Digest != digestOf(c) {
+		return Change{}, false
+	}
+	return s.Changes[i], true
+}
+
 // digestOf covers what a resend repeats: the expected version and the content.
 func digestOf(c Configure) uint64 {
 	c.Next.Version = 0
--- a/node/admin/authorize.go
+++ b/node/admin/authorize.go
@@ -5,7 +5,6 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
-	"slices"
 	"strings"
 
 	"github.com/labstack/echo/v4"
@@ -56,9 +55,12 @@
 	req, err := decodeApply(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
 	first := false
 	a.parts.Replica.View(func(s *state.State) {
-		first = slices.Contains(s.Changes, state.Change{ID: req.ChangeID, Version: 1})
+		if err == nil {
+			change, ok := s.Accepted(state.Configure{ChangeID: req.ChangeID, Expected: *req.Expected, Next: *req.Configuration})
+			first = ok && change.Version == 1
+		}
 	})
-	if err != nil || !first {
+	if !first {
 		return refuse(c, http.StatusUnauthorized, Refusal{
 			Code: CodeUnauthorized, Reason: "the bootstrap key ended with the first configuration; use an operator's key",
 		})
--- a/node/admin/configuration.go
+++ b/node/admin/configuration.go
@@ -40,27 +40,16 @@
 		})
 	}
 	if r := result.Rejection; r != nil {
-		return refuse(c, http.StatusConflict, Refusal{Code: string(r.Code), Reason: r.Reason, Winner: r.Winner, Version: result.Version})
-	}
-	if a.otherInForce(result.Version, *req.Configuration) {
-		return refuse(c, http.StatusConflict, Refusal{
-			Code: CodeChangeIDReused, Version: result.Version,
-			Reason: "the change id was used before, for another configuration that is in force; send this one under a new id",
-		})
+		code := string(r.Code)
+		if r.Code == state.CodeKeyReused {
+			code = CodeChangeIDReused
+		}
+		return refuse(c, http.StatusConflict, Refusal{Code: code, Reason: r.Reason, Winner: r.Winner, Version: result.Version})
 	}
 	a.parts.Logger.WithField("change", req.ChangeID).WithField("version", result.Version).Info("configuration accepted")
 	return c.JSON(http.StatusOK, ApplyAnswer{ChangeID: req.ChangeID, Version: result.Version})
 }
 
-// otherInForce reports whether the given version is in force with contents
-// other than next. A resent change id gets its first answer whatever it carries;
-// once a later version is in force, its contents can no longer be compared.
-func (a *API) otherInForce(version uint64, next config.Configuration) bool {
-	var current config.Configuration
-	a.parts.Replica.View(func(s *state.State) { current = s.Config })
-	return current.Version == version && len(config.Diff(current, next)) > 0
-}
-
 func decodeApply(body io.Reader) (ApplyRequest, error) {
 	var req ApplyRequest
 	d := json.NewDecoder(body)
