--- a/node/control/groupapi.go
+++ b/node/control/groupapi.go
@@ -43,6 +43,9 @@
 	RepairAfter time.Duration
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
+
+	// maxBytes bounds the data folder's file in tests.
+	maxBytes int
 }
 
 // MemberStatus is one member as this host knows it.
@@ -58,6 +61,8 @@
 	Term       uint64
 	Applied    uint64
 	LeaseValid bool
+	// Leading is set while this host leads, with or without a valid lease.
+	Leading bool
 	// Self is this host's member id.
 	Self    uint64
 	Members []MemberStatus
@@ -100,6 +105,24 @@
 	return "control: outcome of the proposal is unknown: " + e.Reason
 }
 
+// MaxCommandBytes bounds one encoded command.
+const MaxCommandBytes = 16 << 20
+
+// CommandSizeError refuses a command above MaxCommandBytes.
+type CommandSizeError struct{ Bytes int }
+
+func (e *CommandSizeError) Error() string {
+	return fmt.Sprintf("control: command has %d bytes, at most %d are allowed", e.Bytes, MaxCommandBytes)
+}
+
+// StorageError refuses a proposal because the data folder cannot be written.
+type StorageError struct{ Err error }
+
+func (e *StorageError) Error() string { return "control: " + e.Err.Error() }
+
+// Unwrap returns the storage error.
+func (e *StorageError) Unwrap() error { return e.Err }
+
 // MemberError refuses a membership change or a transfer.
 type MemberError struct{ Err error }
 
