--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -153,7 +153,8 @@
 
 const (
 	// pollInterval is how often load reports and waiting requests are checked.
-	pollInterval = 50 * time.Millisecond
+	// Deadlines do not depend on it.
+	pollInterval = 100 * time.Millisecond
 	// refreshGap bounds the share of time spent on rebuilding the index while
 	// the replica changes quickly.
 	refreshGap = 2 * time.Millisecond
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -31,6 +31,13 @@
 	return fmt.Sprintf("%08x.%d ", h.Sum32(), i)
 }
 
+func (e *Engine) token(j *job, i int) string {
+	if e.opts.Faults.Vary {
+		return Token(j.entry.Prompt+j.entry.Attempt, i)
+	}
+	return Token(j.entry.Prompt, i)
+}
+
 func (q completionRequest) prompt() string {
 	var parts []string
 	for _, m := range q.Messages {
@@ -171,7 +178,7 @@
 				panic(http.ErrAbortHandler)
 			}
 			_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n",
-				j.entry.Attempt, j.request.Model, Token(j.entry.Prompt, sent))
+				j.entry.Attempt, j.request.Model, e.token(j, sent))
 			w.(http.Flusher).Flush()
 		}
 		if !over {
@@ -196,7 +203,7 @@
 	}
 	var text strings.Builder
 	for i := range j.tokens {
-		text.WriteString(Token(j.entry.Prompt, i))
+		text.WriteString(e.token(j, i))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = fmt.Fprintf(w, `{"object":"chat.completion","model":%q,"choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}]}`,
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -66,6 +66,9 @@
 	LoseAnswer func(attempt string) bool
 	// Misdeliver returns an earlier attempt whose answer is sent instead.
 	Misdeliver func(attempt string) string
+	// Vary makes the answer to the same prompt differ between attempts, as
+	// sampling does.
+	Vary bool
 	// Refuse reports that a request is not admitted.
 	Refuse func(attempt string) bool
 }
