Check a trial until it begins and leave out ended processes at once

Two copies of a crashing request at once exposed two faults: a suspect kept its trial after another copy had quarantined it and took down a third server, and innocent requests used up the retry budget on refused connections. A trial is now checked until it begins, and an ended process is left out until a newer report.

--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -70,8 +70,11 @@
 	// attempts that began after the newest report and after the one before it;
 	// because reports lag, neither is taken to be part of reported.
 	reported, previous, current int
-	epoch                       uint32
-	sequence                    uint64
+	// ended is set when the process was found to have ended, until a newer
+	// report shows that it runs.
+	ended    bool
+	epoch    uint32
+	sequence uint64
 	// cacheEpoch invalidates all prefix entries of the server when it changes.
 	cacheEpoch    uint32
 	cacheSequence uint64
@@ -141,7 +144,7 @@
 	if !ok || s.Incarnation != incarnation || sequence <= s.sequence {
 		return
 	}
-	s.sequence, s.reported = sequence, load
+	s.sequence, s.reported, s.ended = sequence, load, false
 	s.previous, s.current = s.current, 0
 	s.epoch++
 }
@@ -241,7 +244,7 @@
 
 func (c *candidate) usable(now time.Duration, exclude string) bool {
 	s := c.server
-	return !s.Closed && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
+	return !s.Closed && !s.ended && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
 }
 
 func (r *Router) begin(now time.Duration, c *candidate) Attempt {
@@ -284,6 +287,10 @@
 	Neutral
 )
 
+// Ended closes the server of an attempt whose process has ended, so that other
+// requests do not find it out one by one.
+func (r *Router) Ended(a Attempt) { a.candidate.server.ended = true }
+
 // Done records the end of an attempt.
 func (r *Router) Done(now time.Duration, a Attempt, result Result) {
 	s := a.candidate.server
--- a/node/backend/attempt.go
+++ b/node/backend/attempt.go
@@ -21,8 +21,10 @@
 	HeaderResume = "X-Resume-Offset"
 	// HeaderPriority is the urgency of the request, 0 first.
 	HeaderPriority = "X-Priority"
-	// HeaderIncarnation is set by servers on their answers. It proves which
-	// process answered.
+	// HeaderIncarnation is set by servers on their answers and proves which
+	// process answered. On an attempt it names the process that is meant: a
+	// newer process at the same address does not admit the attempt, so that its
+	// crash cannot be counted as that of the older one.
 	HeaderIncarnation = "X-Incarnation"
 )
 
@@ -40,6 +42,7 @@
 	CodeNotAdmitted    = "not_admitted"
 	CodeNotLoaded      = "not_loaded"
 	CodeUnknownAttempt = "unknown_attempt"
+	CodeWrongProcess   = "wrong_incarnation"
 )
 
 // CancelBody is the body of POST /v1/cancel.
--- a/node/entry/answer.go
+++ b/node/entry/answer.go
@@ -88,8 +88,11 @@
 	}
 	var refusal backend.RefusalBody
 	if json.Unmarshal(body, &refusal) == nil && refusal.Error.Execution == string(NotRun) && refusal.Error.Code != "bad_request" {
-		if refusal.Error.Code == backend.CodeNotAdmitted {
+		switch refusal.Error.Code {
+		case backend.CodeNotAdmitted:
 			e.notAdmitted(q)
+		case backend.CodeWrongProcess:
+			return endGone
 		}
 		return endNotRun
 	}
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -40,6 +40,8 @@
 	endWhole ending = iota
 	// endNotRun: the server proves that it did not run the request.
 	endNotRun
+	// endGone: the process had ended before, and nothing was sent to it.
+	endGone
 	// endCut: the answer ended early and the server process still runs, or
 	// nothing is known about it.
 	endCut
@@ -99,7 +101,8 @@
 
 // retryable returns nil if another attempt may follow one that ended with end.
 func (e *Entry) retryable(ctx context.Context, q *call, w *answer, end ending) *Refusal {
-	if end != endNotRun && !e.opts.off.honest {
+	notRun := end == endNotRun || end == endGone
+	if !notRun && !e.opts.off.honest {
 		q.ran = true
 	}
 	switch {
@@ -109,9 +112,9 @@
 		return unavailable("no_quorum", "the server process ended and the crash could not be recorded")
 	case end == endBroken || w.started && !w.rerunnable():
 		return unavailable("answer_cut", "the answer was cut and cannot be continued")
-	case !q.idempotent && end != endNotRun && !e.opts.off.claims:
+	case !q.idempotent && !notRun && !e.opts.off.claims:
 		return unavailable("outcome_unknown", "the server failed and the call may not be repeated")
-	case !e.retry(q):
+	case end != endGone && !e.retry(q):
 		return unavailable("retries_exhausted", "the retry budget of the model is used up")
 	}
 	return nil
@@ -192,6 +195,9 @@
 		delete(e.flights, f.process)
 	}
 	e.router.Done(e.opts.Now(), f.attempt, result)
+	if end == endGone || end == endCrashed || end == endUncommitted {
+		e.router.Ended(f.attempt)
+	}
 	if qu := e.queues[q.key]; end == endWhole {
 		e.router.Cached(f.attempt, q.prefix)
 		qu.limiter.Admitted(qu.nominal)
@@ -251,6 +257,7 @@
 	defer cancel()
 	header := q.header.Clone()
 	header.Set(backend.HeaderAttempt, f.id)
+	header.Set(backend.HeaderIncarnation, strconv.FormatUint(f.incarnation, 10))
 	header.Set(backend.HeaderPriority, strconv.Itoa(int(q.class)))
 	if resume {
 		header.Set(backend.HeaderResume, strconv.Itoa(f.received))
@@ -278,7 +285,7 @@
 	switch failure.Delivery {
 	case backend.ProcessEnded:
 		e.suspectOthers(f)
-		return endNotRun
+		return endGone
 	case backend.NotSent:
 		return endNotRun
 	}
--- a/node/entry/suspect.go
+++ b/node/entry/suspect.go
@@ -156,7 +156,7 @@
 			return nil, quarantined()
 		}
 		if f := e.pickIdle(q); f != nil {
-			granted, refusal := e.reserve(ctx, q, f)
+			granted, refusal := e.reserve(ctx, f)
 			if refusal == nil && granted && e.alone(ctx, f) {
 				return f, nil
 			}
@@ -182,14 +182,14 @@
 }
 
 // reserve commits the trial and reports whether it was granted.
-func (e *Entry) reserve(ctx context.Context, q *call, f *flight) (bool, *Refusal) {
+func (e *Entry) reserve(ctx context.Context, f *flight) (bool, *Refusal) {
 	until, _ := ctx.Deadline()
 	e.mu.Lock()
 	e.nextID++
 	nonce := e.nextID
 	e.mu.Unlock()
 	f.trial = &state.Trial{
-		Fingerprint: q.fingerprint, Server: f.server, Incarnation: f.incarnation, Holder: e.opts.Self,
+		Fingerprint: f.fingerprint, Server: f.server, Incarnation: f.incarnation, Holder: e.opts.Self,
 		Nonce: nonce, ExpiresMS: until.Add(trialMargin).UnixMilli(),
 	}
 	res, err := e.propose(ctx, state.Command{Trial: f.trial})
@@ -207,8 +207,14 @@
 	if e.visible(ctx, res) != nil {
 		return false, ended(ctx, "the trial of the request did not begin before the deadline")
 	}
-	rec, ok := e.view.Load().suspects[q.fingerprint]
-	return ok && rec.Trial != nil && *rec.Trial == *f.trial, nil
+	return e.onTrial(f), nil
+}
+
+// onTrial reports whether the attempt's trial is still the open one. A crash of
+// another copy of the request ends it.
+func (e *Entry) onTrial(f *flight) bool {
+	rec := e.view.Load().suspects[f.fingerprint]
+	return rec.Trial != nil && *rec.Trial == *f.trial
 }
 
 // alone waits until nothing else runs on the trial's server: no own attempt,
@@ -226,7 +232,7 @@
 		e.mu.Lock()
 		own := len(e.flights[f.process])
 		e.mu.Unlock()
-		if !valid {
+		if !valid || !e.onTrial(f) {
 			return false
 		}
 		if idle && own == 1 {
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -52,6 +52,10 @@
 		refuse(w, http.StatusBadRequest, "bad_request", "body is not a completion request with a message")
 		return
 	}
+	if meant := r.Header.Get(backend.HeaderIncarnation); meant != "" && meant != strconv.FormatUint(e.opts.Incarnation, 10) {
+		refuse(w, http.StatusServiceUnavailable, backend.CodeWrongProcess, "another process is meant")
+		return
+	}
 	attempt := r.Header.Get(backend.HeaderAttempt)
 	offset, resume := 0, r.Header.Get(backend.HeaderResume) != ""
 	if resume {
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -131,8 +131,13 @@
 	if err != nil || f.LoseRequest != nil && f.LoseRequest(attempt) {
 		panic(http.ErrAbortHandler)
 	}
+	meant := r.Header.Get(backend.HeaderIncarnation)
+	if meant != "" && meant != strconv.FormatUint(s.opts.Incarnation, 10) {
+		refuse(w, backend.CodeWrongProcess, "another process is meant")
+		return
+	}
 	if f.Refuse != nil && f.Refuse(attempt) {
-		refuse(w)
+		refuse(w, backend.CodeNotAdmitted, "the server is full")
 		return
 	}
 	s.opts.Journal.add(Call{s.opts.Name, attempt, r.Method, r.URL.RequestURI(), string(body)})
@@ -168,9 +173,9 @@
 	s.running += n
 }
 
-func refuse(w http.ResponseWriter) {
+func refuse(w http.ResponseWriter, code, reason string) {
 	var body backend.RefusalBody
-	body.Error.Code, body.Error.Execution, body.Error.Reason = backend.CodeNotAdmitted, "not_run", "the server is full"
+	body.Error.Code, body.Error.Execution, body.Error.Reason = code, "not_run", reason
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusServiceUnavailable)
 	_ = json.NewEncoder(w).Encode(body)
