--- a/node/entry/crash_test.go
+++ b/node/entry/crash_test.go
@@ -182,3 +182,32 @@
 		})
 	}
 }
+
+// Guards against a crash of a restarted process that is counted as one of the
+// process before: an attempt must not run on a process that it does not name.
+func TestAttemptNamesItsProcess(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		w := newWorld(worldOptions{hosts: 1, engines: 2})
+		defer w.close()
+		_ = w.engines[0].Close()
+		opts := w.options[0]
+		opts.Incarnation, opts.Listener = 2, w.net.listen("10.0.0.1:80")
+		unknown, err := engine.Start(w.ctx, opts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = unknown.Close() }()
+		for i := range 4 {
+			prompt := fmt.Sprintf("request-%d", i)
+			r := w.hosts[0].call(context.Background(), "/v1/chat/completions", nil, chatBody(prompt, false, 1))
+			if text, whole := r.text(false); !whole || text != wholeText(prompt, 1) {
+				t.Fatalf("answer %s", r.body)
+			}
+		}
+		for _, x := range w.journal.Executions() {
+			if x.Server == w.options[0].Name && x.Incarnation == 2 && w.log.state.Servers[x.Server].Incarnation < 2 {
+				t.Errorf("ran on a process that is not registered: %+v", x)
+			}
+		}
+	})
+}
