Use the model's urgency for requests that state none

config.Model.Urgency was documented as the default of requests without X-Urgency, but every such request was served as standard. The parser now fills in the class of the model, and the deadline of that class, after it knows the model. A stated urgency or deadline still wins; plain services stay standard.

--- a/node/entry/call.go
+++ b/node/entry/call.go
@@ -30,9 +30,12 @@
 
 // call is one request of a caller.
 type call struct {
-	id          string
-	caller      config.Caller
-	class       admission.Class
+	id     string
+	caller config.Caller
+	class  admission.Class
+	// stated is set if the request states its class, and timeout is zero until
+	// defaults if it states no deadline.
+	stated      bool
 	timeout     time.Duration
 	key         routing.Key
 	method      string
@@ -74,6 +77,7 @@
 		return nil, unknownName("unknown_model", "no model or adapter has this name")
 	}
 	q.key, q.stream = key, head.Stream
+	q.defaults(v.classes[key.Model])
 	q.path, q.header = "/v1/chat/completions", http.Header{"Content-Type": {"application/json"}}
 	if len(head.Messages) > 0 {
 		var text string
@@ -96,6 +100,7 @@
 	}
 	r := c.Request()
 	q.key = routing.Key{Service: name}
+	q.defaults(admission.Standard)
 	rest := strings.TrimPrefix(strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"), c.Param("service"))
 	if !strings.HasPrefix(rest, "/") {
 		rest = "/" + rest
@@ -146,15 +151,10 @@
 func (q *call) parseHeaders(h http.Header) *Refusal {
 	q.class = admission.Standard
 	if s := h.Get("X-Urgency"); s != "" {
-		var ok bool
-		if q.class, ok = admission.ParseClass(s); !ok {
+		if q.class, q.stated = admission.ParseClass(s); !q.stated {
 			return invalid("X-Urgency must be interactive, standard or patient")
 		}
 	}
-	q.timeout = defaultTimeout
-	if q.class == admission.Patient {
-		q.timeout = patientTimeout
-	}
 	if s := h.Get("X-Deadline-Ms"); s != "" {
 		ms, err := strconv.ParseInt(s, 10, 64)
 		if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
@@ -173,6 +173,21 @@
 	return q.parseKey(h.Get("Idempotency-Key"))
 }
 
+// defaults fills in what the request does not state: the class of its model
+// and the deadline of its class.
+func (q *call) defaults(class admission.Class) {
+	if !q.stated {
+		q.class = class
+	}
+	switch {
+	case q.timeout > 0:
+	case q.class == admission.Patient:
+		q.timeout = patientTimeout
+	default:
+		q.timeout = defaultTimeout
+	}
+}
+
 // parseKey reads a key of the form <unix milliseconds>.<token>.
 func (q *call) parseKey(s string) *Refusal {
 	created, token, ok := strings.Cut(s, ".")
--- a/node/entry/view.go
+++ b/node/entry/view.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/pollenwheel/pollenwheel/core/admission"
 	"github.com/pollenwheel/pollenwheel/core/config"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/routing"
@@ -19,7 +20,8 @@
 	index    uint64
 	callers  map[string]config.Caller // by the hex SHA-256 of the key
 	names    map[string]routing.Key
-	limits   map[string]int // queue limit by model
+	limits   map[string]int             // queue limit by model
+	classes  map[string]admission.Class // default urgency by model
 	plain    map[string]bool
 	suspects map[string]state.SuspectRecord
 	// routes are the inputs of the router's index.
@@ -45,7 +47,7 @@
 func newView(s *state.State, now time.Duration, unixMS int64) *view {
 	v := &view{
 		index: s.Index, callers: map[string]config.Caller{}, names: map[string]routing.Key{},
-		limits: map[string]int{}, plain: map[string]bool{}, suspects: maps.Clone(s.Suspects),
+		limits: map[string]int{}, classes: map[string]admission.Class{}, plain: map[string]bool{}, suspects: maps.Clone(s.Suspects),
 	}
 	for _, c := range s.Config.Callers {
 		v.callers[strings.ToLower(c.KeySHA256)] = c
@@ -60,6 +62,8 @@
 		models[m.Name] = m
 		v.names[m.Name] = routing.Key{Service: m.Service, Model: m.Name}
 		v.limits[m.Name] = m.QueueLimit
+		// An empty urgency counts as standard.
+		v.classes[m.Name], _ = admission.ParseClass(string(m.Urgency))
 	}
 	for _, a := range s.Config.Adapters {
 		if m, ok := models[a.Model]; ok {
