Load models ahead of expected starts only, and index plans incrementally

A load of a lost server was no longer counted against the store. Change: the profile holds starts of use, expected ones do not count as gaps to keep a model for, and lost loads count until their usual end. The view is kept while the state's index is unchanged; adapters are found through their models.

--- a/core/placement/arrivals.go
+++ b/core/placement/arrivals.go
@@ -26,14 +26,21 @@
 	// demand of its adapters, which hosts may or may not add to the model's own.
 	own         tally
 	viaAdapters tally
+	// merged is the demand that decides about the target.
+	merged tally
+	target Target
+	// base is the activity of an adapter's model.
+	base *activity
 	// lastActive is when a request last waited, ran or arrived.
 	lastActive time.Duration
 	// burstStart and burstCount follow the burst that ended an idle period.
 	burstStart time.Duration
 	burstBase  uint64
 	burstOpen  bool
-	drain      drainMeter
-	history    *history
+	// burstExpected is set if the period of use started when it usually does.
+	burstExpected bool
+	drain         drainMeter
+	history       *history
 }
 
 // tally sums the reports of all hosts.
@@ -47,7 +54,7 @@
 	runningOn map[string]int
 }
 
-func (t *tally) add(d Demand) {
+func (t *tally) add(d *Demand) {
 	t.waiting += d.Waiting
 	t.running += d.Running
 	t.arrivals += d.Arrivals
@@ -79,20 +86,29 @@
 	return a
 }
 
-// demand returns the demand that decides about the target.
-func (a *activity) demand(plan uint64) tally {
-	if a == nil || a.plan != plan {
-		return tally{}
+// merge combines the target's own demand with that of its adapters.
+func (a *activity) merge() {
+	a.merged = a.own
+	if a.target.Adapter != "" {
+		return
 	}
 	if a.viaAdapters.waiting > a.own.waiting {
-		t := a.viaAdapters
-		t.running = max(t.running, a.own.running)
-		return t
+		a.merged = a.viaAdapters
 	}
-	t := a.own
-	t.running = max(t.running, a.viaAdapters.running)
-	t.last = max(t.last, a.viaAdapters.last)
-	return t
+	a.merged.arrivals = max(a.own.arrivals, a.viaAdapters.arrivals)
+	a.merged.running = max(a.own.running, a.viaAdapters.running)
+	a.merged.last = max(a.own.last, a.viaAdapters.last)
+}
+
+// noDemand stands for targets that no host reported.
+var noDemand tally
+
+// demand returns the demand in a plan.
+func (a *activity) demand(plan uint64) *tally {
+	if a == nil || a.plan != plan {
+		return &noDemand
+	}
+	return &a.merged
 }
 
 // runsOn reports whether a server may be running requests of the target.
@@ -113,7 +129,7 @@
 	plan      uint64
 	targets   map[Target]*activity
 	histories map[Target]*history
-	touched   []Target
+	touched   []*activity
 	slot      int64
 	unixMS    int64
 	restored  map[Target]int64
@@ -147,15 +163,20 @@
 func (a *arrivals) get(t Target) *activity {
 	act, ok := a.targets[t]
 	if !ok {
-		act = &activity{history: a.history(t), lastActive: -1}
+		act = &activity{target: t, history: a.history(t), lastActive: -1}
 		a.targets[t] = act
 	}
+	a.touch(act)
+	return act
+}
+
+// touch resets the demand of an activity once per plan.
+func (a *arrivals) touch(act *activity) {
 	if act.plan != a.plan {
 		act.plan = a.plan
 		act.own, act.viaAdapters = tally{}, tally{}
-		a.touched = append(a.touched, t)
+		a.touched = append(a.touched, act)
 	}
-	return act
 }
 
 // observe merges the demand of all hosts and updates what is learned.
@@ -163,21 +184,32 @@
 	a.plan++
 	a.touched = a.touched[:0]
 	a.unixMS = in.UnixMS
-	for _, d := range in.Demand {
-		a.get(Target{d.Model, d.Adapter}).own.add(d)
-		if d.Adapter != "" {
-			a.get(Target{Model: d.Model}).viaAdapters.add(d)
-		}
+	for i := range in.Demand {
+		a.add(&in.Demand[i])
 	}
 	a.roll(in)
-	for _, t := range a.touched {
-		a.update(in, v, t)
+	for _, act := range a.touched {
+		act.merge()
+		a.update(in, v, act)
 	}
 }
 
-func (a *arrivals) update(in Input, v *view, t Target) {
-	act := a.targets[t]
-	d := act.demand(a.plan)
+// add merges one report.
+func (a *arrivals) add(d *Demand) {
+	act := a.get(Target{d.Model, d.Adapter})
+	act.own.add(d)
+	if d.Adapter == "" {
+		return
+	}
+	if act.base == nil {
+		act.base = a.get(Target{Model: d.Model})
+	}
+	a.touch(act.base)
+	act.base.viaAdapters.add(d)
+}
+
+func (a *arrivals) update(in Input, v *view, act *activity) {
+	d := &act.merged
 	if d.waiting == 0 && d.running == 0 && d.last <= act.lastActive {
 		act.closeBurst(in.Now, d)
 		return
@@ -186,32 +218,35 @@
 	if d.last > 0 && d.last > act.lastActive {
 		start = d.last
 	}
-	a.noteGap(in, t, act, start, d)
+	a.noteGap(in, act, start, d)
 	act.closeBurst(in.Now, d)
-	act.history.hit = true
 	act.lastActive = start
 	if d.waiting > 0 || d.running > 0 {
 		act.lastActive = in.Now
 	}
-	ready, _ := v.count(t)
+	ready := 0
+	if d.waiting > 0 {
+		ready, _ = v.count(act.target)
+	}
 	act.drain.observe(in.Now, d, ready, act.history)
 }
 
 // noteGap records the idle period that a new arrival ended.
-func (a *arrivals) noteGap(in Input, t Target, act *activity, start time.Duration, d tally) {
+func (a *arrivals) noteGap(in Input, act *activity, start time.Duration, d *tally) {
 	gap := start - act.lastActive
 	if act.lastActive < 0 {
-		last, known := a.restored[t]
+		last, known := a.restored[act.target]
 		if !known {
 			return
 		}
-		delete(a.restored, t)
+		delete(a.restored, act.target)
 		gap = time.Duration(in.UnixMS-last) * time.Millisecond
 	}
 	if gap < minGap {
 		return
 	}
-	act.history.addGap(gap)
+	act.history.addGap(gap, a.slot)
+	act.burstExpected = act.history.expects(a.slot)
 	if gap >= burstGap && d.arrivals > 0 {
 		act.burstOpen, act.burstStart = true, in.Now
 		act.burstBase = d.arrivals - min(d.arrivals, uint64(max(1, d.waiting+d.running)))
@@ -219,13 +254,13 @@
 }
 
 // closeBurst adds the size of a burst to the history once its window ended.
-func (act *activity) closeBurst(now time.Duration, d tally) {
+func (act *activity) closeBurst(now time.Duration, d *tally) {
 	if !act.burstOpen || now-act.burstStart < burstWindow {
 		return
 	}
 	act.burstOpen = false
 	if d.arrivals > act.burstBase {
-		act.history.addBurst(float64(d.arrivals - act.burstBase))
+		act.history.addBurst(float64(d.arrivals-act.burstBase), act.burstExpected)
 	}
 }
 
@@ -234,7 +269,7 @@
 func (a *arrivals) idleFor(now time.Duration, t Target) time.Duration {
 	act, ok := a.targets[t]
 	if !ok {
-		act = &activity{history: a.history(t), lastActive: now}
+		act = &activity{target: t, history: a.history(t), lastActive: now}
 		if last, known := a.restored[t]; known {
 			act.lastActive = now - time.Duration(a.unixMS-last)*time.Millisecond
 			delete(a.restored, t)
@@ -276,7 +311,7 @@
 	inside   int
 }
 
-func (m *drainMeter) observe(now time.Duration, d tally, ready int, h *history) {
+func (m *drainMeter) observe(now time.Duration, d *tally, ready int, h *history) {
 	if d.waiting == 0 || ready == 0 {
 		*m = drainMeter{}
 		return
--- /dev/null
+++ b/core/placement/bench_test.go
@@ -0,0 +1,140 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/placement"
+	"github.com/pollenwheel/pollenwheel/core/state"
+)
+
+// size is the scale of one benchmark.
+type size struct {
+	name                              string
+	servers, models, adapters, loaded int
+	active                            int // targets with running requests
+}
+
+var sizes = []size{
+	{"today", 12, 30, 55, 40, 10},
+	{"half", 700, 120, 31_500, 2_500, 1_250},
+	{"target", 1400, 240, 63_000, 5_000, 2_500},
+}
+
+// scale returns an input with one replica of a model on each server, and with
+// the loaded adapters spread over the servers.
+func scale(z size) placement.Input {
+	c := config.Configuration{}
+	for i := range z.models {
+		c.Models = append(c.Models, config.Model{Name: fmt.Sprintf("model-%05d", i), Service: "s", Version: "1", MemoryMiB: 65_536, KVMiB: 16_384, MaxReplicas: 12})
+	}
+	for i := range z.adapters {
+		c.Adapters = append(c.Adapters, config.Adapter{Name: fmt.Sprintf("adapter-%05d", i), Model: c.Models[i%(z.models-1)].Name, Version: "1", MemoryMiB: 400})
+	}
+	in := placement.Input{Now: time.Hour, UnixMS: monday, State: state.New(), Sender: state.Sender{Host: "control-1"}}
+	in.State.Apply(1, state.Command{Configure: &state.Configure{ChangeID: "first", Next: c}})
+	for i := range z.servers {
+		srv := membership.Server{Name: fmt.Sprintf("server-%05d", i), Service: "s", DataCentre: fmt.Sprint(i % 15), Incarnation: 1, MemoryMiB: 655_360, Accelerators: 8, ChecksFencing: true}
+		for j := range 4 {
+			srv.Cached = append(srv.Cached, membership.Checkpoint{Model: c.Models[(i+j)%z.models].Name, Version: "1", Tier: membership.TierDisk})
+		}
+		in.Servers = append(in.Servers, membership.Presence{Server: srv})
+		in.State.Apply(in.State.Index+1, state.Command{Register: &state.Register{Server: srv.Name, Service: "s", Incarnation: 1, MemoryMiB: srv.MemoryMiB, DataCentre: srv.DataCentre, ChecksFencing: true}})
+		// The last model stays cold.
+		place(in.State, srv.Name, c.Models[i%(z.models-1)].Name, "")
+	}
+	for i := range z.loaded {
+		a := c.Adapters[i]
+		place(in.State, in.Servers[i%(z.models-1)%z.servers].Name, a.Model, a.Name)
+		if i < z.active {
+			in.Demand = append(in.Demand, placement.Demand{Model: a.Model, Adapter: a.Name, Running: 1, Arrivals: 1})
+		}
+	}
+	return in
+}
+
+// place adds a ready placement without the checks of Apply, whose cost grows
+// with the number of placements.
+func place(s *state.State, server, model, adapter string) {
+	s.Index++
+	s.Placements[state.PlaceKey{Server: server, Model: model, Adapter: adapter}] = state.Placement{
+		Incarnation: 1, Version: "1", MemoryMiB: 400, Phase: state.PhaseReady, Fence: s.Index,
+	}
+}
+
+func coldModel(z size) placement.Demand {
+	return placement.Demand{Model: fmt.Sprintf("model-%05d", z.models-1), Waiting: 8}
+}
+
+// BenchmarkPlan measures a plan without a decision, with one load of a cold
+// model, and with 32 adapter loads.
+func BenchmarkPlan(b *testing.B) {
+	for _, z := range sizes {
+		in := scale(z)
+		cases := map[string][]placement.Demand{"none": nil, "one-load": {coldModel(z)}}
+		for i := range min(32, z.adapters-z.loaded) {
+			a := in.State.Config.Adapters[z.loaded+i]
+			cases["adapters"] = append(cases["adapters"], placement.Demand{Model: a.Model, Adapter: a.Name, Waiting: 1})
+		}
+		for _, name := range []string{"none", "one-load", "adapters"} {
+			b.Run(z.name+"/"+name, func(b *testing.B) {
+				in, decisions := in, 0
+				in.Demand = append(in.Demand[:len(in.Demand):len(in.Demand)], cases[name]...)
+				p := placement.New()
+				b.ReportAllocs()
+				for range b.N {
+					in.Now += 20 * time.Millisecond
+					decisions += len(p.Plan(in))
+				}
+				b.ReportMetric(float64(decisions)/float64(b.N), "decisions/op")
+			})
+		}
+	}
+}
+
+// BenchmarkState measures the costs of the replicated state that grow with
+// its size.
+func BenchmarkState(b *testing.B) {
+	for _, z := range sizes {
+		in := scale(z)
+		b.Run(z.name+"/load-model", func(b *testing.B) {
+			benchApply(b, in.State, state.Load{Server: in.Servers[0].Name, Incarnation: 1, Model: coldModel(z).Model})
+		})
+		b.Run(z.name+"/load-adapter", func(b *testing.B) {
+			a := in.State.Config.Adapters[z.loaded]
+			place(in.State, in.Servers[0].Name, a.Model, "")
+			benchApply(b, in.State, state.Load{Server: in.Servers[0].Name, Incarnation: 1, Model: a.Model, Adapter: a.Name})
+		})
+		b.Run(z.name+"/view-copy", func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				in.State.ForFollowers()
+			}
+		})
+		b.Run(z.name+"/snapshot", func(b *testing.B) {
+			b.ReportAllocs()
+			n := 0
+			for range b.N {
+				data, err := in.State.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				n = len(data)
+			}
+			b.ReportMetric(float64(n), "bytes")
+		})
+	}
+}
+
+func benchApply(b *testing.B, s *state.State, l state.Load) {
+	b.ReportAllocs()
+	for range b.N {
+		if err := s.Apply(s.Index+1, state.Command{Load: &l}).Err(); err != nil {
+			b.Fatal(err)
+		}
+		delete(s.Placements, state.PlaceKey{Server: l.Server, Model: l.Model, Adapter: l.Adapter})
+	}
+}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -33,45 +33,61 @@
 	mustWait bool
 }
 
-// choose returns the server with the lowest expected cost for a load.
+// choose returns the server with the lowest expected cost for a load. An
+// adapter can only go to a server that has its model ready.
 func (p *Planner) choose(in Input, w want) (candidate, bool) {
 	best := candidate{cost: math.Inf(1)}
 	held := p.dataCentres(w.target)
 	wait := p.storeWait(in)
-	for i := range p.view.servers {
+	consider := func(i int) {
 		srv := &p.view.servers[i]
 		if !srv.open || srv.registered.Service != w.service || !p.mayHold(in, w, i) {
-			continue
-		}
-		tier := loadTier(state.PlaceKey{Adapter: w.target.Adapter}, cachedTier(srv.presence, w))
-		c := candidate{server: i, tier: tier, cost: p.loads.Estimate(tier, w.weightsMiB, 0.5).Seconds()}
-		if tier == membership.TierStore {
-			c.cost += wait
+			return
 		}
-		c.cost += perRequest * float64(srv.presence.Load.Running+srv.presence.Load.Queued)
-		c.cost += perFreeGiB * float64(srv.freeMiB()) / mibPerGiB
+		c := p.price(w, i, wait)
 		if slices.Contains(held, srv.registered.DataCentre) && w.target.Adapter == "" {
 			c.cost += sameDataCentre
 		}
-		if c.cost >= best.cost || !p.makeRoom(in, w, &c) {
-			continue
-		}
-		if c.cost < best.cost {
+		if c.cost < best.cost && p.makeRoom(in, w, &c) && c.cost < best.cost {
 			best = c
 		}
 	}
+	if w.target.Adapter != "" {
+		for _, r := range p.view.models[w.target.Model] {
+			consider(r.server)
+		}
+	} else {
+		for i := range p.view.servers {
+			consider(i)
+		}
+	}
 	return best, !math.IsInf(best.cost, 1)
 }
 
+// price returns the cost of a load on a server without that of memory.
+func (p *Planner) price(w want, server int, storeWait float64) candidate {
+	srv := &p.view.servers[server]
+	tier := loadTier(state.PlaceKey{Adapter: w.target.Adapter}, cachedTier(srv.presence, w))
+	c := candidate{server: server, tier: tier, cost: p.loads.Estimate(tier, w.weightsMiB, 0.5).Seconds()}
+	if tier == membership.TierStore {
+		c.cost += storeWait
+	}
+	c.cost += perRequest * float64(srv.presence.Load.Running+srv.presence.Load.Queued)
+	c.cost += perFreeGiB * float64(srv.freeMiB()) / mibPerGiB
+	return c
+}
+
 // mayHold reports whether a server can take a replica of the target at all.
 func (p *Planner) mayHold(in Input, w want, server int) bool {
 	srv := &p.view.servers[server]
 	if _, placed := p.view.on(w.target, server); placed {
 		return false
 	}
-	key := state.PlaceKey{Server: srv.name, Model: w.target.Model, Adapter: w.target.Adapter}
-	if f, failed := p.failures[key]; failed && in.Now < f.until {
-		return false
+	if len(p.failures) > 0 {
+		key := state.PlaceKey{Server: srv.name, Model: w.target.Model, Adapter: w.target.Adapter}
+		if in.Now < p.failures[key].until {
+			return false
+		}
 	}
 	if w.target.Adapter != "" {
 		base, ok := p.view.on(Target{Model: w.target.Model}, server)
--- a/core/placement/idle.go
+++ b/core/placement/idle.go
@@ -18,6 +18,9 @@
 	drainBound = time.Minute
 	// spareLoads is how many load times a replica beyond the first stays idle.
 	spareLoads = 3
+	// adapterPasses spreads the evaluation of idle adapters over ten passes. An
+	// adapter is kept for minutes, and one pass over all takes milliseconds.
+	adapterPasses = 10
 	// leadLoads and leadMargin give the time that a load is started ahead of an
 	// expected use.
 	leadLoads  = 1.5
@@ -119,7 +122,9 @@
 	}
 	for _, r := range list {
 		if r.placement.Version == m.Version || r.placement.Phase != state.PhaseReady {
-			delete(p.outdated, r.key)
+			if len(p.outdated) > 0 {
+				delete(p.outdated, r.key)
+			}
 			continue
 		}
 		replaced := current >= max(1, m.PinnedReplicas)
@@ -148,11 +153,12 @@
 	for i := range p.index.config.Models {
 		p.unloadIdleModel(in, &p.index.config.Models[i], tiers)
 	}
-	for i := range p.view.servers {
+	for i := p.idlePass % adapterPasses; i < len(p.view.servers); i += adapterPasses {
 		for _, r := range p.view.servers[i].adapters {
 			p.unloadIdleAdapter(in, r)
 		}
 	}
+	p.idlePass++
 }
 
 func (p *Planner) unloadIdleModel(in Input, m *config.Model, tiers map[string]membership.Tier) {
@@ -239,7 +245,7 @@
 	share := p.view.servers[server].accelerators(memoryMiB)
 	return Idle{
 		Target: t, Now: in.Now, IdleFor: p.arrivals.idleFor(in.Now, t),
-		ColdCost: coldWeight(in) * load.Seconds() * p.arrivals.history(t).burst,
+		ColdCost: coldWeight(in) * load.Seconds(),
 		IdleCost: idleWeight(in) * share / time.Hour.Seconds(),
 		Lead:     time.Duration(leadLoads*float64(load)) + leadMargin,
 	}
--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -73,6 +73,9 @@
 	// own loads were decided by this planner, so their start and tier are known.
 	own   bool
 	fence uint64
+	// ended is set once no intent accounts for the load. It may still use the
+	// store: its server was lost, or its unload was ordered meanwhile.
+	ended bool
 }
 
 // failure is a load that ended without its target loaded.
@@ -86,7 +89,7 @@
 func (p *Planner) observeFlights(in Input) {
 	for _, r := range p.view.loading {
 		f, ok := p.flights[r.key]
-		if !ok || f.fence != 0 && f.fence != r.placement.Fence {
+		if !ok || f.ended || f.fence != 0 && f.fence != r.placement.Fence {
 			f = flight{tier: loadTier(r.key, membership.TierStore), since: in.Now,
 				memoryMiB: r.placement.MemoryMiB, weightsMiB: r.placement.MemoryMiB}
 		}
@@ -95,21 +98,35 @@
 	}
 	p.loads.clearOverdue()
 	for key, f := range p.flights {
-		pl, ok := in.State.Placements[key]
-		switch {
-		case ok && pl.Phase == state.PhaseLoading:
-			if f.own && p.heard(key.Server) {
-				p.loads.overdue(f.tier, f.weightsMiB, in.Now-f.since)
-			}
-			continue
-		case ok && pl.Phase == state.PhaseReady && f.own:
-			p.loads.Observe(f.tier, f.weightsMiB, in.Now-f.since)
-			delete(p.failures, key)
-		case f.fence != 0 && (!ok || pl.Phase == state.PhaseHeld) && p.heard(key.Server):
-			p.failed(in.Now, key)
+		p.follow(in, key, f)
+	}
+}
+
+// follow updates one flight from the state of its placement.
+func (p *Planner) follow(in Input, key state.PlaceKey, f flight) {
+	pl, ok := in.State.Placements[key]
+	elapsed := in.Now - f.since
+	switch {
+	case f.ended:
+		if elapsed < p.loads.Estimate(f.tier, f.weightsMiB, 0.95) {
+			return
 		}
-		delete(p.flights, key)
+	case ok && pl.Phase == state.PhaseLoading:
+		if f.own && p.heard(key.Server) {
+			p.loads.overdue(f.tier, f.weightsMiB, elapsed)
+		}
+		return
+	case ok && pl.Phase == state.PhaseReady && f.own:
+		p.loads.Observe(f.tier, f.weightsMiB, elapsed)
+		delete(p.failures, key)
+	case ok && pl.Phase == state.PhaseUnloading || !p.heard(key.Server):
+		f.ended = true
+		p.flights[key] = f
+		return
+	case f.fence != 0 && (!ok || pl.Phase == state.PhaseHeld):
+		p.failed(in.Now, key)
 	}
+	delete(p.flights, key)
 }
 
 func (p *Planner) heard(server string) bool {
--- a/core/placement/loadtime.go
+++ b/core/placement/loadtime.go
@@ -38,8 +38,9 @@
 }
 
 type tierTimes struct {
-	samples []float64 // oldest first
-	sorted  []float64
+	samples  []float64 // oldest first
+	sorted   []float64
+	slowdown float64
 	// overdue holds the ratios of loads in flight that already took longer
 	// than usual; they are lower bounds.
 	overdue []float64
@@ -49,7 +50,7 @@
 func NewLoadTimes() *LoadTimes {
 	l := &LoadTimes{tiers: map[membership.Tier]*tierTimes{}}
 	for tier, v := range initialSeconds {
-		t := &tierTimes{samples: []float64{v, v, v}[:initialWeight]}
+		t := &tierTimes{samples: slices.Repeat([]float64{v}, initialWeight), slowdown: 1}
 		t.sorted = slices.Clone(t.samples)
 		l.tiers[tier] = t
 	}
@@ -81,6 +82,7 @@
 	}
 	t.sorted = append(t.sorted[:0], t.samples...)
 	slices.Sort(t.sorted)
+	t.updateSlowdown()
 }
 
 // overdue notes a load in flight that has taken at least elapsed.
@@ -88,12 +90,16 @@
 	t := l.tier(tier)
 	if r := elapsed.Seconds() / units(tier, weightsMiB) / t.quantile(0.5); r > slowFrom {
 		t.overdue = append(t.overdue, r)
+		t.updateSlowdown()
 	}
 }
 
 func (l *LoadTimes) clearOverdue() {
 	for _, t := range l.tiers {
-		t.overdue = t.overdue[:0]
+		if len(t.overdue) > 0 {
+			t.overdue = t.overdue[:0]
+			t.updateSlowdown()
+		}
 	}
 }
 
@@ -103,10 +109,12 @@
 
 // Slowdown returns how many times longer than usual recent loads of a tier
 // take, at least 1.
-func (l *LoadTimes) Slowdown(tier membership.Tier) float64 {
-	t := l.tier(tier)
+func (l *LoadTimes) Slowdown(tier membership.Tier) float64 { return l.tier(tier).slowdown }
+
+func (t *tierTimes) updateSlowdown() {
+	t.slowdown = 1
 	if len(t.samples) < initialWeight+recentLoads {
-		return 1
+		return
 	}
 	base := t.quantile(0.5)
 	recent := make([]float64, 0, 2*recentLoads)
@@ -117,9 +125,8 @@
 	recent = recent[len(recent)-recentLoads:]
 	slices.Sort(recent)
 	if r := recent[recentLoads/2]; r > slowFrom {
-		return r
+		t.slowdown = r
 	}
-	return 1
 }
 
 // Estimate returns the load time at quantile q, between 0 and 1, at the
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -95,6 +95,7 @@
 	view      view
 	nextIdle  time.Duration
 	queued    int
+	idlePass  int
 	out       []Decision
 }
 
@@ -131,7 +132,7 @@
 	p.queued = 0
 	clear(p.ready)
 	p.index.refresh(&in.State.Config)
-	p.view.build(in, &p.index)
+	p.view.build(in)
 	p.arrivals.observe(in, &p.view)
 	p.observeFlights(in)
 	p.store.configure(in.Now, storeRate(in.State.Config.Deployment))
@@ -239,14 +240,13 @@
 	}
 }
 
-// sortedReplicas returns replicas ordered by server, so that a plan does not
+// sortReplicas orders replicas by server, so that a plan does not
 // depend on map order.
-func sortedReplicas(list []replicaView) []replicaView {
+func sortReplicas(list []replicaView) {
 	slices.SortFunc(list, func(a, b replicaView) int {
 		if a.server != b.server {
 			return a.server - b.server
 		}
 		return compareKeys(a.key, b.key)
 	})
-	return list
 }
--- a/core/placement/retention.go
+++ b/core/placement/retention.go
@@ -10,8 +10,8 @@
 	Target  Target
 	Now     time.Duration
 	IdleFor time.Duration
-	// ColdCost is the cost of one cold start, and IdleCost that of one second
-	// loaded without use, both in the deployment's weights.
+	// ColdCost is the cost of one request that waits for a load, and IdleCost
+	// that of one second loaded without use, both in the deployment's weights.
 	ColdCost float64
 	IdleCost float64
 	// Lead is how long before its use a model must start to load.
@@ -57,22 +57,35 @@
 	minDays = 2
 	// oldestShare is the least weight of a new day. Five days or so decide.
 	oldestShare = 0.2
-	// keepSlots is how far ahead the time of day may keep a model loaded.
-	keepSlots = 12
+	// burstShare is the weight of a new burst or completion rate.
+	burstShare = 0.3
+	// onsetGap is the idle time after which an arrival starts a period of use.
+	// The profile counts only these starts: arrivals within a period are
+	// correlated, so a period that does not start would keep the model loaded
+	// for its whole usual length.
+	onsetGap = slotLength
+	// expectedFrom is the probability of a start, over a slot and its
+	// neighbours, from which it counts as expected. Single starts of the last
+	// days are chance, and loading ahead of them doubled the loads.
+	expectedFrom = 0.5
 )
 
 // history is what is learned about one target's arrivals.
 type history struct {
-	gaps     [gapBins]float64
-	total    float64
-	profile  [dayTypes][slotsPerDay]float32
-	slots    [dayTypes]int
-	hit      bool
-	burst    float64
+	gaps  [gapBins]float64
+	total float64
+	// profile holds the probability that a period of use starts in a slot.
+	profile [dayTypes][slotsPerDay]float32
+	slots   [dayTypes]int
+	onset   bool
+	// surprise and expected are the usual numbers of requests that a cold start
+	// keeps waiting, at other times and at an expected start.
+	surprise float64
+	expected float64
 	drainSec float64
 }
 
-func newHistory() *history { return &history{burst: 1} }
+func newHistory() *history { return &history{surprise: 1, expected: 1} }
 
 func binOf(gap time.Duration) int {
 	if gap <= time.Second {
@@ -90,7 +103,16 @@
 	return b
 }()
 
-func (h *history) addGap(gap time.Duration) {
+// addGap records an idle gap. A gap that ended at an expected start counts as
+// endless, because a model does not have to stay loaded for it: it is loaded
+// ahead.
+func (h *history) addGap(gap time.Duration, slot int64) {
+	if gap >= onsetGap {
+		h.onset = true
+		if h.expects(slot) {
+			gap = math.MaxInt64
+		}
+	}
 	h.gaps[binOf(gap)]++
 	h.total++
 	if h.total <= maxGaps {
@@ -102,14 +124,35 @@
 	h.total /= 2
 }
 
-func (h *history) addBurst(n float64) { h.burst += 0.3 * (n - h.burst) }
+func (h *history) addBurst(n float64, expected bool) {
+	if expected || h.days(0)+h.days(1) == 0 {
+		h.expected += burstShare * (n - h.expected)
+	} else {
+		h.surprise += burstShare * (n - h.surprise)
+	}
+}
+
+// expects reports whether a period of use usually starts around a slot. One
+// day is enough to tell: otherwise the gaps and bursts of the first days would
+// be taken for surprises and keep the model loaded for weeks.
+func (h *history) expects(slot int64) bool {
+	kind := dayType(slot)
+	if h.days(kind) == 0 {
+		return false
+	}
+	var sum float32
+	for s := slot + int64(slotsPerDay) - 1; s <= slot+int64(slotsPerDay)+1; s++ {
+		sum += h.profile[kind][s%int64(slotsPerDay)]
+	}
+	return sum >= expectedFrom
+}
 
 func (h *history) addDrain(perSecond float64) {
 	if h.drainSec == 0 {
 		h.drainSec = perSecond
 		return
 	}
-	h.drainSec += 0.3 * (perSecond - h.drainSec)
+	h.drainSec += burstShare * (perSecond - h.drainSec)
 }
 
 // dayType returns 1 for Saturdays and Sundays. Day 0 of the Unix clock was a
@@ -128,12 +171,12 @@
 	share := max(oldestShare, 1/float64(h.slots[kind]/slotsPerDay+1))
 	p := &h.profile[kind][slot%int64(slotsPerDay)]
 	var seen float64
-	if h.hit {
+	if h.onset {
 		seen = 1
 	}
 	*p += float32(share * (seen - float64(*p)))
 	h.slots[kind]++
-	h.hit = false
+	h.onset = false
 }
 
 // Keep returns the largest saving over all times until which the target could
@@ -141,10 +184,10 @@
 func (a *arrivals) Keep(i Idle) float64 {
 	h := a.history(i.Target)
 	best := h.keepByGaps(i)
-	if i.Target.Adapter != "" {
+	if i.Target.Adapter != "" || h.days(dayType(a.slot)) < minDays {
 		return best
 	}
-	return max(best, h.keepByDay(a.unixMS, i))
+	return max(best, h.saving(a.unixMS, i))
 }
 
 func (h *history) keepByGaps(i Idle) float64 {
@@ -170,43 +213,41 @@
 		come += mass / rest
 		spent += mass / rest * ((from+binStarts[b+1])/2 - idle)
 		held := spent + (1-come)*(binStarts[b+1]-idle)
-		best = max(best, come*i.ColdCost-held*i.IdleCost)
+		best = max(best, come*i.ColdCost*h.surprise-held*i.IdleCost)
 	}
 	return best
 }
 
-// keepByDay weighs the probability of an arrival in the next slots.
-func (h *history) keepByDay(unixMS int64, i Idle) float64 {
-	return h.saving(unixMS, i, keepSlots*slotLength)
-}
-
 // Prewarm returns the saving of loading now for the slots that begin within
 // the lead.
 func (a *arrivals) Prewarm(i Idle) float64 {
 	h := a.history(i.Target)
-	slot := a.unixMS / slotLength.Milliseconds()
-	if h.days(dayType(slot)) < minDays {
+	if h.days(dayType(a.slot)) < minDays {
 		return math.Inf(-1)
 	}
-	return h.saving(a.unixMS, i, i.Lead)
+	return h.saving(a.unixMS, i)
 }
 
-// saving weighs the arrivals expected in the slots that begin within ahead
-// against the time loaded without use.
-func (h *history) saving(unixMS int64, i Idle, ahead time.Duration) float64 {
+// saving weighs the starts expected in the slots that begin within the lead
+// against the time loaded without use. Later slots do not count: the model can
+// still be loaded ahead of them.
+func (h *history) saving(unixMS int64, i Idle) float64 {
 	slotMS := slotLength.Milliseconds()
 	best, none, held := math.Inf(-1), 1.0, 0.0
-	for s := unixMS / slotMS; s*slotMS <= unixMS+ahead.Milliseconds(); s++ {
+	for s := unixMS / slotMS; s*slotMS <= unixMS+i.Lead.Milliseconds(); s++ {
 		kind := dayType(s)
 		if h.slots[kind] == 0 {
 			break
 		}
 		left := float64(min((s+1)*slotMS-unixMS, slotMS)) / 1000
-		p := float64(h.profile[kind][s%int64(slotsPerDay)])
+		p := 0.0
+		if h.expects(s) {
+			p = float64(h.profile[kind][s%int64(slotsPerDay)])
+		}
 		p = 1 - math.Pow(1-min(p, 0.99), left/slotLength.Seconds())
 		held += none * left * (1 - p/2)
 		none *= 1 - p
-		best = max(best, (1-none)*i.ColdCost-held*i.IdleCost)
+		best = max(best, (1-none)*i.ColdCost*h.expected-held*i.IdleCost)
 	}
 	return best
 }
--- a/core/placement/view.go
+++ b/core/placement/view.go
@@ -65,6 +65,7 @@
 	name       string
 	presence   *membership.Presence
 	registered state.Server
+	known      bool
 	// usable servers are registered, heard from, and not leaving or lost.
 	// Nothing is ordered on other servers.
 	usable bool
@@ -94,19 +95,55 @@
 // view indexes the state and the servers for one plan. Its slices and maps are
 // reused between plans.
 type view struct {
-	servers  []serverView
-	byName   map[string]int
-	models   map[string][]replicaView
-	adapters map[Target][]replicaView
-	loading  []replicaView
+	servers []serverView
+	byName  map[string]int
+	models  map[string][]replicaView
+	loading []replicaView
+	// announced is how many of servers are in Input.Servers; the others are
+	// known from placements alone.
+	announced int
+	// index is the state's index at the last build. changed is set once
+	// decisions have altered the view.
+	index   uint64
+	changed bool
 }
 
-func (v *view) build(in Input, x *configIndex) {
+func (v *view) build(in Input) {
 	if v.byName == nil {
 		v.byName = map[string]int{}
 		v.models = map[string][]replicaView{}
-		v.adapters = map[Target][]replicaView{}
+		v.changed = true
 	}
+	if v.changed || v.index != in.State.Index || !v.refresh(in) {
+		v.rebuild(in)
+	}
+	for i := range v.servers {
+		srv := &v.servers[i]
+		srv.claimed = 0
+		pr := srv.presence
+		srv.usable = pr != nil && srv.known && !srv.registered.Lost && !pr.Silent && !pr.Leaving &&
+			pr.Incarnation == srv.registered.Incarnation
+		srv.open = srv.usable && (!srv.registered.Returned || len(v.unaccounted(i)) == 0)
+	}
+}
+
+// refresh takes over new announcements of the same servers. The placements are
+// unchanged as long as the state's index is.
+func (v *view) refresh(in Input) bool {
+	if len(in.Servers) != v.announced {
+		return false
+	}
+	for i := range in.Servers {
+		if v.servers[i].name != in.Servers[i].Name {
+			return false
+		}
+		v.servers[i].presence = &in.Servers[i]
+	}
+	return true
+}
+
+func (v *view) rebuild(in Input) {
+	v.index, v.changed, v.announced = in.State.Index, false, len(in.Servers)
 	v.reset()
 	for i := range in.Servers {
 		v.addServer(in, &in.Servers[i], in.Servers[i].Name)
@@ -114,19 +151,14 @@
 	for k, pl := range in.State.Placements {
 		v.addPlacement(in, k, pl)
 	}
-	for name, list := range v.models {
-		v.models[name] = sortedReplicas(list)
-	}
-	for i := range v.servers {
-		srv := &v.servers[i]
-		srv.open = srv.usable && (!srv.registered.Returned || len(v.unaccounted(i)) == 0)
+	for _, list := range v.models {
+		sortReplicas(list)
 	}
-	sortedReplicas(v.loading)
+	sortReplicas(v.loading)
 }
 
 func (v *view) reset() {
 	clear(v.byName)
-	clear(v.adapters)
 	for name, list := range v.models {
 		v.models[name] = list[:0]
 	}
@@ -144,9 +176,8 @@
 	old := v.servers[i]
 	reg, known := in.State.Servers[name]
 	v.servers[i] = serverView{
-		name: name, presence: pr, registered: reg,
+		name: name, presence: pr, registered: reg, known: known,
 		models: old.models[:0], adapters: old.adapters[:0],
-		usable: known && !reg.Lost && pr != nil && !pr.Silent && !pr.Leaving && pr.Incarnation == reg.Incarnation,
 	}
 	v.byName[name] = i
 	return i
@@ -172,16 +203,22 @@
 		return
 	}
 	srv.adapters = append(srv.adapters, r)
-	t := Target{k.Model, k.Adapter}
-	v.adapters[t] = append(v.adapters[t], r)
 }
 
-// replicas returns the placements of a target in every phase.
+// replicas returns the placements of a target in every phase. Adapters are
+// looked up on the servers of their model, since an index of all adapters
+// would cost an allocation each in every plan.
 func (v *view) replicas(t Target) []replicaView {
 	if t.Adapter == "" {
 		return v.models[t.Model]
 	}
-	return sortedReplicas(v.adapters[t])
+	var out []replicaView
+	for _, m := range v.models[t.Model] {
+		if r, ok := v.on(t, m.server); ok {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 // count returns the ready and the loading replicas on servers that are heard
@@ -221,6 +258,7 @@
 	r := replicaView{key: key, server: server, placement: state.Placement{
 		Phase: state.PhaseLoading, MemoryMiB: w.memoryMiB, Version: w.version,
 	}}
+	v.changed = true
 	srv.reservedMiB += w.memoryMiB
 	v.loading = append(v.loading, r)
 	if key.Adapter == "" {
@@ -229,7 +267,6 @@
 		return
 	}
 	srv.adapters = append(srv.adapters, r)
-	v.adapters[w.target] = append(v.adapters[w.target], r)
 }
 
 // markUnloading makes a decided unload visible to the rest of the plan. It
@@ -237,9 +274,10 @@
 func (v *view) markUnloading(r replicaView) bool {
 	srv := &v.servers[r.server]
 	same := func(x replicaView) bool { return x.key == r.key }
+	v.changed = true
 	list, all := srv.models, v.models[r.key.Model]
 	if r.key.Adapter != "" {
-		list, all = srv.adapters, v.adapters[Target{r.key.Model, r.key.Adapter}]
+		list, all = srv.adapters, nil
 	}
 	i := slices.IndexFunc(list, same)
 	if i < 0 {
@@ -285,3 +323,7 @@
 func compareKeys(a, b state.PlaceKey) int {
 	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
 }
+
+func compareTargets(a, b Target) int {
+	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+}
--- a/core/placement/wants.go
+++ b/core/placement/wants.go
@@ -40,12 +40,11 @@
 // waiting requests, then pinned counts and new versions.
 func (p *Planner) wanted(in Input) []want {
 	var list []want
-	for _, t := range p.arrivals.touched {
-		d := p.arrivals.targets[t].demand(p.arrivals.plan)
-		if d.waiting == 0 {
+	for _, act := range p.arrivals.touched {
+		if act.merged.waiting == 0 {
 			continue
 		}
-		if w, ok := p.demanded(in, t, d); ok {
+		if w, ok := p.demanded(in, act); ok {
 			list = append(list, w)
 		}
 	}
@@ -71,7 +70,8 @@
 }
 
 // demanded returns the replicas that the waiting requests of a target need.
-func (p *Planner) demanded(in Input, t Target, d tally) (want, bool) {
+func (p *Planner) demanded(in Input, act *activity) (want, bool) {
+	t, d := act.target, &act.merged
 	w, limit, ok := p.describe(t)
 	if !ok {
 		return w, false
@@ -80,7 +80,7 @@
 	w.readyReplicas, w.loading = p.view.count(t)
 	load := p.loads.Estimate(loadTier(state.PlaceKey{Adapter: t.Adapter}, membership.TierStore), w.weightsMiB, 0.5)
 	w.rank, w.slack = rankOf(in.Now, d, load)
-	enough := p.enough(in, t, d, w, load)
+	enough := p.enough(in, act, w, load)
 	w.replicas = max(0, min(enough-w.readyReplicas-w.loading, limit-len(p.view.replicas(t))))
 	return w, true
 }
@@ -114,7 +114,7 @@
 
 // rankOf returns the most urgent waiting class and the time its earliest
 // deadline leaves after a load.
-func rankOf(now time.Duration, d tally, load time.Duration) (Urgency, time.Duration) {
+func rankOf(now time.Duration, d *tally, load time.Duration) (Urgency, time.Duration) {
 	rank, slack := urgencies, noDeadline
 	for u := Patient; u >= Interactive; u-- {
 		c := d.classes[u]
@@ -136,14 +136,15 @@
 
 // enough returns how many replicas the demand needs: another one pays if the
 // present ones need longer to drain the queue than it takes to load.
-func (p *Planner) enough(in Input, t Target, d tally, w want, load time.Duration) int {
+func (p *Planner) enough(in Input, act *activity, w want, load time.Duration) int {
+	d := &act.merged
 	have := max(1, w.readyReplicas+w.loading)
-	rate := p.arrivals.targets[t].history.drainSec
+	rate := act.history.drainSec
 	if rate <= 0 {
 		return have
 	}
 	horizon := load
-	if t.Adapter == "" && d.earliest != 0 {
+	if w.target.Adapter == "" && d.earliest != 0 {
 		horizon = min(horizon, max(d.earliest-in.Now, time.Second))
 	}
 	horizon = max(horizon, drainWindow)
