--- a/core/placement/learned.go
+++ b/core/placement/learned.go
@@ -137,9 +137,8 @@
 func restoreHistory(l LearnedTarget) *history {
 	h := newHistory()
 	for i, n := range l.Gaps {
-		if i < gapBins && n > 0 && n <= maxGaps {
+		if i < gapBins && n > 0 && !math.IsInf(n, 0) {
 			h.gaps[i] = n
-			h.total += n
 		}
 	}
 	for kind, p := range l.Profiles {
--- a/core/placement/retention.go
+++ b/core/placement/retention.go
@@ -45,8 +45,10 @@
 	// priorGaps is the weight of the log-uniform prior. It stands for the first
 	// gaps, before a model's own are known.
 	priorGaps = 2.0
-	// maxGaps bounds the weight of old gaps: all are halved beyond it.
-	maxGaps = 256.0
+	// dailyWeight is what the gaps of a day count for a day later. Ageing by the
+	// number of gaps instead would let the many short gaps of a busy hour
+	// outweigh the few long ones that decide about unloading.
+	dailyWeight = 0.85
 
 	slotLength  = 5 * time.Minute
 	slotsPerDay = int(24 * time.Hour / slotLength)
@@ -72,8 +74,7 @@
 
 // history is what is learned about one target's arrivals.
 type history struct {
-	gaps  [gapBins]float64
-	total float64
+	gaps [gapBins]float64
 	// profile holds the probability that a period of use starts in a slot.
 	profile [dayTypes][slotsPerDay]float32
 	slots   [dayTypes]int
@@ -114,14 +115,6 @@
 		}
 	}
 	h.gaps[binOf(gap)]++
-	h.total++
-	if h.total <= maxGaps {
-		return
-	}
-	for i := range h.gaps {
-		h.gaps[i] /= 2
-	}
-	h.total /= 2
 }
 
 func (h *history) addBurst(n float64, expected bool) {
@@ -177,6 +170,12 @@
 	*p += float32(share * (seen - float64(*p)))
 	h.slots[kind]++
 	h.onset = false
+	if (slot+1)%int64(slotsPerDay) != 0 {
+		return
+	}
+	for i := range h.gaps {
+		h.gaps[i] *= dailyWeight
+	}
 }
 
 // Keep returns the largest saving over all times until which the target could
