--- a/cmd/pollenwheel/processes_test.go
+++ b/cmd/pollenwheel/processes_test.go
@@ -26,7 +26,10 @@
 // patience bounds every wait. It only ends a test that would hang.
 const patience = 90 * time.Second
 
-const operatorKey = "operator-key"
+const (
+	operatorKey = "operator-key"
+	callerKey   = "caller-key"
+)
 
 var testCentres = []string{"waco", "temple", "bryan"}
 
@@ -224,7 +227,10 @@
 	c := config.Configuration{
 		Deployment: config.Deployment{Name: fmt.Sprintf("test-%d", generation), ColdStartWeight: 1, IdleHourWeight: 1},
 		Services:   []config.Service{{Name: "lace-assist", Kind: config.KindEngine}},
-		Callers:    []config.Caller{{Name: "operators", Team: "platform", Role: config.RoleOperator, KeySHA256: admin.HashKey(operatorKey)}},
+		Callers: []config.Caller{
+			{Name: "operators", Team: "platform", Role: config.RoleOperator, KeySHA256: admin.HashKey(operatorKey)},
+			{Name: "lace", Team: "lace", Role: config.RoleCaller, KeySHA256: admin.HashKey(callerKey)},
+		},
 	}
 	for _, name := range d.models {
 		c.Models = append(c.Models, config.Model{
--- a/cmd/pollenwheel/requests_test.go
+++ b/cmd/pollenwheel/requests_test.go
@@ -20,6 +20,7 @@
 	if err != nil {
 		return err
 	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
 	resp, err := d.client.Do(req)
 	if err != nil {
 		return err
--- a/node/peer/log.go
+++ b/node/peer/log.go
@@ -130,7 +130,7 @@
 	if s := m.Snapshot; s != nil {
 		g := &peerpb.Membership{Voters: membersToProto(s.Membership.Voters), Learners: membersToProto(s.Membership.Learners)}
 		if r := s.Membership.Repair; r != nil {
-			g.RepairLost, g.RepairSpare = r.Lost, r.Spare
+			g.Repair = &peerpb.Repair{Lost: r.Lost, Spare: r.Spare}
 		}
 		out.Snapshot = &peerpb.LogSnapshot{Index: s.Index, Term: s.Term, Membership: g, Data: s.Data}
 	}
@@ -152,8 +152,8 @@
 		out.Snapshot = &consensus.Snapshot{Index: s.Index, Term: s.Term, Data: s.Data, Membership: consensus.Membership{
 			Voters: membersFromProto(s.Membership.GetVoters()), Learners: membersFromProto(s.Membership.GetLearners()),
 		}}
-		if lost := s.Membership.GetRepairLost(); lost != 0 {
-			out.Snapshot.Membership.Repair = &consensus.Repair{Lost: lost, Spare: s.Membership.GetRepairSpare()}
+		if r := s.Membership.GetRepair(); r != nil {
+			out.Snapshot.Membership.Repair = &consensus.Repair{Lost: r.Lost, Spare: r.Spare}
 		}
 	}
 	if h := m.Hello; h != nil {
