Test seven processes over three data centres

Cause: the parts were shown to work together only within one process. Change: a test that builds pollenwheel and runs seven hosts, three of them with the control role, and stops, kills, freezes and cuts them off while requests run. Ruled out: a host that was ready before its entry had taken over the state could answer 404 for a configured model; the entry is refreshed first.

--- a/cmd/pollenwheel/cluster_test.go
+++ b/cmd/pollenwheel/cluster_test.go
@@ -10,7 +10,7 @@
 	"github.com/pollenwheel/pollenwheel/node/host"
 )
 
-const controlHosts = 1
+const controlHosts = 3
 
 // TestProcesses guards against a deployment that works only in one process:
 // seven hosts over three data centres serve cold and warm requests, and go on
--- a/node/entry/view.go
+++ b/node/entry/view.go
@@ -103,6 +103,10 @@
 	}
 }
 
+// Refresh takes over the newest state of the replica at once. Run does so soon
+// after each change.
+func (e *Entry) Refresh() { e.refresh() }
+
 // refresh brings the view, the router and the queues up to date.
 func (e *Entry) refresh() {
 	now, unixMS := e.opts.Now(), time.Now().UnixMilli()
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -168,12 +168,20 @@
 // Address is where callers connect.
 func (h *Host) Address() string { return h.callerListener.Addr().String() }
 
-// Configure applies a configuration.
+// Configure applies a configuration and waits until it is in force on this host.
 func (h *Host) Configure(ctx context.Context, changeID string, expected uint64, c config.Configuration) (state.Result, error) {
-	return h.forward.Propose(ctx, state.Command{
+	res, err := h.forward.Propose(ctx, state.Command{
 		UnixMS:    time.Now().UnixMilli(),
 		Configure: &state.Configure{ChangeID: changeID, Expected: expected, Next: c},
 	})
+	if err != nil {
+		return res, err
+	}
+	if err := h.replica.WaitIndex(ctx, res.Index); err != nil {
+		return res, err
+	}
+	h.entry.Refresh()
+	return res, nil
 }
 
 func (h *Host) now() time.Duration { return time.Since(h.start) }
--- a/node/host/lifecycle.go
+++ b/node/host/lifecycle.go
@@ -24,6 +24,7 @@
 	if err := h.follower.WaitCurrent(ctx); err != nil {
 		return nil //nolint:nilerr // the process is stopping
 	}
+	h.entry.Refresh()
 	h.ready.Store(true)
 	h.members.setReady(true)
 	h.logger.Info("ready")
