Show that each membership mechanism is needed

Cause: a passing property test does not show that it sees the fault. Beats are collected for 200 ms. Ruled out: comparing sequences after a restart (a later sequence of the same state is no newer state); the test compares states.

--- a/core/membership/gossip.go
+++ b/core/membership/gossip.go
@@ -26,6 +26,8 @@
 	// joinTimeout bounds the wait for hosts that others hear from but that do
 	// not answer, as when a single link is cut.
 	joinTimeout = 10 * time.Second
+	// flushInterval collects beats into one message for each receiver.
+	flushInterval = 200 * time.Millisecond
 	// beatsToSilence is the number of missed beats after which a host counts as
 	// silent.
 	beatsToSilence = 5
@@ -167,7 +169,7 @@
 		t.send(Message{To: m.FromAddress, Want: want})
 		return
 	}
-	if m.Difference.Incarnation != t.opts.Self.Incarnation {
+	if m.Difference.Incarnation != t.opts.Self.Incarnation && !t.opts.off.process {
 		return
 	}
 	t.seedSynced = t.seedSynced || slices.Contains(t.opts.Seeds, m.FromAddress)
@@ -180,7 +182,7 @@
 // and starts comparisons. It is called about every 100 ms.
 func (t *Table) Tick(now time.Duration) {
 	t.start(now)
-	if now-t.lastTick > frozenAfter {
+	if now-t.lastTick > frozenAfter && !t.opts.off.resume {
 		t.resumedAt = now
 	}
 	t.lastTick = now
@@ -193,7 +195,10 @@
 		t.beats[Key{KindHost, self.Name}] = true
 		t.forget(now)
 	}
-	t.sendBeats(now)
+	if now >= t.nextFlush {
+		t.nextFlush = now + flushInterval
+		t.sendBeats(now)
+	}
 	t.sendRumors(now, false)
 	if now >= t.nextDigest {
 		t.nextDigest = now + digestInterval
--- a/core/membership/merge.go
+++ b/core/membership/merge.go
@@ -117,10 +117,10 @@
 		return
 	}
 	held := e.ServerRecord
-	if r.Incarnation < held.Incarnation {
+	if r.Incarnation < held.Incarnation && !t.opts.off.incarnation {
 		return
 	}
-	if r.Incarnation > held.Incarnation {
+	if r.Incarnation > held.Incarnation || r.Incarnation != held.Incarnation && t.opts.off.incarnation {
 		t.putServer(r, now)
 		return
 	}
@@ -132,7 +132,11 @@
 	if r.Sequence > held.Sequence && !r.Silent {
 		heard = now
 	}
-	win.Revision = mergedRevision(win, lose)
+	if t.opts.off.reissue {
+		win.Revision = max(win.Revision, lose.Revision)
+	} else {
+		win.Revision = mergedRevision(win, lose)
+	}
 	win.Load = newerLoad(win, lose)
 	t.putServer(win, heard)
 }
--- a/core/membership/spread.go
+++ b/core/membership/spread.go
@@ -73,7 +73,7 @@
 func (t *Table) sendRumors(now time.Duration, firstOnly bool) {
 	t.fresh = false
 	peers := t.peers(now, "")
-	if len(t.rumors) == 0 || len(peers) == 0 {
+	if len(t.rumors) == 0 || len(peers) == 0 || t.opts.off.push {
 		return
 	}
 	batch := map[string][]Key{}
@@ -107,6 +107,7 @@
 		case r.told[a] || s.count >= maxSends:
 		case !sent:
 			untold = append(untold, a)
+		case t.opts.off.resend:
 		case now-s.last >= resendAfter:
 			out = append(out, a)
 		default:
@@ -121,6 +122,9 @@
 // one address that is not, so that separated groups find each other again. A
 // starting host compares with all.
 func (t *Table) sendDigests(now time.Duration) {
+	if t.opts.off.digest {
+		return
+	}
 	live := t.peers(now, "")
 	lost := slices.DeleteFunc(t.allAddresses(), func(a string) bool { return slices.Contains(live, a) })
 	if t.Synced(now) {
@@ -134,6 +138,9 @@
 // ownBeat accompanies a comparison, so that two separated hosts that hold equal
 // tables hear each other again.
 func (t *Table) ownBeat() []Beat {
+	if t.opts.off.ownBeat {
+		return nil
+	}
 	return []Beat{t.beat(Key{KindHost, t.opts.Self.Name})}
 }
 
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -31,6 +31,14 @@
 	// Seeds are peer addresses to contact when no other host is known.
 	Seeds []string
 	Rand  *rand.Rand
+
+	// off switches mechanisms off, to show that the tests see it.
+	off mechanisms
+}
+
+// mechanisms are switched off only by tests.
+type mechanisms struct {
+	push, resend, digest, ownBeat, incarnation, reissue, process, resume bool
 }
 
 type serverEntry struct {
@@ -66,6 +74,7 @@
 	lastTick   time.Duration
 	resumedAt  time.Duration
 	nextBeat   time.Duration
+	nextFlush  time.Duration
 	nextDigest time.Duration
 	seedSynced bool
 	superseded bool
--- a/core/membership/table_test.go
+++ b/core/membership/table_test.go
@@ -255,7 +255,8 @@
 }
 
 // TestRestartedHostIsNotBehind guards against a restarted host that answers
-// with older records than those it gave to other hosts before.
+// with older states than those it gave to other hosts before. A later sequence
+// of the same state is no newer state.
 func TestRestartedHostIsNotBehind(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w, servers := drawNetwork(t, 2), drawServers(t)
@@ -273,20 +274,20 @@
 		}
 		for name, old := range given {
 			e, ok := w.members[i].table.servers[name]
-			if !ok || old.Newer(e.Server) {
+			if !ok || old.after(e.version()) {
 				t.Fatalf("restarted %s is behind other hosts about %s", w.members[i].host.Name, name)
 			}
 		}
 	})
 }
 
-// newest returns the newest records that the hosts other than i hold.
-func newest(w *network, i int) map[string]Server {
-	out := map[string]Server{}
+// newest returns the newest states that the hosts other than i hold.
+func newest(w *network, i int) map[string]Version {
+	out := map[string]Version{}
 	for j, m := range w.members {
 		for name, e := range m.table.servers {
-			if old, ok := out[name]; j != i && (!ok || e.Newer(old)) {
-				out[name] = e.Server
+			if old, ok := out[name]; j != i && (!ok || e.version().after(old)) {
+				out[name] = e.version()
 			}
 		}
 	}
