Wake the dispatcher on changes instead of every 20 ms

Cause: an idle control host cloned the state and the server list 100 times a second; both grow with the deployment. Ruled out: a longer fixed interval, which delays settled loads. Change: the replica keeps one copy per applied index, the membership table counts changes of state, and the dispatcher steps on a change or every 250 ms.

--- a/core/membership/gossip.go
+++ b/core/membership/gossip.go
@@ -59,8 +59,12 @@
 	delete(t.beats, k)
 	t.rumors[k] = &rumor{told: map[string]bool{}, sent: map[string]sends{}}
 	t.fresh = true
+	t.changes++
 }
 
+// Changes counts the states of hosts and servers that were new to this table.
+func (t *Table) Changes() uint64 { return t.changes }
+
 // Step merges a message received at now. Answers and new states are returned
 // by the next Ready.
 func (t *Table) Step(now time.Duration, m Message) {
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -79,7 +79,8 @@
 	seedSynced bool
 	superseded bool
 	// fresh is set while a state waits for its first round.
-	fresh bool
+	fresh   bool
+	changes uint64
 }
 
 // NewTable returns an empty table that exchanges nothing with other hosts.
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -74,7 +74,7 @@
 
 func (l *Leader) step(ctx context.Context) {
 	in := placement.Input{
-		Now: l.sources.Now(), UnixMS: time.Now().UnixMilli(), State: snapshot(l.replica),
+		Now: l.sources.Now(), UnixMS: time.Now().UnixMilli(), State: l.replica.Snapshot(),
 		Servers: l.sources.Servers(), Demand: l.sources.Demand(), Sender: l.sender,
 	}
 	if !l.reported(in) {
--- a/node/control/dispatcher.go
+++ b/node/control/dispatcher.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// dispatchInterval is how often due orders are looked for.
-	dispatchInterval = 20 * time.Millisecond
+	// dispatchInterval is how often due orders are looked for without a change.
+	dispatchInterval = 250 * time.Millisecond
+	// dispatchPause bounds the steps a second while changes come in.
+	dispatchPause = 5 * time.Millisecond
 	// orderTimeout bounds the wait for a backend server's answer to an order.
 	orderTimeout = 2 * time.Second
 	// proposeTimeout bounds the wait for one command to be committed.
@@ -32,6 +34,8 @@
 	Servers func() []membership.Presence
 	Hosts   func() []membership.Host
 	Now     func() time.Duration
+	// Changed returns a channel that is closed at the next change of servers.
+	Changed func() <-chan struct{}
 	// Leading is asked again immediately before each order is sent.
 	Leading func() bool
 }
@@ -44,6 +48,8 @@
 	client  *backend.Client
 	sources DispatcherSources
 	logger  *logrus.Entry
+	// wake is signalled when a transmission ends.
+	wake chan struct{}
 
 	mu       sync.Mutex
 	executor *orders.Executor
@@ -55,7 +61,7 @@
 // NewDispatcher returns the dispatcher of the process that sender names.
 func NewDispatcher(log Log, r *replica.Replica, client *backend.Client, src DispatcherSources, sender state.Sender, logger *logrus.Entry) *Dispatcher {
 	return &Dispatcher{
-		log: log, replica: r, client: client, sources: src, logger: logger,
+		log: log, replica: r, client: client, sources: src, logger: logger, wake: make(chan struct{}, 1),
 		executor: orders.New(sender), queues: map[string][]orders.Order{}, probed: map[string]time.Duration{},
 	}
 }
@@ -65,18 +71,23 @@
 	tick := time.NewTicker(dispatchInterval)
 	defer tick.Stop()
 	for {
+		committed, announced := d.replica.Changed(), d.sources.Changed()
+		d.step(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			d.step(ctx)
+		case <-committed:
+		case <-announced:
+		case <-d.wake:
 		}
+		time.Sleep(dispatchPause)
 	}
 }
 
 func (d *Dispatcher) step(ctx context.Context) {
 	in := orders.Input{
-		Now: d.sources.Now(), State: snapshot(d.replica), Leading: d.sources.Leading(),
+		Now: d.sources.Now(), State: d.replica.Snapshot(), Leading: d.sources.Leading(),
 		Servers: d.sources.Servers(), Hosts: d.sources.Hosts(),
 	}
 	d.mu.Lock()
@@ -151,6 +162,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.executor.Ended(o, delivery, a.Incarnation, a.Sequence)
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
 }
 
 func (d *Dispatcher) probe(ctx context.Context, o orders.Order) {
@@ -158,7 +173,7 @@
 	if err != nil {
 		return
 	}
-	s := snapshot(d.replica)
+	s := d.replica.Snapshot()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.executor.Probed(o, point.Incarnation, point.Sequence, s)
@@ -210,13 +225,6 @@
 	return backend.UnloadModel
 }
 
-// snapshot copies the state without claims.
-func snapshot(r *replica.Replica) *state.State {
-	var s *state.State
-	r.View(func(v *state.State) { s = v.ForFollowers() })
-	return s
-}
-
 // propose commits a command whose loss is repaired by the next step.
 func propose(ctx context.Context, log Log, c state.Command, logger *logrus.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
--- a/node/host/members.go
+++ b/node/host/members.go
@@ -40,6 +40,9 @@
 	mu       sync.Mutex
 	table    *membership.Table
 	lastTick time.Duration
+	// changed is closed when the table has counted more changes than seen.
+	changed chan struct{}
+	seen    uint64
 
 	callsMu sync.Mutex
 	calls   map[string]int
@@ -49,7 +52,7 @@
 
 func newMembers(s settings.Settings, self membership.Host, client *peer.Client, now func() time.Duration) *members {
 	return &members{
-		client: client, now: now, voters: s.Voters, self: s.Host, calls: map[string]int{},
+		client: client, now: now, voters: s.Voters, self: s.Host, calls: map[string]int{}, changed: make(chan struct{}),
 		table: membership.New(membership.Options{
 			Self: self, Seeds: s.Seeds, Rand: rand.New(rand.NewSource(int64(self.Incarnation))),
 		}),
@@ -68,6 +71,11 @@
 	}
 	f(m.table, now)
 	out := m.table.Ready(now)
+	if n := m.table.Changes(); n != m.seen {
+		m.seen = n
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
 	m.mu.Unlock()
 	for _, msg := range out {
 		m.send(msg)
@@ -130,6 +138,14 @@
 	m.do(func(t *membership.Table, _ time.Duration) { t.Leave() })
 }
 
+// serversChanged returns a channel that is closed at the next change of state
+// of a host or backend server. Load reports do not count.
+func (m *members) serversChanged() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
 func (m *members) setReady(ready bool) {
 	m.do(func(t *membership.Table, _ time.Duration) { t.SetReady(ready) })
 }
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -14,6 +14,9 @@
 	mu      sync.RWMutex
 	state   *state.State
 	changed chan struct{}
+
+	snapshotMu sync.Mutex
+	snapshot   *state.State
 }
 
 // New returns a replica of s, which the replica then owns.
@@ -53,6 +56,19 @@
 	f(r.state)
 }
 
+// Snapshot returns a copy of the state without claims, which must not be
+// modified. Callers between two changes get the same copy.
+func (r *Replica) Snapshot() *state.State {
+	r.snapshotMu.Lock()
+	defer r.snapshotMu.Unlock()
+	r.View(func(s *state.State) {
+		if r.snapshot == nil || r.snapshot.Index != s.Index {
+			r.snapshot = s.ForFollowers()
+		}
+	})
+	return r.snapshot
+}
+
 // Changed returns a channel that is closed at the next change.
 func (r *Replica) Changed() <-chan struct{} {
 	r.mu.RLock()
