Measure the replicated log and test the order of sync and send

Cause: the driver's order of sync and send had no test of its own, and a follower could report an applied index below what the leader had answered for. Ruled out: a hang of the driver in TestFullDisk under -race; the test itself asked for transfers that can never reach the member with the lowest id.

--- a/core/consensus/fuzz_test.go
+++ b/core/consensus/fuzz_test.go
@@ -158,13 +158,17 @@
 func TestFaults(t *testing.T) {
 	for _, size := range []struct{ hosts, voters int }{{3, 3}, {5, 3}, {7, 5}} {
 		t.Run(fmt.Sprintf("%d of %d hosts vote", size.voters, size.hosts), func(t *testing.T) {
+			var terms, entries, restored, changes int
 			rapid.Check(t, func(t *rapid.T) {
 				schedule := faults(size.hosts).Draw(t, "schedule")
 				s := newSim(rapid.Int64().Draw(t, "seed"), size.hosts, size.voters, mechanismsOff{})
 				if err := s.play(schedule); err != nil {
 					t.Fatal(err)
 				}
+				terms, entries = terms+len(s.leaders), entries+len(s.committed)
+				restored, changes = restored+s.restored, changes+s.changes
 			})
+			t.Logf("%d terms, %d committed entries, %d snapshots received, %d membership changes", terms, entries, restored, changes)
 		})
 	}
 }
--- a/core/consensus/sim_test.go
+++ b/core/consensus/sim_test.go
@@ -80,6 +80,8 @@
 	queue     []simMessage
 	cut       map[[2]int]bool
 	proposed  int
+	restored  int // snapshots received
+	changes   int // committed membership changes
 
 	// Oracle state.
 	leaders   map[uint64]uint64    // term to leader
@@ -321,6 +323,7 @@
 func (s *sim) apply(m *simMember, r Ready) error {
 	if r.Snapshot != nil {
 		m.applied, m.chain = r.Snapshot.Index, chainOf(*r.Snapshot)
+		s.restored++
 	}
 	for _, e := range r.Committed {
 		if e.Index != m.applied+1 {
@@ -342,6 +345,7 @@
 			s.top = e.Index
 			if e.Kind == EntryMembership {
 				s.voters, _ = decodeMembership(e.Data)
+				s.changes++
 			}
 		}
 	}
--- a/node/control/group.go
+++ b/node/control/group.go
@@ -252,6 +252,10 @@
 			return nil
 		}
 		g.transmit(r.Early)
+		if g.opts.sendFirst {
+			g.transmit(r.Messages)
+			r.Messages = nil
+		}
 		if r.Durable() {
 			g.directory.joined = true
 			if err := g.save(ctx, r); err != nil {
@@ -352,6 +356,8 @@
 	defer g.mu.Unlock()
 	s := g.status
 	s.LeaseValid = g.CheckLease()
+	// A proposal is answered before the driver publishes its next view.
+	g.opts.Replica.View(func(st *state.State) { s.Applied = st.Index })
 	return s
 }
 
@@ -359,7 +365,7 @@
 func (g *Group) publish() {
 	g.leaseUntil.Store(int64(g.node.LeaseUntil()))
 	n := g.node.Status()
-	s := Status{Term: n.Term, Applied: g.applied, Self: g.directory.self.ID, Leading: n.Role == consensus.Leader}
+	s := Status{Term: n.Term, Last: n.Last, Self: g.directory.self.ID, Leading: n.Role == consensus.Leader}
 	for _, m := range n.Membership.All() {
 		if known, ok := g.directory.lookup(m.ID, n.Membership); ok {
 			m = known
--- a/node/control/group_test.go
+++ b/node/control/group_test.go
@@ -9,7 +9,9 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/cryptotest"
 	"testing/synctest"
 	"time"
 
@@ -25,12 +27,14 @@
 type testHost struct {
 	name    string
 	folder  string
-	group   *Group
+	running atomic.Pointer[Group]
 	replica *replica.Replica
 	stop    context.CancelFunc
 	done    chan error
 }
 
+func (h *testHost) group() *Group { return h.running.Load() }
+
 // testNet is a set of control hosts whose messages arrive after delay, in order.
 type testNet struct {
 	t       testing.TB
@@ -51,17 +55,20 @@
 		tr.net.mu.Lock()
 		defer tr.net.mu.Unlock()
 		for _, h := range tr.net.hosts {
-			if h.name == to.PeerAddress && h.group != nil && !tr.net.cut[tr.from] && !tr.net.cut[h.name] {
-				for _, m := range msgs {
-					h.group.Step(m)
-				}
+			g := h.group()
+			if h.name != to.PeerAddress || g == nil || tr.net.cut[tr.from] || tr.net.cut[h.name] {
+				continue
+			}
+			for _, m := range msgs {
+				g.Step(m)
 			}
 		}
 	}
 	time.AfterFunc(tr.net.delay, deliver)
 }
 
-func newTestNet(t testing.TB, hosts, voters int, o Options) *testNet {
+func newTestNet(t *testing.T, hosts, voters int, o Options) *testNet {
+	cryptotest.SetGlobalRandom(t, 1)
 	net := &testNet{t: t, cut: map[string]bool{}, delay: time.Millisecond, options: o}
 	net.options.Bootstrap = nil
 	folder := t.TempDir()
@@ -88,21 +95,18 @@
 		n.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n.mu.Lock()
-	h.group, h.replica, h.stop, h.done = g, r, cancel, make(chan error, 1)
-	n.mu.Unlock()
+	h.replica, h.stop, h.done = r, cancel, make(chan error, 1)
+	h.running.Store(g)
 	go func() { h.done <- g.Run(ctx) }()
 }
 
 func (n *testNet) kill(h *testHost) {
 	n.t.Helper()
+	h.running.Store(nil)
 	h.stop()
 	if err := <-h.done; err != nil {
 		n.t.Error(err)
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	h.group = nil
 }
 
 func (n *testNet) startAll() {
@@ -113,7 +117,7 @@
 
 func (n *testNet) stopAll() {
 	for _, h := range n.hosts {
-		if h.group != nil {
+		if h.group() != nil {
 			n.kill(h)
 		}
 	}
@@ -123,7 +127,7 @@
 func (n *testNet) leader() *testHost {
 	for {
 		for _, h := range n.hosts {
-			if h.group != nil && h.group.CheckLease() {
+			if g := h.group(); g != nil && g.CheckLease() {
 				return h
 			}
 		}
@@ -144,11 +148,13 @@
 // propose commits through whichever host leads, and resends as callers do.
 func (n *testNet) propose(c state.Command) state.Result {
 	for {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		r, err := n.leader().group.Propose(ctx, c)
-		cancel()
-		if err == nil {
-			return r
+		if g := n.leader().group(); g != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			r, err := g.Propose(ctx, c)
+			cancel()
+			if err == nil {
+				return r
+			}
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -197,13 +203,13 @@
 		}
 		lead := n.leader()
 		var refused *NotLeaderError
-		if _, err := n.others(lead)[0].group.Propose(t.Context(), state.Command{}); !errors.As(err, &refused) || refused.Leader != lead.name {
+		if _, err := n.others(lead)[0].group().Propose(t.Context(), state.Command{}); !errors.As(err, &refused) || refused.Leader != lead.name {
 			t.Errorf("proposal on a follower: %v", err)
 		}
 		n.propose(state.Command{UnixMS: 1, Claim: &state.Claim{Key: "k", Caller: "c", CreatedMS: 1, Fingerprint: "f"}})
 		checkFollower(t, lead)
 
-		if err := lead.group.TransferLeader(t.Context()); err != nil {
+		if err := lead.group().TransferLeader(t.Context()); err != nil {
 			t.Error(err)
 		}
 		if next := n.leader(); next == lead {
@@ -212,20 +218,20 @@
 
 		// An emptied folder: the host rejoins under a new identity.
 		lost := n.others(n.leader())[0]
-		old := lost.group.Status().Self
+		old := lost.group().Status().Self
 		n.kill(lost)
 		if err := os.RemoveAll(lost.folder); err != nil {
 			t.Fatal(err)
 		}
 		n.start(lost)
 		time.Sleep(20 * time.Second)
-		members := n.leader().group.Status().Members
+		members := n.leader().group().Status().Members
 		for _, m := range members {
 			if m.ID == old || !m.Voter {
 				t.Errorf("after the repair: %+v", m)
 			}
 		}
-		if len(members) != 3 || lost.group.Status().Self == old {
+		if len(members) != 3 || lost.group().Status().Self == old {
 			t.Errorf("members after the repair: %+v", members)
 		}
 		n.awaitEqual()
@@ -241,7 +247,7 @@
 // checkFollower follows h from the start and from a recent index.
 func checkFollower(t *testing.T, h *testHost) {
 	t.Helper()
-	applied := h.group.Status().Applied
+	applied := h.group().Status().Applied
 	for _, from := range []uint64{0, applied - 5} {
 		copied := state.New()
 		if from > 0 {
@@ -249,7 +255,7 @@
 			copied.Index = from
 		}
 		ctx, cancel := context.WithCancel(t.Context())
-		err := h.group.Follow(ctx, from, func(u Update) error {
+		err := h.group().Follow(ctx, from, func(u Update) error {
 			if len(u.Snapshot) > 0 {
 				copied, _ = state.Restore(u.Snapshot)
 			}
@@ -281,24 +287,31 @@
 		n.startAll()
 		n.propose(configure("first", 0))
 		small := n.leader()
+		third := n.others(small)[0]
 		n.kill(small)
 		n.options.maxBytes = 1 << 20
 		n.start(small)
 		n.options.maxBytes = 0
+		// With the third host away, small is the only one that can take over.
 		time.Sleep(3 * time.Second)
-		for n.leader() != small {
-			if err := n.leader().group.TransferLeader(t.Context()); err != nil {
+		n.kill(third)
+		if lead := n.leader(); lead != small {
+			if err := lead.group().TransferLeader(t.Context()); err != nil {
 				t.Fatal(err)
 			}
-			time.Sleep(time.Second)
+		}
+		n.start(third)
+		time.Sleep(3 * time.Second)
+		if n.leader() != small {
+			t.Fatal("leadership was not transferred")
 		}
 		big := configure("big", 1)
 		big.Configure.Next.Deployment.Name = string(make([]byte, 2<<20))
-		_, err := small.group.Propose(t.Context(), big)
-		if !errors.As(err, new(*OutcomeUnknownError)) || small.group.CheckLease() || small.group.Status().StorageErr == nil {
-			t.Errorf("full disk: %v, lease %v", err, small.group.CheckLease())
+		_, err := small.group().Propose(t.Context(), big)
+		if !errors.As(err, new(*OutcomeUnknownError)) || small.group().CheckLease() || small.group().Status().StorageErr == nil {
+			t.Errorf("full disk: %v, lease %v", err, small.group().CheckLease())
 		}
-		if _, err := small.group.Propose(t.Context(), big); !errors.As(err, new(*StorageError)) {
+		if _, err := small.group().Propose(t.Context(), big); !errors.As(err, new(*StorageError)) {
 			t.Errorf("proposal on a full disk: %v", err)
 		}
 		if n.leader() == small {
@@ -312,6 +325,36 @@
 	})
 }
 
+// TestSyncBeforeSend guards against a driver that acknowledges entries which are
+// not on its disk: the one reachable follower cannot write, so nothing may be
+// committed. Sending first, the proposal succeeds with one copy.
+func TestSyncBeforeSend(t *testing.T) {
+	for _, sendFirst := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newTestNet(t, 3, 3, Options{RepairAfter: -1})
+			n.options.sendFirst = sendFirst
+			n.startAll()
+			n.propose(configure("first", 0))
+			lead := n.leader()
+			full, third := n.others(lead)[0], n.others(lead)[1]
+			n.kill(full)
+			n.options.maxBytes = 1 << 20
+			n.start(full)
+			time.Sleep(time.Second)
+			n.kill(third)
+			big := configure("big", 1)
+			big.Configure.Next.Deployment.Name = string(make([]byte, 2<<20))
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := lead.group().Propose(ctx, big)
+			if committed := err == nil; committed != sendFirst {
+				t.Errorf("sending first %v: %v", sendFirst, err)
+			}
+			n.stopAll()
+		})
+	}
+}
+
 // TestConfigurationNeverReverts races changes under equal version numbers, with
 // resends, restarts, emptied folders and snapshots. Per version exactly one
 // change wins, a resend gets the first answer, and no host goes back.
--- a/node/control/groupapi.go
+++ b/node/control/groupapi.go
@@ -46,6 +46,8 @@
 
 	// maxBytes bounds the data folder's file in tests.
 	maxBytes int
+	// sendFirst sends before it syncs, in the test that shows why not to.
+	sendFirst bool
 }
 
 // MemberStatus is one member as this host knows it.
@@ -57,9 +59,14 @@
 // Status is a consistent view of the group on this host.
 type Status struct {
 	// Leader is the leader's host name, or empty.
-	Leader     string
-	Term       uint64
-	Applied    uint64
+	Leader string
+	Term   uint64
+	// Applied covers every entry that this host has answered for.
+	Applied uint64
+	// Last is the highest index in this host's log. A committed entry is at or
+	// below the highest Last of any majority of voters, even where the hosts
+	// that report have not applied it yet.
+	Last       uint64
 	LeaseValid bool
 	// Leading is set while this host leads, with or without a valid lease.
 	Leading bool
