Let a removed learner offer itself again

Ruled out: a lost offer; the spare sent none. Change: a member that cannot campaign forgets a silent leader. A host with an emptied folder is tested alone.

--- a/core/consensus/mechanism_test.go
+++ b/core/consensus/mechanism_test.go
@@ -252,3 +252,32 @@
 	}
 	return fmt.Sprintf("%.40s", string(kind))
 }
+
+// TestRemovedLearnerOffersItself guards against a learner that was removed while
+// it was cut off, keeps believing in its leader and is therefore never a spare
+// again (found by TestFaults with seed 817283).
+func TestRemovedLearnerOffersItself(t *testing.T) {
+	s := newSim(1, 4, 3, mechanismsOff{})
+	if err := s.startAll(); err != nil {
+		t.Fatal(err)
+	}
+	lead, others, err := s.leaderAndOthers()
+	if err != nil {
+		t.Fatal(err)
+	}
+	learner := s.members[3]
+	steps := []func() error{
+		func() error { _, _, err := lead.node.AddLearner(learner.Member); return err },
+		func() error { s.isolate(learner); return nil },
+		func() error { _, _, err := lead.node.Remove(learner.ID); return err },
+		func() error { clear(s.cut); s.kill(others[0]); return nil },
+	}
+	for _, step := range steps {
+		if err := errors.Join(step(), s.run(5*simElection)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.run(20 * simElection); err != nil || !s.voters.IsVoter(learner.ID) {
+		t.Errorf("the learner did not replace the lost voter: %v, %v", err, s.voters)
+	}
+}
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -155,9 +155,17 @@
 		n.tickLeader()
 		return
 	}
-	if n.now >= n.deadline && n.mayCampaign() {
+	if n.now < n.deadline {
+		return
+	}
+	if n.mayCampaign() {
 		n.campaign(!n.opts.off.preVote, false)
+		return
 	}
+	// A learner that was removed while it was cut off must not keep believing in
+	// its leader: it offers itself as a spare only without one.
+	n.leader = 0
+	n.resetDeadline()
 }
 
 func (n *Node) tickLeader() {
--- a/core/consensus/replicate.go
+++ b/core/consensus/replicate.go
@@ -30,10 +30,14 @@
 	}
 }
 
-// sendSnapshot sends the newest snapshot, again after an election timeout
-// without an answer, and keeps the lease with empty appends meanwhile.
+// snapshotRetry is the number of election timeouts before a snapshot is sent
+// again. A shorter time would send a large one several times over a slow link.
+const snapshotRetry = 10
+
+// sendSnapshot sends the newest snapshot, again after snapshotRetry without an
+// answer, and keeps the lease with empty appends meanwhile.
 func (n *Node) sendSnapshot(id uint64, pr *progress, heartbeat bool) {
-	if n.now-pr.snapshotSent >= n.opts.ElectionTimeout {
+	if n.now-pr.snapshotSent >= snapshotRetry*n.opts.ElectionTimeout {
 		pr.snapshotSent = n.now
 		s := n.log.snapshot
 		n.send(Message{Kind: MessageSnapshot, To: id, Snapshot: &s, SentAt: n.now})
--- a/core/consensus/sim_test.go
+++ b/core/consensus/sim_test.go
@@ -474,11 +474,20 @@
 		return err
 	}
 	if s.top == before || !s.settled() {
-		return fmt.Errorf("group does not settle: committed %d, voters %v, lost %v", s.top, s.voters, slices.Collect(maps.Keys(s.gone)))
+		return fmt.Errorf("group does not settle: committed %d, voters %v, %s", s.top, s.voters, s.describe())
 	}
 	return nil
 }
 
+func (s *sim) describe() string {
+	out := ""
+	for h, m := range s.members {
+		st := m.node.Status()
+		out += fmt.Sprintf("[h%d %x role %d term %d commit %d last %d leader %x members %v]", h, m.ID, st.Role, st.Term, st.Commit, st.Last, st.Leader, st.Membership)
+	}
+	return out
+}
+
 func (s *sim) settled() bool {
 	for _, v := range s.voters.All() {
 		h := s.host(v.ID)
--- a/node/control/group_test.go
+++ b/node/control/group_test.go
@@ -123,6 +123,14 @@
 	}
 }
 
+// silence cuts off one host, or none.
+func (n *testNet) silence(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cut)
+	n.cut[name] = name != ""
+}
+
 // leader waits until a host holds a valid lease.
 func (n *testNet) leader() *testHost {
 	for {
@@ -216,14 +224,21 @@
 			t.Error("leadership did not move")
 		}
 
-		// An emptied folder: the host rejoins under a new identity.
-		lost := n.others(n.leader())[0]
+		// An emptied folder, of the host that founded the group: it must not found
+		// another one while it is alone, and rejoins under a new identity.
+		lost := n.hosts[0]
 		old := lost.group().Status().Self
 		n.kill(lost)
 		if err := os.RemoveAll(lost.folder); err != nil {
 			t.Fatal(err)
 		}
+		n.silence(lost.name)
 		n.start(lost)
+		time.Sleep(10 * time.Second)
+		if s := lost.group().Status(); s.Leading || s.Last > 0 {
+			t.Errorf("a host with an emptied folder founded a group: %+v", s)
+		}
+		n.silence("")
 		time.Sleep(20 * time.Second)
 		members := n.leader().group().Status().Members
 		for _, m := range members {
--- a/node/control/measure_test.go
+++ b/node/control/measure_test.go
@@ -71,9 +71,7 @@
 			time.Sleep(time.Second)
 			start := time.Now()
 			if silent {
-				n.mu.Lock()
-				n.cut[lead.name] = true
-				n.mu.Unlock()
+				n.silence(lead.name)
 				for lead.group().CheckLease() {
 					time.Sleep(time.Millisecond)
 				}
@@ -84,9 +82,7 @@
 			n.leader()
 			without = append(without, time.Since(start))
 			if silent {
-				n.mu.Lock()
-				clear(n.cut)
-				n.mu.Unlock()
+				n.silence("")
 			} else {
 				n.start(lead)
 			}
