--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -91,7 +91,7 @@
 // if the entries are no longer kept, until ctx ends or send fails. It returns
 // nil when ctx or the group ends.
 func (g *Group) Follow(ctx context.Context, from uint64, send func(Update) error) error {
-	for {
+	for ctx.Err() == nil {
 		batch, kept, changed := g.recent.after(from)
 		switch {
 		case !kept:
@@ -117,10 +117,8 @@
 			case <-changed:
 			}
 		}
-		if ctx.Err() != nil {
-			return nil
-		}
 	}
+	return nil
 }
 
 func (g *Group) followerSnapshot() (index uint64, data []byte, err error) {
--- a/node/storage/verify.go
+++ b/node/storage/verify.go
@@ -38,7 +38,7 @@
 		return v, asCorruption(err)
 	}
 	defer func() { _ = db.Close() }()
-	err = db.View(func(tx *bolt.Tx) error { return v.read(tx) })
+	err = db.View(v.read)
 	return v, asCorruption(err)
 }
 
