--- a/core/consensus/sim_test.go
+++ b/core/consensus/sim_test.go
@@ -80,6 +80,8 @@
 	queue     []simMessage
 	cut       map[[2]int]bool
 	proposed  int
+	restored  int // snapshots received
+	changes   int // committed membership changes
 
 	// Oracle state.
 	leaders   map[uint64]uint64    // term to leader
@@ -321,6 +323,7 @@
 func (s *sim) apply(m *simMember, r Ready) error {
 	if r.Snapshot != nil {
 		m.applied, m.chain = r.Snapshot.Index, chainOf(*r.Snapshot)
+		s.restored++
 	}
 	for _, e := range r.Committed {
 		if e.Index != m.applied+1 {
@@ -342,6 +345,7 @@
 			s.top = e.Index
 			if e.Kind == EntryMembership {
 				s.voters, _ = decodeMembership(e.Data)
+				s.changes++
 			}
 		}
 	}
@@ -470,11 +474,20 @@
 		return err
 	}
 	if s.top == before || !s.settled() {
-		return fmt.Errorf("group does not settle: committed %d, voters %v, lost %v", s.top, s.voters, slices.Collect(maps.Keys(s.gone)))
+		return fmt.Errorf("group does not settle: committed %d, voters %v, %s", s.top, s.voters, s.describe())
 	}
 	return nil
 }
 
+func (s *sim) describe() string {
+	out := ""
+	for h, m := range s.members {
+		st := m.node.Status()
+		out += fmt.Sprintf("[h%d %x role %d term %d commit %d last %d leader %x members %v]", h, m.ID, st.Role, st.Term, st.Commit, st.Last, st.Leader, st.Membership)
+	}
+	return out
+}
+
 func (s *sim) settled() bool {
 	for _, v := range s.voters.All() {
 		h := s.host(v.ID)
