--- a/cmd/pollenctl/deployment_test.go
+++ b/cmd/pollenctl/deployment_test.go
@@ -133,6 +133,9 @@
 func newTool(t *testing.T) *tool { return newToolWithKey(t, "operator") }
 
 func newToolWithKey(t *testing.T, bootstrap string) *tool {
+	// kingpin reads these from the process, where a user may have set them.
+	t.Setenv("POLLENWHEEL_ADDRESSES", "")
+	t.Setenv("POLLENWHEEL_KEY_FILE", "")
 	d := newDeployment(t, bootstrap)
 	tl := &tool{t: t, deployment: d, folder: t.TempDir(), key: bootstrap}
 	for _, s := range d.servers {
