--- a/node/entry/crash_test.go
+++ b/node/entry/crash_test.go
@@ -51,8 +51,11 @@
 				time.Sleep(time.Duration(copyOf) * gap)
 				for i := range 6 {
 					at := (i + copyOf) % 2
-					last[at] = w.hosts[at].call(context.Background(), "/v1/chat/completions",
+					r := w.hosts[at].call(context.Background(), "/v1/chat/completions",
 						map[string]string{"X-Deadline-Ms": "20000"}, chatBody("poison", true, 5))
+					w.mu.Lock()
+					last[at] = r
+					w.mu.Unlock()
 					time.Sleep(time.Second)
 				}
 			})
@@ -189,8 +192,10 @@
 	synctest.Test(t, func(*testing.T) {
 		w := newWorld(worldOptions{hosts: 1, engines: 2})
 		defer w.close()
-		_ = w.engines[0].Close()
-		opts := w.options[0]
+		w.mu.Lock()
+		first, opts := w.engines[0], w.options[0]
+		w.mu.Unlock()
+		_ = first.Close()
 		opts.Incarnation, opts.Listener = 2, w.net.listen("10.0.0.1:80")
 		unknown, err := engine.Start(w.ctx, opts)
 		if err != nil {
@@ -205,7 +210,7 @@
 			}
 		}
 		for _, x := range w.journal.Executions() {
-			if x.Server == w.options[0].Name && x.Incarnation == 2 && w.log.state.Servers[x.Server].Incarnation < 2 {
+			if x.Server == opts.Name && x.Incarnation == 2 && w.registered(x.Server) < 2 {
 				t.Errorf("ran on a process that is not registered: %+v", x)
 			}
 		}
--- a/node/entry/world_test.go
+++ b/node/entry/world_test.go
@@ -196,7 +196,7 @@
 	options []engine.Options
 	journal engine.Journal
 	calls   plain.Journal
-	downs   int
+	watched chan struct{}
 }
 
 type worldOptions struct {
@@ -212,7 +212,7 @@
 const guide, orders = "pattern-guide", "supply-orders"
 
 func newWorld(o worldOptions) *world {
-	w := &world{net: &network{listeners: map[string]*listener{}}, table: membership.NewTable(), start: time.Now()}
+	w := &world{net: &network{listeners: map[string]*listener{}}, table: membership.NewTable(), start: time.Now(), watched: make(chan struct{})}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	w.log = &commitLog{state: state.New()}
 	for i := range o.hosts {
@@ -289,7 +289,9 @@
 }
 
 func (w *world) startEngine(i int) {
+	w.mu.Lock()
 	opts := w.options[i]
+	w.mu.Unlock()
 	opts.Listener = w.net.listen(fmt.Sprintf("10.0.0.%d:80", i+1))
 	eng, err := engine.Start(w.ctx, opts)
 	if err != nil {
@@ -301,6 +303,13 @@
 	w.register(eng.Announcement())
 }
 
+// registered returns the committed incarnation of a server.
+func (w *world) registered(server string) uint64 {
+	w.log.mu.Lock()
+	defer w.log.mu.Unlock()
+	return w.log.state.Servers[server].Incarnation
+}
+
 // register commits a server and, for an engine, the placement of the model.
 func (w *world) register(s membership.Server) {
 	w.mu.Lock()
@@ -321,6 +330,7 @@
 
 // watch announces the servers and restarts engines that have crashed.
 func (w *world) watch() {
+	defer close(w.watched)
 	for w.ctx.Err() == nil {
 		time.Sleep(200 * time.Millisecond)
 		for i := range w.engines {
@@ -334,8 +344,9 @@
 				w.mu.Unlock()
 				continue
 			}
-			w.downs++
+			w.mu.Lock()
 			w.options[i].Incarnation++
+			w.mu.Unlock()
 			w.startEngine(i)
 		}
 		for _, p := range w.plains {
@@ -349,6 +360,7 @@
 
 func (w *world) close() {
 	w.stop()
+	<-w.watched
 	time.Sleep(15 * time.Minute) // lets background commits and answers end
 	for _, e := range w.engines {
 		_ = e.Close()
