--- /dev/null
+++ b/node/entry/overload_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// overload offers Poisson arrivals for 20 s to two hosts and one engine that
+// finishes 80 requests a second. It returns the whole answers, the refusals at
+// once, and the accepted requests that were refused or answered late.
+func overload(t *testing.T, factor float64) (good, refused, late int) {
+	const capacity, deadline = 80.0, 2 * time.Second
+	synctest.Test(t, func(*testing.T) {
+		w := newWorld(worldOptions{hosts: 2, engines: 1, batch: 8})
+		defer w.close()
+		rng := rand.New(rand.NewPCG(1, 3))
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		for i, at := 0, time.Duration(0); at < 20*time.Second; i++ {
+			at += time.Duration(rng.ExpFloat64() / (factor * capacity) * float64(time.Second))
+			group.Go(func() {
+				time.Sleep(at)
+				r := w.hosts[i%2].call(context.Background(), "/v1/chat/completions",
+					map[string]string{"X-Deadline-Ms": fmt.Sprint(deadline.Milliseconds())}, chatBody(fmt.Sprint("request-", i), false, 5))
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case r.refusal == nil && r.took <= deadline:
+					good++
+				case r.refusal != nil && r.took < 10*time.Millisecond:
+					refused++
+				default:
+					late++
+				}
+			})
+		}
+		group.Wait()
+	})
+	return good, refused, late
+}
+
+// Guards against collapse of the whole path, in which the hosts know the
+// engine's capacity only from its service times and refusals.
+func TestOverloadedEngineKeepsGoodput(t *testing.T) {
+	peak := 0
+	for _, factor := range []float64{0.9, 2} {
+		good, refused, late := overload(t, factor)
+		t.Logf("load %.1f: good %d, refused at once %d, late %d", factor, good, refused, late)
+		peak = max(peak, good)
+		if float64(good) < 0.9*float64(peak) || float64(late) > 0.02*float64(good) {
+			t.Errorf("load %.1f: good %d of peak %d, late %d", factor, good, peak, late)
+		}
+	}
+}
--- a/node/entry/world_test.go
+++ b/node/entry/world_test.go
@@ -205,7 +205,7 @@
 	engineFaults           engine.Faults
 	plainFaults            plain.Faults
 	commits                func(n uint64) commitFault
-	retention              int
+	retention, batch       int
 	seed                   uint64
 }
 
@@ -227,7 +227,7 @@
 		w.options = append(w.options, engine.Options{
 			Name: fmt.Sprintf("runner-%d", i+1), Service: "lace-assist", DataCentre: "waco", MemoryMiB: 1000, Incarnation: 1,
 			Loaded: []membership.Report{{Model: guide, Version: "1"}}, TokenTime: 20 * time.Millisecond, CrashOn: "poison",
-			Journal: &w.journal, Faults: o.engineFaults, LoadLag: 100 * time.Millisecond,
+			Journal: &w.journal, Faults: o.engineFaults, MaxBatch: o.batch, LoadLag: 100 * time.Millisecond,
 		})
 		w.engines = append(w.engines, nil)
 		w.startEngine(i)
