--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -138,3 +139,71 @@
 		delete(s.Placements, state.PlaceKey{Server: l.Server, Model: l.Model, Adapter: l.Adapter})
 	}
 }
+
+// BenchmarkSlopes reports the bytes that one more item adds to a snapshot and
+// to the heap.
+func BenchmarkSlopes(b *testing.B) {
+	const n = 2000
+	in := scale(sizes[0])
+	kinds := map[string]func(*state.State, int){
+		"server": func(s *state.State, i int) {
+			s.Apply(s.Index+1, state.Command{Register: &state.Register{Server: fmt.Sprintf("server-%05d", i+100), Service: "lace-assist", Kind: config.KindEngine, DataCentre: "waco", Address: "10.11.12.13:8080", Incarnation: 1 << 60, MemoryMiB: 655_360}})
+		},
+		"model": func(s *state.State, i int) {
+			m := s.Config.Models[0]
+			m.Name = fmt.Sprintf("model-%05d", i+1000)
+			s.Config.Models = append(s.Config.Models, m)
+		},
+		"adapter": func(s *state.State, i int) {
+			a := s.Config.Adapters[0]
+			a.Name = fmt.Sprintf("adapter-%05d", i+1000)
+			s.Config.Adapters = append(s.Config.Adapters, a)
+		},
+		"placement": func(s *state.State, i int) {
+			place(s, in.Servers[0].Name, "model-00001", fmt.Sprintf("adapter-%05d", i+1000))
+		},
+		"change": func(s *state.State, i int) {
+			s.Changes = append(s.Changes, state.Change{ID: fmt.Sprintf("0123456789abcdef0123456789ab%04d", i), Version: uint64(i)})
+		},
+	}
+	for _, kind := range []string{"server", "model", "adapter", "placement", "change"} {
+		b.Run(kind, func(b *testing.B) {
+			var bytes, heap float64
+			for range b.N {
+				s := scale(sizes[0]).State
+				before, _ := s.Snapshot()
+				size := len(before)
+				start := heapBytes()
+				for i := range n {
+					kinds[kind](s, i)
+				}
+				heap = float64(heapBytes()-start) / n
+				after, _ := s.Snapshot()
+				bytes = float64(len(after)-size) / n
+			}
+			b.ReportMetric(bytes, "snapshot-bytes")
+			b.ReportMetric(heap, "heap-bytes")
+		})
+	}
+	b.Run("planner", func(b *testing.B) {
+		var heap float64
+		for range b.N {
+			in := scale(sizes[2])
+			start := heapBytes()
+			p := placement.New()
+			p.Plan(in)
+			heap = float64(heapBytes() - start)
+			runtime.KeepAlive(p)
+		}
+		b.ReportMetric(heap, "heap-bytes")
+	})
+}
+
+func heapBytes() int64 {
+	var m runtime.MemStats
+	// The encoder's pooled buffers are freed by the second collection.
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
