Follow loads in a fixed order

Loads in flight were followed in map order, and the newest load times decide whether a tier counts as slow. Change: flights are followed by key; reports that keep their position skip a look-up.

--- a/core/placement/arrivals.go
+++ b/core/placement/arrivals.go
@@ -130,9 +130,12 @@
 	targets   map[Target]*activity
 	histories map[Target]*history
 	touched   []*activity
-	slot      int64
-	unixMS    int64
-	restored  map[Target]int64
+	// reported holds the activities in the order of the last demand. Reports
+	// mostly keep their order, which saves a look-up for each.
+	reported []*activity
+	slot     int64
+	unixMS   int64
+	restored map[Target]int64
 }
 
 func newArrivals() *arrivals {
@@ -170,6 +173,21 @@
 	return act
 }
 
+// at returns the activity of the target reported at position i.
+func (a *arrivals) at(i int, t Target) *activity {
+	if i < len(a.reported) && a.reported[i].target == t {
+		a.touch(a.reported[i])
+		return a.reported[i]
+	}
+	act := a.get(t)
+	if i < len(a.reported) {
+		a.reported[i] = act
+	} else {
+		a.reported = append(a.reported, act)
+	}
+	return act
+}
+
 // touch resets the demand of an activity once per plan.
 func (a *arrivals) touch(act *activity) {
 	if act.plan != a.plan {
@@ -185,8 +203,9 @@
 	a.touched = a.touched[:0]
 	a.unixMS = in.UnixMS
 	for i := range in.Demand {
-		a.add(&in.Demand[i])
+		a.add(i, &in.Demand[i])
 	}
+	a.reported = a.reported[:len(in.Demand)]
 	a.roll(in)
 	for _, act := range a.touched {
 		act.merge()
@@ -194,9 +213,9 @@
 	}
 }
 
-// add merges one report.
-func (a *arrivals) add(d *Demand) {
-	act := a.get(Target{d.Model, d.Adapter})
+// add merges the report at position i of the demand.
+func (a *arrivals) add(i int, d *Demand) {
+	act := a.at(i, Target{d.Model, d.Adapter})
 	act.own.add(d)
 	if d.Adapter == "" {
 		return
--- a/core/placement/learned.go
+++ b/core/placement/learned.go
@@ -106,6 +106,7 @@
 	}
 	p.arrivals.histories = map[Target]*history{}
 	p.arrivals.targets = map[Target]*activity{}
+	p.arrivals.reported = nil
 	p.arrivals.restored = map[Target]int64{}
 	for _, m := range l.Models[:min(len(l.Models), maxLearnedModels)] {
 		t := learnedKey(m)
--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/config"
@@ -97,8 +99,10 @@
 		p.flights[r.key] = f
 	}
 	p.loads.clearOverdue()
-	for key, f := range p.flights {
-		p.follow(in, key, f)
+	// In a fixed order, because the newest load times decide whether a tier is
+	// slow.
+	for _, key := range slices.SortedFunc(maps.Keys(p.flights), compareKeys) {
+		p.follow(in, key, p.flights[key])
 	}
 }
 
