--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -151,34 +151,35 @@
 
 // serve starts the replicas that one want needs, or predicts when it can.
 func (p *Planner) serve(in Input, w want) {
+	var c candidate
+	found, started := false, true
 	for range w.replicas {
-		if !p.load(in, w) {
+		c, found, started = p.load(in, w)
+		if !started {
 			break
 		}
 	}
 	if w.waiting > 0 && w.readyReplicas == 0 {
-		p.ready[w.target] = p.predict(in, w)
+		p.ready[w.target] = p.predict(in, w, c, found)
+	}
+	if found && !started && !c.mustWait {
+		p.queued++
 	}
 }
 
-// load starts one load for w and reports whether a further one may be tried.
-func (p *Planner) load(in Input, w want) bool {
-	c, ok := p.choose(in, w)
-	if !ok {
-		return false
+// load starts one load for w, unless its memory or a limit makes it wait. It
+// returns the chosen server, whether there is one, and whether the load
+// started.
+func (p *Planner) load(in Input, w want) (c candidate, found, started bool) {
+	c, found = p.choose(in, w)
+	if !found {
+		return c, false, false
 	}
 	srv := &p.view.servers[c.server]
-	if len(c.victims) > 0 {
-		p.evict(in, c)
-	}
-	if c.mustWait {
+	p.evict(in, c)
+	if c.mustWait || !p.admit(in, w.target, c.tier) {
 		srv.claimed += w.memoryMiB
-		return false
-	}
-	if !p.admit(in, w.target, c.tier) {
-		srv.claimed += w.memoryMiB
-		p.queued++
-		return false
+		return c, true, false
 	}
 	l := state.Load{
 		Server: srv.name, Incarnation: srv.registered.Incarnation,
@@ -186,7 +187,7 @@
 	}
 	p.out = append(p.out, Decision{Load: &l})
 	p.started(in, w, c)
-	return true
+	return c, true, true
 }
 
 // started records a load that this plan decided.
--- a/core/placement/predict.go
+++ b/core/placement/predict.go
@@ -25,30 +25,27 @@
 	return r, ok
 }
 
-// predict estimates when w gets its first ready replica.
-func (p *Planner) predict(in Input, w want) Prediction {
+// predict estimates when w gets its first ready replica. c is the server
+// chosen in this plan, if one was found.
+func (p *Planner) predict(in Input, w want, c candidate, found bool) Prediction {
 	if w.target.Adapter != "" {
-		return p.predictAdapter(in, w)
+		return p.predictAdapter(in, w, c, found)
 	}
 	if r, ok := p.soonestFlight(in, w.target); ok {
 		return r
 	}
-	c, ok := p.choose(in, w)
-	full := false
-	if i, known := p.index.models[w.target.Model]; known {
-		full = len(p.view.models[w.target.Model]) >= p.index.config.Models[i].MaxReplicas
-	}
-	if !ok && !full {
+	if !found && w.replicas > 0 {
 		return Prediction{Impossible: true}
 	}
-	if !ok {
-		c.tier = membership.TierStore
+	if !found {
+		// All slots of the model are being freed.
+		c = candidate{tier: membership.TierStore, mustWait: true}
 	}
 	wait := time.Duration(0)
 	if c.tier == membership.TierStore {
 		wait += time.Duration(p.storeWait(in) * float64(time.Second))
 	}
-	if c.mustWait || full {
+	if c.mustWait {
 		wait += time.Duration(memoryWait * float64(time.Second))
 	}
 	return Prediction{
@@ -58,22 +55,36 @@
 }
 
 // predictAdapter adds an adapter load to the time at which its model is ready.
-func (p *Planner) predictAdapter(in Input, w want) Prediction {
-	base := Target{Model: w.target.Model}
+func (p *Planner) predictAdapter(in Input, w want, c candidate, found bool) Prediction {
 	r := Prediction{Usual: in.Now, Late: in.Now}
+	base := Target{Model: w.target.Model}
 	if ready, _ := p.view.count(base); ready == 0 {
-		known, ok := p.ready[base]
-		if !ok {
-			m, _, _ := p.describe(base)
-			known = p.predict(in, m)
-		}
-		r = known
+		r = p.predictBase(in, base)
+	}
+	r.Impossible = r.Impossible || w.replicas > 0 && !found
+	if c.mustWait {
+		r.Usual += time.Duration(memoryWait * float64(time.Second))
+		r.Late += time.Duration(2 * memoryWait * float64(time.Second))
 	}
 	r.Usual += p.loads.Estimate(adapterTier, 0, 0.5)
 	r.Late += p.loads.Estimate(adapterTier, 0, 0.95)
 	return r
 }
 
+// predictBase predicts an adapter's model. It may come later in the plan than
+// the adapter.
+func (p *Planner) predictBase(in Input, base Target) Prediction {
+	if r, ok := p.ready[base]; ok {
+		return r
+	}
+	m, _, ok := p.describe(base)
+	if !ok {
+		return Prediction{Impossible: true}
+	}
+	c, found := p.choose(in, m)
+	return p.predict(in, m, c, found)
+}
+
 // soonestFlight predicts from the loads of a target that are in flight.
 func (p *Planner) soonestFlight(in Input, t Target) (Prediction, bool) {
 	best, found := Prediction{}, false
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -62,7 +62,6 @@
 	starts   []time.Duration
 	busyFrom map[state.PlaceKey]time.Duration
 	result   result
-	nextPlan time.Duration
 }
 
 func newReplay(w workload, seed int64, p *placement.Planner, days int, faults bool) *replay {
@@ -71,7 +70,7 @@
 		queues: map[placement.Target]*queue{}, running: map[*request]*runner{}, busyFrom: map[state.PlaceKey]time.Duration{},
 		measured: time.Duration(days-1) * day,
 	}
-	r.apply(state.Command{Configure: &state.Configure{ChangeID: "first", Next: w.config}})
+	r.must(state.Command{Configure: &state.Configure{ChangeID: "first", Next: w.config}})
 	for i := range 12 {
 		r.addRunner(i)
 	}
@@ -87,6 +86,13 @@
 	return r.st.Apply(r.index, c).Err()
 }
 
+// must applies a command that the state may not reject.
+func (r *replay) must(c state.Command) {
+	if err := r.apply(c); err != nil {
+		r.result.broken = append(r.result.broken, err.Error())
+	}
+}
+
 func (r *replay) after(d time.Duration, run func()) {
 	r.order++
 	heap.Push(&r.events, event{r.now + d, r.order, run})
--- a/core/placement/runner_test.go
+++ b/core/placement/runner_test.go
@@ -53,7 +53,7 @@
 }
 
 func (r *replay) register(x *runner) {
-	r.apply(state.Command{Register: &state.Register{
+	r.must(state.Command{Register: &state.Register{
 		Server: x.Name, Incarnation: x.Incarnation, Service: x.Service, Kind: x.Kind,
 		DataCentre: x.DataCentre, MemoryMiB: x.MemoryMiB, ChecksFencing: x.ChecksFencing,
 	}})
@@ -237,10 +237,11 @@
 	}
 	for k, p := range r.st.Placements {
 		loaded := x.loaded[placement.Target{Model: k.Model, Adapter: k.Adapter}]
-		if k.Server != x.Name || !(p.Phase == state.PhaseLoading && loaded || p.Phase == state.PhaseUnloading && !loaded) {
+		done := p.Phase == state.PhaseLoading && loaded || p.Phase == state.PhaseUnloading && !loaded
+		if k.Server != x.Name || !done {
 			continue
 		}
-		_ = r.apply(state.Command{Settle: &state.Settle{Server: x.Name, Incarnation: x.Incarnation, Model: k.Model, Adapter: k.Adapter, Fence: p.Fence, Loaded: loaded, Sequence: x.Sequence}})
+		r.must(state.Command{Settle: &state.Settle{Server: x.Name, Incarnation: x.Incarnation, Model: k.Model, Adapter: k.Adapter, Fence: p.Fence, Loaded: loaded, Sequence: x.Sequence}})
 		r.idleStarts(k, x)
 	}
 	r.plan()
