Send all beats of a round to the same hosts

Cause: 159 small messages a second left each of 340 hosts, 18.3 KB/s in all, because every beat went to hosts of its own choice.

--- a/core/membership/spread.go
+++ b/core/membership/spread.go
@@ -6,36 +6,35 @@
 	"time"
 )
 
-// sendBeats passes on the confirmations that arrived since the last tick.
+// sendBeats passes on the confirmations that arrived since the last time. All of
+// them go to the same few hosts, because small messages cost more than beats.
 func (t *Table) sendBeats(now time.Duration) {
 	if len(t.beats) == 0 {
 		return
 	}
 	batch := map[string][]Beat{}
 	centres := t.heardCentres(now)
-	peers := t.peers(now, "")
-	near := map[string][]string{}
+	targets := map[string][]string{"": t.pick(t.peers(now, ""), fanout)}
 	wideEvery := max(wideBeats, uint64(len(t.servers)/serversPerBeat))
 	for _, k := range slices.SortedFunc(maps.Keys(t.beats), Key.compare) {
 		b := t.beat(k)
-		to := peers
-		if k.Kind == KindServer {
-			dc := t.servers[k.Name].DataCentre
-			if _, ok := centres[dc]; ok && b.Sequence%wideEvery != 0 {
-				if near[dc] == nil {
-					near[dc] = t.peers(now, dc)
-				}
-				to = near[dc]
+		scope := ""
+		if k.Kind == KindServer && b.Sequence%wideEvery != 0 {
+			if dc := t.servers[k.Name].DataCentre; centres[dc] > 0 {
+				scope = dc
 			}
 		}
-		for _, address := range t.pick(to, fanout) {
+		if _, ok := targets[scope]; !ok {
+			targets[scope] = t.pick(t.peers(now, scope), fanout)
+		}
+		for _, address := range targets[scope] {
 			batch[address] = append(batch[address], b)
 		}
 	}
 	for _, address := range slices.Sorted(maps.Keys(batch)) {
 		t.send(Message{To: address, Beats: t.localLoads(address, batch[address])})
 	}
-	t.beats = map[Key]bool{}
+	clear(t.beats)
 }
 
 func (t *Table) beat(k Key) Beat {
