--- a/cmd/pollenwheel/measure_test.go
+++ b/cmd/pollenwheel/measure_test.go
@@ -137,7 +137,7 @@
 					Servers struct{ Leaving int } `json:"servers"`
 				}
 				for {
-					if _, err := d.get(p, "/v1/admin/status", &s); err == nil && s.Servers.Leaving >= left {
+					if err := d.get(p, "/v1/admin/status", &s); err == nil && s.Servers.Leaving >= left {
 						return
 					}
 					time.Sleep(time.Millisecond)
--- a/node/host/lifecycle.go
+++ b/node/host/lifecycle.go
@@ -53,8 +53,9 @@
 	if !sleep(running, h.settings.AddressKeep) {
 		return nil
 	}
-	if h.entry.Drain(running) != nil {
-		return nil
+	if err := h.entry.Drain(running); err != nil {
+		h.logger.WithError(err).Warn("leaving: stopped before all requests had ended")
+		return err
 	}
 	h.transfer(running)
 	h.logger.Info("leaving: all requests have ended")
