Report arrivals, urgency and busy servers to the leader

Cause: entry hosts reported neither the arrivals that the idle policy learns from, nor waiting requests by urgency, nor where requests run; the planner took every replica of a model for busy, and an unload order was sent without regard to requests in progress. Change: the demand of an entry host carries all three. An unload order waits until every host had 2 s to learn of the intent and no request is reported on the placement. Conclusion: a host that is cut for longer than 2 s may still route to a replica that is unloaded; its request then ends with the server's refusal.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -111,6 +111,21 @@
 	return q.waiting[0].Deadline, true
 }
 
+// WaitingOf returns the number of waiting requests of one class and their
+// first deadline.
+func (q *Queue) WaitingOf(c Class) (n int, earliest time.Duration) {
+	for _, r := range q.waiting {
+		if r.Class != c {
+			continue
+		}
+		if n == 0 {
+			earliest = r.Deadline
+		}
+		n++
+	}
+	return n, earliest
+}
+
 // Offer accepts r into the queue or refuses it at once. A request is accepted
 // only if it and every request accepted earlier can still meet its deadline.
 func (q *Queue) Offer(now time.Duration, r Request) *Refusal {
--- a/core/orders/executor.go
+++ b/core/orders/executor.go
@@ -20,6 +20,10 @@
 // resendAfter is the wait before the order of an unsettled intent is repeated.
 const resendAfter = 2 * time.Second
 
+// unloadAfter covers the push of an unload intent to every host, and the first
+// report of requests that were started meanwhile.
+const unloadAfter = 2 * time.Second
+
 // executedWithin is the number of announcements within which a server has
 // executed a request that it received. It bounds the hold on a slot when the
 // answer to an order was lost.
@@ -60,6 +64,9 @@
 	State   *state.State
 	Servers []membership.Presence
 	Hosts   []membership.Host
+	// Busy reports requests in progress on a placement. Its unload is not
+	// ordered while there are any.
+	Busy func(state.PlaceKey) bool
 	// Leading permits orders. Without it only ended transmissions are resolved.
 	Leading bool
 }
@@ -96,6 +103,8 @@
 	// foreign holds the copies of processes that have ended.
 	foreign map[uint64]*transmission
 	probes  map[string]time.Duration
+	// intents holds when an unload intent was first seen.
+	intents map[state.PlaceKey]lastSend
 	unloads map[state.PlaceKey]lastSend
 	loads   map[state.PlaceKey]lastSend
 	// clock counts probes and ends of transmissions.
@@ -112,7 +121,7 @@
 	return &Executor{
 		sender: sender, used: map[uint64]*transmission{}, foreign: map[uint64]*transmission{},
 		probes:  map[string]time.Duration{},
-		unloads: map[state.PlaceKey]lastSend{}, loads: map[state.PlaceKey]lastSend{},
+		intents: map[state.PlaceKey]lastSend{}, unloads: map[state.PlaceKey]lastSend{}, loads: map[state.PlaceKey]lastSend{},
 	}
 }
 
@@ -184,6 +193,11 @@
 			delete(x.used, index)
 		}
 	}
+	for key := range x.intents {
+		if s.Placements[key].Phase != state.PhaseUnloading {
+			delete(x.intents, key)
+		}
+	}
 	for index := range x.foreign {
 		if !listed[index] {
 			delete(x.foreign, index)
@@ -301,15 +315,29 @@
 	case state.PhaseLoading:
 		x.advanceLoad(in, p, o, out)
 	case state.PhaseUnloading:
-		if x.due(x.unloads, in.Now, o) {
-			out.Orders = append(out.Orders, o)
-		}
+		x.advanceUnload(in, o, out)
 	case state.PhaseSurplus:
 		out.Commands = append(out.Commands, x.unload(key, p))
 	case state.PhaseReady, state.PhaseHeld:
 	}
 }
 
+// advanceUnload sends an unload order once every host had the time to learn of
+// the intent, and no request runs on the placement.
+func (x *Executor) advanceUnload(in Input, o Order, out *Output) {
+	first, ok := x.intents[o.Key]
+	if !ok || first.fence != o.Fence {
+		first = lastSend{o.Fence, in.Now}
+		x.intents[o.Key] = first
+	}
+	if in.Now-first.at < unloadAfter || in.Busy != nil && in.Busy(o.Key) {
+		return
+	}
+	if x.due(x.unloads, in.Now, o) {
+		out.Orders = append(out.Orders, o)
+	}
+}
+
 func (x *Executor) advanceLoad(in Input, p state.Placement, o Order, out *Output) {
 	o.Load = true
 	for _, c := range p.Copies {
--- a/core/orders/orders_test.go
+++ b/core/orders/orders_test.go
@@ -105,6 +105,36 @@
 	}
 }
 
+// TestUnloadWaitsForRequests guards against an unload that cuts requests in
+// progress, or that is sent before every host stopped routing to the replica.
+func TestUnloadWaitsForRequests(t *testing.T) {
+	s := state.New()
+	key := state.PlaceKey{Server: "e", Model: "m0"}
+	s.Apply(1, state.Command{Configure: &state.Configure{ChangeID: "c", Next: testConfiguration()}})
+	s.Apply(2, registration(membership.Server{Name: "e", Service: "s", Incarnation: 1, MemoryMiB: 100}))
+	s.Apply(3, state.Command{Load: &state.Load{Server: "e", Incarnation: 1, Model: "m0"}})
+	s.Apply(4, state.Command{Settle: &state.Settle{Server: "e", Incarnation: 1, Model: "m0", Fence: 3, Loaded: true}})
+	s.Apply(5, state.Command{Unload: &state.Unload{Server: "e", Incarnation: 1, Model: "m0"}})
+	x := New(state.Sender{Host: "h", Incarnation: 1})
+	cases := []struct {
+		name string
+		at   time.Duration
+		busy bool
+		want int
+	}{
+		{"the hosts may not know the intent yet", time.Second, false, 0},
+		{"a request is in progress", 4 * time.Second, true, 0},
+		{"the request has ended", 5 * time.Second, false, 1},
+		{"the order was just sent", 6 * time.Second, false, 0},
+	}
+	for _, c := range cases {
+		busy := func(k state.PlaceKey) bool { return c.busy && k == key }
+		if got := len(x.Step(Input{Now: c.at, State: s, Leading: true, Busy: busy}).Orders); got != c.want {
+			t.Errorf("%s: %d orders, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 func testConfiguration() config.Configuration {
 	c := config.Configuration{Services: []config.Service{{Name: "s", Kind: config.KindEngine}}}
 	for i := range 3 {
--- a/node/control/dispatcher.go
+++ b/node/control/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/orders"
+	"github.com/pollenwheel/pollenwheel/core/placement"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/backend"
 	"github.com/pollenwheel/pollenwheel/node/replica"
@@ -33,6 +34,7 @@
 type DispatcherSources struct {
 	Servers func() []membership.Presence
 	Hosts   func() []membership.Host
+	Demand  func() []placement.Demand
 	Now     func() time.Duration
 	// Changed returns a channel that is closed at the next change of servers.
 	Changed func() <-chan struct{}
@@ -88,7 +90,7 @@
 func (d *Dispatcher) step(ctx context.Context) {
 	in := orders.Input{
 		Now: d.sources.Now(), State: d.replica.Snapshot(), Leading: d.sources.Leading(),
-		Servers: d.sources.Servers(), Hosts: d.sources.Hosts(),
+		Servers: d.sources.Servers(), Hosts: d.sources.Hosts(), Busy: busy(d.sources.Demand()),
 	}
 	d.mu.Lock()
 	out := d.executor.Step(in)
@@ -104,6 +106,17 @@
 	}
 }
 
+// busy tells which placements have requests in progress.
+func busy(demand []placement.Demand) func(state.PlaceKey) bool {
+	running := map[state.PlaceKey]bool{}
+	for _, d := range demand {
+		for server := range d.RunningOn {
+			running[state.PlaceKey{Server: server, Model: d.Model, Adapter: d.Adapter}] = true
+		}
+	}
+	return func(k state.PlaceKey) bool { return running[k] }
+}
+
 // enqueue adds an order to its server's queue and starts the queue's sender.
 func (d *Dispatcher) enqueue(ctx context.Context, o orders.Order) {
 	d.mu.Lock()
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -89,12 +89,14 @@
 	opts Options
 	view atomic.Pointer[view]
 
-	mu      sync.Mutex
-	rng     *rand.Rand
-	router  *routing.Router
-	queues  map[routing.Key]*queue
-	flights map[process]map[*flight]struct{}
-	crashes map[process]*crash
+	mu     sync.Mutex
+	rng    *rand.Rand
+	router *routing.Router
+	queues map[routing.Key]*queue
+	// arrivals outlive the queues, since the leader counts on them to grow.
+	arrivals map[routing.Key]uint64
+	flights  map[process]map[*flight]struct{}
+	crashes  map[process]*crash
 	// withheld counts uncommitted crashes by fingerprint.
 	withheld map[string]int
 	nextID   uint64
@@ -124,7 +126,7 @@
 	}
 	rng := rand.New(rand.NewPCG(seed, opts.Self.Incarnation))
 	e := &Entry{
-		opts: opts, rng: rng, queues: map[routing.Key]*queue{},
+		opts: opts, rng: rng, queues: map[routing.Key]*queue{}, arrivals: map[routing.Key]uint64{},
 		flights: map[process]map[*flight]struct{}{}, crashes: map[process]*crash{}, withheld: map[string]int{},
 		router: routing.New(routing.Options{DataCentre: opts.DataCentre, Spill: spillLoad}, rng),
 		idle:   make(chan struct{}), presence: map[string]presenceMark{},
--- a/node/entry/queue.go
+++ b/node/entry/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/admission"
@@ -51,6 +52,7 @@
 	now := e.opts.Now()
 	qu := e.queue(q.key)
 	qu.lastArrival = now
+	e.arrivals[q.key]++
 	qu.budget.First()
 	e.setCapacity(qu)
 	q.cold = qu.nominal == 0
@@ -180,6 +182,7 @@
 			e.addDemand(sums, routing.Key{Service: key.Service, Model: key.Model}, qu)
 		}
 	}
+	e.addRunning(sums)
 	out := make([]placement.Demand, 0, len(sums))
 	for _, d := range sums {
 		out = append(out, *d)
@@ -187,6 +190,34 @@
 	return out
 }
 
+// urgencies are the planner's names of the admission classes.
+var urgencies = map[admission.Class]placement.Urgency{
+	admission.Interactive: placement.Interactive,
+	admission.Standard:    placement.Standard,
+	admission.Patient:     placement.Patient,
+}
+
+// addRunning counts the requests in progress by backend server, so that a
+// replica is not unloaded under them.
+func (e *Entry) addRunning(sums map[routing.Key]*placement.Demand) {
+	for p, flights := range e.flights {
+		for f := range flights {
+			base := f.key
+			base.Adapter = ""
+			for _, key := range slices.Compact([]routing.Key{f.key, base}) {
+				d := sums[key]
+				if d == nil {
+					continue
+				}
+				if d.RunningOn == nil {
+					d.RunningOn = map[string]int{}
+				}
+				d.RunningOn[p.server]++
+			}
+		}
+	}
+}
+
 func (e *Entry) addDemand(sums map[routing.Key]*placement.Demand, key routing.Key, qu *queue) {
 	d, ok := sums[key]
 	if !ok {
@@ -195,7 +226,16 @@
 	}
 	d.Waiting += qu.admission.Waiting()
 	d.Running += qu.admission.Running()
+	d.Arrivals += e.arrivals[qu.key]
 	d.LastArrival = max(d.LastArrival, qu.lastArrival)
+	for class, urgency := range urgencies {
+		n, first := qu.admission.WaitingOf(class)
+		c := &d.Classes[urgency]
+		if n > 0 && (c.Waiting == 0 || first < c.Earliest) {
+			c.Earliest = first
+		}
+		c.Waiting += n
+	}
 	if first, ok := qu.admission.Earliest(); ok && (d.Earliest == 0 || first < d.Earliest) {
 		d.Earliest = first
 	}
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -22,6 +22,7 @@
 // flight is one attempt on a server.
 type flight struct {
 	process
+	key         routing.Key
 	id          string
 	fingerprint string
 	attempt     routing.Attempt
@@ -168,7 +169,7 @@
 func (e *Entry) register(q *call, a routing.Attempt) *flight {
 	q.attempts++
 	f := &flight{
-		process: process{a.Server, a.Incarnation}, attempt: a, fingerprint: q.fingerprint,
+		process: process{a.Server, a.Incarnation}, key: q.key, attempt: a, fingerprint: q.fingerprint,
 		id: q.id + "-" + strconv.Itoa(q.attempts),
 	}
 	set := e.flights[f.process]
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -232,7 +232,7 @@
 // dispatcher sends the orders of this control host.
 func (h *Host) dispatcher() *control.Dispatcher {
 	return control.NewDispatcher(h.forward, h.replica, h.backend, control.DispatcherSources{
-		Servers: h.members.Servers, Hosts: h.members.records, Now: h.now, Leading: h.group.CheckLease,
+		Servers: h.members.Servers, Hosts: h.members.records, Demand: h.lead.allDemand, Now: h.now, Leading: h.group.CheckLease,
 		Changed: h.members.serversChanged,
 	}, h.sender, h.logger)
 }
