Write configuration changes to the log as patches

Cause: an entry held the whole configuration. Ruled out: compression, which keeps the growth with the configuration. Change: the proposer sends a patch if it holds the expected version, with a digest of the whole next configuration for resends; lists are kept sorted.

--- /dev/null
+++ b/core/config/patch.go
@@ -0,0 +1,123 @@
+package config
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+)
+
+// Patch is the difference between two configurations. It keeps the size of a
+// change in the log independent of the size of the configuration.
+type Patch struct {
+	Deployment *Deployment          `json:"deployment,omitempty"`
+	Services   ListPatch[Service]   `json:"services,omitzero"`
+	Models     ListPatch[Model]     `json:"models,omitzero"`
+	Adapters   ListPatch[Adapter]   `json:"adapters,omitzero"`
+	Callers    ListPatch[Caller]    `json:"callers,omitzero"`
+	Objectives ListPatch[Objective] `json:"objectives,omitzero"`
+}
+
+// ListPatch replaces or adds the items in Put and removes those whose keys are
+// in Remove.
+type ListPatch[T any] struct {
+	Put    []T      `json:"put,omitempty"`
+	Remove []string `json:"remove,omitempty"`
+}
+
+func serviceKey(s Service) string     { return s.Name }
+func modelKey(m Model) string         { return m.Name }
+func adapterKey(a Adapter) string     { return a.Name }
+func callerKey(c Caller) string       { return c.Name }
+func objectiveKey(o Objective) string { return o.Service + "/" + string(o.Kind) }
+
+// Sorted returns c with every list in the order of its keys. Patches are made
+// of and applied to sorted configurations.
+func (c Configuration) Sorted() Configuration {
+	c.Services = sortedBy(c.Services, serviceKey)
+	c.Models = sortedBy(c.Models, modelKey)
+	c.Adapters = sortedBy(c.Adapters, adapterKey)
+	c.Callers = sortedBy(c.Callers, callerKey)
+	c.Objectives = sortedBy(c.Objectives, objectiveKey)
+	return c
+}
+
+func sortedBy[T any](list []T, key func(T) string) []T {
+	if len(list) == 0 {
+		return nil
+	}
+	out := slices.Clone(list)
+	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
+	return out
+}
+
+// MakePatch returns the patch that turns old into next. Versions are not part
+// of it. Both must be sorted.
+func MakePatch(old, next Configuration) Patch {
+	p := Patch{
+		Services:   makeList(old.Services, next.Services, serviceKey),
+		Models:     makeList(old.Models, next.Models, modelKey),
+		Adapters:   makeList(old.Adapters, next.Adapters, adapterKey),
+		Callers:    makeList(old.Callers, next.Callers, callerKey),
+		Objectives: makeList(old.Objectives, next.Objectives, objectiveKey),
+	}
+	if old.Deployment != next.Deployment {
+		p.Deployment = &next.Deployment
+	}
+	return p
+}
+
+func makeList[T any](old, next []T, key func(T) string) ListPatch[T] {
+	var p ListPatch[T]
+	i := 0
+	for _, item := range next {
+		for i < len(old) && key(old[i]) < key(item) {
+			p.Remove = append(p.Remove, key(old[i]))
+			i++
+		}
+		same := i < len(old) && key(old[i]) == key(item)
+		if !same || !reflect.DeepEqual(old[i], item) {
+			p.Put = append(p.Put, item)
+		}
+		if same {
+			i++
+		}
+	}
+	for ; i < len(old); i++ {
+		p.Remove = append(p.Remove, key(old[i]))
+	}
+	return p
+}
+
+// Apply returns old with the patch applied. Lists without a change are shared
+// with old.
+func (p Patch) Apply(old Configuration) Configuration {
+	if p.Deployment != nil {
+		old.Deployment = *p.Deployment
+	}
+	old.Services = p.Services.apply(old.Services, serviceKey)
+	old.Models = p.Models.apply(old.Models, modelKey)
+	old.Adapters = p.Adapters.apply(old.Adapters, adapterKey)
+	old.Callers = p.Callers.apply(old.Callers, callerKey)
+	old.Objectives = p.Objectives.apply(old.Objectives, objectiveKey)
+	return old
+}
+
+func (p ListPatch[T]) apply(old []T, key func(T) string) []T {
+	if len(p.Put) == 0 && len(p.Remove) == 0 {
+		return old
+	}
+	gone := make(map[string]bool, len(p.Put)+len(p.Remove))
+	for _, k := range p.Remove {
+		gone[k] = true
+	}
+	for _, item := range p.Put {
+		gone[key(item)] = true
+	}
+	out := make([]T, 0, len(old)+len(p.Put))
+	for _, item := range old {
+		if !gone[key(item)] {
+			out = append(out, item)
+		}
+	}
+	return sortedBy(append(out, p.Put...), key)
+}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -32,11 +32,32 @@
 	Acquit    *Acquit    `json:"acquit,omitempty"`
 }
 
-// Configure replaces the configuration if Expected is the current version.
+// Configure changes the configuration if Expected is the current version.
 type Configure struct {
-	ChangeID string               `json:"change_id"`
-	Expected uint64               `json:"expected"`
-	Next     config.Configuration `json:"next"`
+	ChangeID string `json:"change_id"`
+	Expected uint64 `json:"expected"`
+	// Next is the whole next configuration, unless Patch is set.
+	Next config.Configuration `json:"next,omitzero"`
+	// Patch turns the configuration with the version Expected into the next.
+	Patch *config.Patch `json:"patch,omitempty"`
+	// Digest identifies the whole next configuration. Zero stands for that of
+	// Next.
+	Digest uint64 `json:"digest,omitempty"`
+}
+
+// NewConfigure returns the command for a change, as a patch if the proposer
+// holds the expected version. The digest is the same either way, so that a
+// resend through another host is recognised.
+func NewConfigure(changeID string, expected uint64, current, next config.Configuration) Configure {
+	next = next.Sorted()
+	next.Version = 0
+	c := Configure{ChangeID: changeID, Expected: expected, Next: next}
+	c.Digest = digestOf(c)
+	if current.Version == expected {
+		patch := config.MakePatch(current.Sorted(), next)
+		c.Patch, c.Next = &patch, config.Configuration{}
+	}
+	return c
 }
 
 // Register records a backend server incarnation. A newer incarnation proves
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -242,7 +242,10 @@
 	if c.Expected != s.Config.Version {
 		return s.versionConflict(c)
 	}
-	next := c.Next
+	next := c.Next.Sorted()
+	if c.Patch != nil {
+		next = c.Patch.Apply(s.Config)
+	}
 	next.Version = s.Config.Version + 1
 	s.Config = next
 	s.Changes = append(s.Changes, Change{ID: c.ChangeID, Version: next.Version, Digest: digestOf(c)})
@@ -263,8 +266,12 @@
 
 // digestOf covers what a resend repeats: the expected version and the content.
 func digestOf(c Configure) uint64 {
+	if c.Digest != 0 {
+		return c.Digest
+	}
+	c.Next = c.Next.Sorted()
 	c.Next.Version = 0
-	data, err := json.Marshal(c)
+	data, err := json.Marshal(Configure{ChangeID: c.ChangeID, Expected: c.Expected, Next: c.Next})
 	if err != nil {
 		return 0
 	}
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -21,13 +21,13 @@
 		code    Code
 		winner  string
 	}{
-		{"first change", Configure{"a", 0, named("x")}, 1, "", ""},
-		{"resend of an accepted change", Configure{"a", 0, named("x")}, 1, "", ""},
-		{"other change under the same id", Configure{"a", 0, named("y")}, 0, CodeKeyReused, ""},
-		{"other change under the same version", Configure{"b", 0, named("y")}, 1, CodeVersionConflict, "a"},
-		{"next change", Configure{"c", 1, named("z")}, 2, "", ""},
-		{"resend after a later change", Configure{"a", 0, named("x")}, 1, "", ""},
-		{"version from the future", Configure{"d", 7, named("z")}, 2, CodeVersionConflict, ""},
+		{"first change", Configure{ChangeID: "a", Expected: 0, Next: named("x")}, 1, "", ""},
+		{"resend of an accepted change", Configure{ChangeID: "a", Expected: 0, Next: named("x")}, 1, "", ""},
+		{"other change under the same id", Configure{ChangeID: "a", Expected: 0, Next: named("y")}, 0, CodeKeyReused, ""},
+		{"other change under the same version", Configure{ChangeID: "b", Expected: 0, Next: named("y")}, 1, CodeVersionConflict, "a"},
+		{"next change", Configure{ChangeID: "c", Expected: 1, Next: named("z")}, 2, "", ""},
+		{"resend after a later change", Configure{ChangeID: "a", Expected: 0, Next: named("x")}, 1, "", ""},
+		{"version from the future", Configure{ChangeID: "d", Expected: 7, Next: named("z")}, 2, CodeVersionConflict, ""},
 	}
 	s := New()
 	for i, c := range cases {
@@ -46,6 +46,38 @@
 	}
 }
 
+// TestPatchedChange guards against a patch that gives another configuration
+// than the whole change, and against a resend that is not recognised because
+// one of the two was a patch.
+func TestPatchedChange(t *testing.T) {
+	first := named("x")
+	first.Models = []config.Model{{Name: "b"}, {Name: "a"}}
+	second := named("y")
+	second.Models = []config.Model{{Name: "c"}, {Name: "a", MaxReplicas: 2}}
+	whole, patched := New(), New()
+	for i, next := range []config.Configuration{first, second} {
+		id, at := string(rune('a'+i)), uint64(i+1)
+		a := Configure{ChangeID: id, Expected: uint64(i), Next: next}
+		b := NewConfigure(id, uint64(i), patched.Config, next)
+		if b.Patch == nil {
+			t.Fatal("the change is not a patch")
+		}
+		if r := whole.Apply(at, Command{Configure: &a}); r.Rejection != nil {
+			t.Fatal(r.Rejection)
+		}
+		if r := patched.Apply(at, Command{Configure: &b}); r.Rejection != nil {
+			t.Fatal(r.Rejection)
+		}
+		resend := NewConfigure(id, uint64(i), patched.Config, next)
+		if _, ok := whole.Accepted(resend); !ok || resend.Patch != nil {
+			t.Errorf("resend of change %s is not recognised", id)
+		}
+	}
+	if whole.Hash() != patched.Hash() {
+		t.Errorf("got %+v, want %+v", patched.Config, whole.Config)
+	}
+}
+
 // TestClaimOfDeadHolder guards against a call that stays in progress for the
 // whole retention after its host died, and against a late outcome that is lost.
 func TestClaimOfDeadHolder(t *testing.T) {
--- a/node/admin/authorize.go
+++ b/node/admin/authorize.go
@@ -54,12 +54,13 @@
 func (a *API) resendFirst(c echo.Context) error {
 	req, err := decodeApply(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
 	first := false
-	a.parts.Replica.View(func(s *state.State) {
-		if err == nil {
-			change, ok := s.Accepted(state.Configure{ChangeID: req.ChangeID, Expected: *req.Expected, Next: *req.Configuration})
-			first = ok && change.Version == 1
-		}
-	})
+	if err == nil {
+		change := a.change(req)
+		a.parts.Replica.View(func(s *state.State) {
+			accepted, ok := s.Accepted(change)
+			first = ok && accepted.Version == 1
+		})
+	}
 	if !first {
 		return refuse(c, http.StatusUnauthorized, Refusal{
 			Code: CodeUnauthorized, Reason: "the bootstrap key ended with the first configuration; use an operator's key",
--- a/node/admin/configuration.go
+++ b/node/admin/configuration.go
@@ -29,9 +29,10 @@
 	if faults := check(*req.Configuration); len(faults) > 0 {
 		return refuse(c, http.StatusUnprocessableEntity, Refusal{Code: CodeInvalid, Reason: faults.Error(), Faults: faults})
 	}
+	change := a.change(req)
 	result, err := a.parts.Proposer.Propose(c.Request().Context(), state.Command{
 		UnixMS:    a.parts.Now().UnixMilli(),
-		Configure: &state.Configure{ChangeID: req.ChangeID, Expected: *req.Expected, Next: *req.Configuration},
+		Configure: &change,
 	})
 	if err != nil {
 		return refuse(c, http.StatusServiceUnavailable, Refusal{
@@ -50,6 +51,13 @@
 	return c.JSON(http.StatusOK, ApplyAnswer{ChangeID: req.ChangeID, Version: result.Version})
 }
 
+// change returns the command for a request.
+func (a *API) change(req ApplyRequest) state.Configure {
+	var current config.Configuration
+	a.parts.Replica.View(func(s *state.State) { current = s.Config })
+	return state.NewConfigure(req.ChangeID, *req.Expected, current, *req.Configuration)
+}
+
 func decodeApply(body io.Reader) (ApplyRequest, error) {
 	var req ApplyRequest
 	d := json.NewDecoder(body)
