--- a/node/entry/stream_test.go
+++ b/node/entry/stream_test.go
@@ -108,3 +108,38 @@
 		}
 	})
 }
+
+// Guards against new work for a leaving engine, and against a planned stop that
+// cuts a stream: the stream ends whole, and later requests need no retry.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		w := newWorld(worldOptions{hosts: 1, engines: 2})
+		defer w.close()
+		var group sync.WaitGroup
+		var r reply
+		group.Go(func() {
+			r = w.hosts[0].call(context.Background(), "/v1/chat/completions", nil, chatBody("stream", true, 100))
+		})
+		time.Sleep(100 * time.Millisecond)
+		w.mu.Lock()
+		leaving := w.engines[0]
+		if w.journal.Executions()[0].Server == w.options[1].Name {
+			leaving = w.engines[1]
+		}
+		w.mu.Unlock()
+		group.Go(func() { _ = leaving.Leave(context.Background()) })
+		time.Sleep(500 * time.Millisecond)
+		for range 10 {
+			w.hosts[0].call(context.Background(), "/v1/chat/completions", nil, chatBody("later", false, 1))
+		}
+		for _, x := range w.journal.Executions()[1:] {
+			if x.Server == w.journal.Executions()[0].Server || !strings.HasSuffix(x.Attempt, "-1") {
+				t.Errorf("%+v", x)
+			}
+		}
+		group.Wait()
+		if text, whole := r.text(true); !whole || text != wholeText("stream", 100) || len(w.log.state.Suspects) > 0 {
+			t.Errorf("stream %s, suspects %v", r.body, w.log.state.Suspects)
+		}
+	})
+}
