Keep only the needed fields of placements in the view

Cause: a plan with one decision rebuilds the view; at the target size that is more than half of its time. Ruled out: keeping the view over own decisions, because the state also changes by settlements. Change: the view holds four fields of a placement and keeps the positions of unchanged servers.

--- a/core/placement/view.go
+++ b/core/placement/view.go
@@ -53,10 +53,18 @@
 	return x.config.Adapters[i].Version, true
 }
 
+// slot holds the fields of a placement that plans need.
+type slot struct {
+	Version   string
+	MemoryMiB int64
+	Phase     state.Phase
+	Fence     uint64
+}
+
 // replicaView is a placement with the position of its server.
 type replicaView struct {
 	key       state.PlaceKey
-	placement state.Placement
+	placement slot
 	server    int
 }
 
@@ -114,8 +122,9 @@
 		v.models = map[string][]replicaView{}
 		v.changed = true
 	}
-	if v.changed || v.index != in.State.Index || !v.refresh(in) {
-		v.rebuild(in)
+	same := v.refresh(in)
+	if v.changed || v.index != in.State.Index || !same {
+		v.rebuild(in, same)
 	}
 	for i := range v.servers {
 		srv := &v.servers[i]
@@ -142,11 +151,14 @@
 	return true
 }
 
-func (v *view) rebuild(in Input) {
+// rebuild reads the state. With sameServers, the positions of the servers are
+// still right.
+func (v *view) rebuild(in Input, sameServers bool) {
+	sameServers = sameServers && len(v.servers) == len(in.Servers)
 	v.index, v.changed, v.announced = in.State.Index, false, len(in.Servers)
-	v.reset()
+	v.reset(sameServers)
 	for i := range in.Servers {
-		v.addServer(in, &in.Servers[i], in.Servers[i].Name)
+		v.addServer(in, &in.Servers[i], in.Servers[i].Name, sameServers)
 	}
 	for k, pl := range in.State.Placements {
 		v.addPlacement(in, k, pl)
@@ -157,8 +169,10 @@
 	sortReplicas(v.loading)
 }
 
-func (v *view) reset() {
-	clear(v.byName)
+func (v *view) reset(sameServers bool) {
+	if !sameServers {
+		clear(v.byName)
+	}
 	for name, list := range v.models {
 		v.models[name] = list[:0]
 	}
@@ -166,7 +180,7 @@
 	v.servers = v.servers[:0]
 }
 
-func (v *view) addServer(in Input, pr *membership.Presence, name string) int {
+func (v *view) addServer(in Input, pr *membership.Presence, name string, indexed bool) int {
 	i := len(v.servers)
 	if i < cap(v.servers) {
 		v.servers = v.servers[:i+1]
@@ -179,17 +193,19 @@
 		name: name, presence: pr, registered: reg, known: known,
 		models: old.models[:0], adapters: old.adapters[:0],
 	}
-	v.byName[name] = i
+	if !indexed {
+		v.byName[name] = i
+	}
 	return i
 }
 
 func (v *view) addPlacement(in Input, k state.PlaceKey, pl state.Placement) {
 	i, ok := v.byName[k.Server]
 	if !ok {
-		i = v.addServer(in, nil, k.Server)
+		i = v.addServer(in, nil, k.Server, false)
 	}
 	srv := &v.servers[i]
-	r := replicaView{key: k, placement: pl, server: i}
+	r := replicaView{key: k, server: i, placement: slot{pl.Version, pl.MemoryMiB, pl.Phase, pl.Fence}}
 	srv.reservedMiB += pl.MemoryMiB
 	if pl.Phase == state.PhaseUnloading {
 		srv.freeingMiB += pl.MemoryMiB
@@ -255,7 +271,7 @@
 // addLoading makes a decided load visible to the rest of the plan.
 func (v *view) addLoading(key state.PlaceKey, server int, w want) {
 	srv := &v.servers[server]
-	r := replicaView{key: key, server: server, placement: state.Placement{
+	r := replicaView{key: key, server: server, placement: slot{
 		Phase: state.PhaseLoading, MemoryMiB: w.memoryMiB, Version: w.version,
 	}}
 	v.changed = true
