Bound what the planner keeps for unused targets

Change: both end with the placement or after two hours. Conclusion: memory grows with the targets in use.

--- a/core/placement/arrivals.go
+++ b/core/placement/arrivals.go
@@ -15,8 +15,10 @@
 	burstWindow = 20 * time.Second
 	// drainWindow is the period over which a completion rate is measured.
 	drainWindow = 2 * time.Second
-	// forgetAdapter bounds how long the activity of an unused adapter is kept.
-	forgetAdapter = 24 * time.Hour
+	// forgetAdapter bounds how long the activity of an unused adapter is kept. An
+	// idle adapter pays off for minutes only, and a day of activity at the
+	// target size would be kept for tens of thousands of adapters.
+	forgetAdapter = 2 * time.Hour
 )
 
 // activity is what is known about the requests for one target.
--- a/core/placement/idle.go
+++ b/core/placement/idle.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -159,6 +160,20 @@
 		}
 	}
 	p.idlePass++
+	p.prune(in)
+}
+
+// prune forgets what belongs to placements that no longer exist, and failures
+// that are long past.
+func (p *Planner) prune(in Input) {
+	gone := func(k state.PlaceKey, _ time.Duration) bool {
+		_, placed := in.State.Placements[k]
+		_, loading := p.flights[k]
+		return !placed && !loading
+	}
+	maps.DeleteFunc(p.lastBusy, gone)
+	maps.DeleteFunc(p.outdated, gone)
+	maps.DeleteFunc(p.failures, func(_ state.PlaceKey, f failure) bool { return in.Now > f.until+maxBackoff })
 }
 
 func (p *Planner) unloadIdleModel(in Input, m *config.Model, tiers map[string]membership.Tier) {
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -194,8 +194,10 @@
 func (p *Planner) started(in Input, w want, c candidate) {
 	key := state.PlaceKey{Server: p.view.servers[c.server].name, Model: w.target.Model, Adapter: w.target.Adapter}
 	p.flights[key] = flight{tier: c.tier, since: in.Now, memoryMiB: w.memoryMiB, weightsMiB: w.weightsMiB, own: true}
-	p.lastBusy[key] = in.Now
-	if w.target.Adapter == "" && c.tier == membership.TierStore {
+	if w.target.Adapter == "" {
+		p.lastBusy[key] = in.Now
+	}
+	if c.tier == membership.TierStore {
 		p.store.start(in.Now)
 	}
 	p.view.addLoading(key, c.server, w)
