Pass the wall clock to the planner

Cause: without it the planner falls back to the state's clock, which stands still while nothing is committed, so a model would not be loaded ahead of its time of day after a quiet night. Change: the leader sets UnixMS. Conclusion: the time of day follows the leader's clock.

--- a/node/control/control.go
+++ b/node/control/control.go
@@ -77,7 +77,7 @@
 	l.replica.View(func(s *state.State) { snapshot = s.ForFollowers() })
 	in := placement.Input{
 		Now: l.sources.Now(), State: snapshot, Servers: servers,
-		Demand: l.sources.Demand(), Sender: l.sender,
+		Demand: l.sources.Demand(), Sender: l.sender, UnixMS: time.Now().UnixMilli(),
 	}
 	for _, d := range l.planner.Plan(in) {
 		l.propose(ctx, state.Command{Load: d.Load, Unload: d.Unload})
