Isolate stalled, slow and failing servers from other work

* A server that accepts connections and never answers held every attempt until the deadline.
Attempts without progress for 1 s now cause a probe of the server; if it does not answer, it gets no new work until it does, and idempotent attempts move on.
Four slow or failed answers in a row now demote a server; demoted servers are used only if no other is usable, so that a slowdown of all servers changes nothing.
A 500 may be the fault of the request, so breakers stay closed; the server is demoted.
* Slots were counted as servers x PerServer, but one server could take all of them.
The router now bounds own attempts per key and server.
* Attempts that hang on lost servers used up the slots of the healthy ones.
* A cut connection was probed twice, up to 6 s each time on a silent server.

Ruled out: cutting slow attempts by time alone, which would end long generations; counting status 500 for breakers, which would let requests that fail everywhere close all servers of a model.

--- a/core/routing/breaker.go
+++ b/core/routing/breaker.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// breakerFailures is how many consecutive failures open a breaker.
+	// breakerFailures is how many consecutive failures open a breaker by default.
 	breakerFailures = 3
 	// breakerPause is the first pause of an open breaker; it doubles with each
 	// failed probe up to maxBreakerPause.
@@ -16,13 +16,15 @@
 
 // breaker keeps attempts for one model away from one server that fails them.
 type breaker struct {
+	// after is how many consecutive failures open the breaker.
+	after    int
 	failures int
 	pause    time.Duration
 	until    time.Duration
 	probing  bool
 }
 
-func (b *breaker) open() bool { return b.failures >= breakerFailures }
+func (b *breaker) open() bool { return b.failures >= b.after }
 
 // allows reports whether an attempt may be made: always while closed, and one
 // at a time as a probe after the pause.
@@ -39,7 +41,7 @@
 func (b *breaker) done(now time.Duration, result Result, rng *rand.Rand) {
 	switch result {
 	case Success:
-		*b = breaker{}
+		*b = breaker{after: b.after}
 		return
 	case Neutral:
 		b.probing = false
--- a/core/routing/prefix.go
+++ b/core/routing/prefix.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		c := r.places[Replica{h.server.Name, q.Key}]
-		if c == nil || c.server != h.server || !c.usable(now, q.Exclude) {
+		if c == nil || c.server != h.server || !r.usable(now, c, q.Exclude) {
 			continue
 		}
 		if best == nil || c.server.load() < best.server.load() {
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -39,6 +39,15 @@
 	// Spill is the load above which a server of another data centre is
 	// considered as well.
 	Spill int
+	// PerServer bounds own attempts in progress for one key on one server; zero
+	// means no bound.
+	PerServer int
+	// BreakerFailures is how many consecutive failures open a breaker; zero
+	// means 3.
+	BreakerFailures int
+	// IgnorePace sends work to servers that answer slowly or with errors as to
+	// any other.
+	IgnorePace bool
 }
 
 // Router is not safe for concurrent use.
@@ -55,13 +64,17 @@
 type target struct {
 	candidates []*candidate
 	local      int
-	// open counts the candidates whose server is not closed.
-	open int
+	// open counts the candidates whose server is neither closed nor stalled.
+	open    int
+	typical typical
 }
 
 type candidate struct {
 	server  *server
 	breaker breaker
+	pace    pace
+	// running counts own attempts in progress.
+	running int
 }
 
 type server struct {
@@ -72,6 +85,8 @@
 	reported, previous, current int
 	epoch                       uint32
 	sequence                    uint64
+	// stalled servers do not answer probes. They receive no new work.
+	stalled bool
 	// cacheEpoch invalidates all prefix entries of the server when it changes.
 	cacheEpoch    uint32
 	cacheSequence uint64
@@ -81,6 +96,9 @@
 
 // New returns a router without servers.
 func New(opts Options, rng *rand.Rand) *Router {
+	if opts.BreakerFailures == 0 {
+		opts.BreakerFailures = breakerFailures
+	}
 	return &Router{
 		opts: opts, rng: rng, servers: map[string]*server{}, targets: map[Key]*target{},
 		prefixes: map[uint64]prefixEntry{}, places: map[Replica]*candidate{},
@@ -108,12 +126,15 @@
 		}
 		c := r.places[p]
 		if c == nil || c.server != s {
-			c = &candidate{server: s}
+			c = &candidate{server: s, breaker: breaker{after: r.opts.BreakerFailures}}
 		}
 		places[p] = c
 		t := targets[p.Key]
 		if t == nil {
 			t = &target{}
+			if old := r.targets[p.Key]; old != nil {
+				t.typical = old.typical
+			}
 			targets[p.Key] = t
 		}
 		t.add(c, s.DataCentre == r.opts.DataCentre)
@@ -123,7 +144,7 @@
 
 func (t *target) add(c *candidate, local bool) {
 	t.candidates = append(t.candidates, c)
-	if !c.server.Closed {
+	if !c.server.Closed && !c.server.stalled {
 		t.open++
 	}
 	if !local {
@@ -134,6 +155,26 @@
 	t.local++
 }
 
+// SetStalled records whether a server process answers probes. It reports
+// whether that changed.
+func (r *Router) SetStalled(name string, incarnation uint64, stalled bool) bool {
+	s, ok := r.servers[name]
+	if !ok || s.Incarnation != incarnation || s.stalled == stalled {
+		return false
+	}
+	s.stalled = stalled
+	for place, c := range r.places {
+		switch {
+		case c.server != s || s.Closed:
+		case stalled:
+			r.targets[place.Key].open--
+		default:
+			r.targets[place.Key].open++
+		}
+	}
+	return true
+}
+
 // Report merges a server's load report. Reports of an older sequence are
 // ignored.
 func (r *Router) Report(name string, incarnation, sequence uint64, load int) {
@@ -155,6 +196,22 @@
 	return t.open
 }
 
+// Stuck returns the number of own attempts for a key on servers that Count
+// leaves out.
+func (r *Router) Stuck(k Key) int {
+	t := r.targets[k]
+	if t == nil || t.open == len(t.candidates) {
+		return 0
+	}
+	n := 0
+	for _, c := range t.candidates {
+		if c.server.Closed || c.server.stalled {
+			n += c.running
+		}
+	}
+	return n
+}
+
 // Query describes one attempt.
 type Query struct {
 	Key Key
@@ -192,21 +249,38 @@
 		return Attempt{}, false
 	}
 	best := r.sample(now, t.candidates[:t.local], q.Exclude)
-	if best == nil || best.server.load() >= r.opts.Spill {
+	if best == nil || best.server.load() >= r.opts.Spill || best.pace.demoted(now) {
 		remote := r.sample(now, t.candidates[t.local:], q.Exclude)
-		if best == nil || remote != nil && 2*remote.server.load() < best.server.load() {
+		if best == nil || remote != nil && remote.better(now, best) {
 			best = remote
 		}
 	}
 	if best == nil {
 		return Attempt{}, false
 	}
-	if c := r.cached(now, q); c != nil && c.server.load() <= int(affinityFactor*float64(best.server.load()))+affinitySlack {
+	if c := r.cached(now, q); c != nil && !c.pace.demoted(now) && c.server.load() <= int(affinityFactor*float64(best.server.load()))+affinitySlack {
 		best = c
 	}
 	return r.begin(now, best), true
 }
 
+// better reports whether a server of another data centre is preferred to a
+// local one.
+func (c *candidate) better(now time.Duration, local *candidate) bool {
+	if c.pace.demoted(now) != local.pace.demoted(now) {
+		return local.pace.demoted(now)
+	}
+	return 2*c.server.load() < local.server.load() && !local.pace.demoted(now)
+}
+
+// less reports whether a server is preferred to another of the same place.
+func (c *candidate) less(now time.Duration, other *candidate) bool {
+	if c.pace.demoted(now) != other.pace.demoted(now) {
+		return other.pace.demoted(now)
+	}
+	return c.server.load() < other.server.load()
+}
+
 // sample returns the better of two random usable candidates.
 func (r *Router) sample(now time.Duration, list []*candidate, exclude string) *candidate {
 	if len(list) == 0 {
@@ -215,14 +289,14 @@
 	var first *candidate
 	for range samples {
 		c := list[r.rng.IntN(len(list))]
-		if c == first || !c.usable(now, exclude) {
+		if c == first || !r.usable(now, c, exclude) {
 			continue
 		}
 		if first == nil {
 			first = c
 			continue
 		}
-		if c.server.load() < first.server.load() {
+		if c.less(now, first) {
 			return c
 		}
 		return first
@@ -232,21 +306,24 @@
 	}
 	start := r.rng.IntN(len(list))
 	for i := range list {
-		if c := list[(start+i)%len(list)]; c.usable(now, exclude) {
+		if c := list[(start+i)%len(list)]; r.usable(now, c, exclude) {
 			return c
 		}
 	}
 	return nil
 }
 
-func (c *candidate) usable(now time.Duration, exclude string) bool {
+func (r *Router) usable(now time.Duration, c *candidate, exclude string) bool {
 	s := c.server
-	return !s.Closed && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
+	full := r.opts.PerServer > 0 && c.running >= r.opts.PerServer
+	return !s.Closed && !s.stalled && !full && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
 }
 
 func (r *Router) begin(now time.Duration, c *candidate) Attempt {
 	c.server.current++
+	c.running++
 	c.breaker.begin(now)
+	c.pace.begin(now)
 	return Attempt{
 		Server: c.server.Name, Address: c.server.Address, Incarnation: c.server.Incarnation,
 		candidate: c, epoch: c.server.epoch,
@@ -261,7 +338,7 @@
 	}
 	var best *candidate
 	for _, c := range t.candidates {
-		if c.usable(now, exclude) && (best == nil || c.server.load() < best.server.load()) {
+		if r.usable(now, c, exclude) && (best == nil || c.server.load() < best.server.load()) {
 			best = c
 		}
 	}
@@ -295,5 +372,6 @@
 	default:
 		s.reported = max(0, s.reported-1)
 	}
+	a.candidate.running--
 	a.candidate.breaker.done(now, result, r.rng)
 }
--- a/node/entry/answer.go
+++ b/node/entry/answer.go
@@ -166,6 +166,7 @@
 	reader := bufio.NewReader(resp.Body)
 	for {
 		event, err := readEvent(reader)
+		f.progress.Store(int64(w.now()))
 		if err != nil && eofIsEnd {
 			w.whole = true
 			return endWhole
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -58,6 +59,8 @@
 // mechanisms are switched off only by tests.
 type mechanisms struct {
 	claims, suspects, attemptCheck, resume, terminal, honest, deadlines bool
+	// queues: all models share one queue.
+	queues, perServer, breakers, stalls, pace, retryBudget bool
 }
 
 // Observation is the end of one request.
@@ -97,6 +100,8 @@
 	crashes map[process]*crash
 	// withheld counts uncommitted crashes by fingerprint.
 	withheld map[string]int
+	vitals   map[process]*vital
+	stopped  chan struct{}
 	nextID   uint64
 	// presence is what the router was last told of each server.
 	presence map[string]presenceMark
@@ -126,13 +131,24 @@
 	e := &Entry{
 		opts: opts, rng: rng, queues: map[routing.Key]*queue{},
 		flights: map[process]map[*flight]struct{}{}, crashes: map[process]*crash{}, withheld: map[string]int{},
-		router: routing.New(routing.Options{DataCentre: opts.DataCentre, Spill: spillLoad}, rng),
-		idle:   make(chan struct{}), presence: map[string]presenceMark{},
+		router: routing.New(opts.routing(), rng), vitals: map[process]*vital{}, stopped: make(chan struct{}),
+		idle: make(chan struct{}), presence: map[string]presenceMark{},
 	}
 	e.refresh()
 	return e
 }
 
+func (o Options) routing() routing.Options {
+	r := routing.Options{DataCentre: o.DataCentre, Spill: spillLoad, PerServer: o.PerServer, IgnorePace: o.off.pace}
+	if o.off.perServer {
+		r.PerServer = 0
+	}
+	if o.off.breakers {
+		r.BreakerFailures = math.MaxInt
+	}
+	return r
+}
+
 // Routes registers the caller routes.
 func (e *Entry) Routes(g *echo.Echo) {
 	g.POST("/v1/chat/completions", e.completions)
@@ -161,8 +177,9 @@
 )
 
 // Run keeps the view of the replica up to date and grants waiting requests
-// until ctx ends.
+// until ctx ends. It is called once.
 func (e *Entry) Run(ctx context.Context) error {
+	defer close(e.stopped)
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
 	for {
--- a/node/entry/queue.go
+++ b/node/entry/queue.go
@@ -29,6 +29,7 @@
 
 // queue returns the queue for a key. The caller holds the lock.
 func (e *Entry) queue(key routing.Key) *queue {
+	key = e.queueKey(key)
 	if qu, ok := e.queues[key]; ok {
 		return qu
 	}
@@ -45,6 +46,14 @@
 	return qu
 }
 
+// queueKey maps the need of a request to the queue that serves it.
+func (e *Entry) queueKey(key routing.Key) routing.Key {
+	if e.opts.off.queues {
+		return routing.Key{}
+	}
+	return key
+}
+
 // admit blocks until the request has a slot.
 func (e *Entry) admit(ctx context.Context, q *call) *Refusal {
 	e.mu.Lock()
@@ -101,7 +110,7 @@
 func (e *Entry) release(q *call, took time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	qu := e.queues[q.key]
+	qu := e.queues[e.queueKey(q.key)]
 	qu.admission.Done(took)
 	e.dispatch(qu)
 }
@@ -109,12 +118,20 @@
 // setCapacity brings the queue's slots in line with the ready servers.
 func (e *Entry) setCapacity(qu *queue) {
 	qu.nominal = e.router.Count(qu.key) * e.opts.PerServer
+	if e.opts.off.queues {
+		qu.nominal = len(e.view.Load().servers) * e.opts.PerServer
+	}
 	var ready time.Duration
 	known := false
 	if qu.nominal == 0 && e.opts.Predict != nil {
 		ready, known = e.opts.Predict(qu.key.Model, qu.key.Adapter)
 	}
-	qu.admission.SetCapacity(qu.limiter.Slots(qu.nominal), ready, known)
+	slots := qu.limiter.Slots(qu.nominal)
+	if slots > 0 {
+		// Attempts on lost servers use up no slot of the others.
+		slots += e.router.Stuck(qu.key)
+	}
+	qu.admission.SetCapacity(slots, ready, known)
 }
 
 // dispatch refuses the requests that are late and grants free slots. The
@@ -145,17 +162,17 @@
 func (e *Entry) retry(q *call) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.queues[q.key].budget.Retry()
+	return e.queues[e.queueKey(q.key)].budget.Retry() || e.opts.off.retryBudget
 }
 
 // notAdmitted tells the limiter that a server had no room for a request.
 func (e *Entry) notAdmitted(q *call) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.queues[q.key].limiter.Refused(e.opts.Now())
+	e.queues[e.queueKey(q.key)].limiter.Refused(e.opts.Now())
 }
 
-// prune drops queues that have not been used for a while. The caller holds the
+// prune drops queues and probes that have not been used for a while. The caller holds the
 // lock.
 func (e *Entry) prune(now time.Duration) {
 	for key, qu := range e.queues {
@@ -163,6 +180,11 @@
 			delete(e.queues, key)
 		}
 	}
+	for p, v := range e.vitals {
+		if v.at > 0 && now-v.at > stallAfter {
+			delete(e.vitals, p)
+		}
+	}
 }
 
 // Demand returns the requests that wait or run here, per model and adapter. A
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -25,9 +25,13 @@
 	id          string
 	fingerprint string
 	attempt     routing.Attempt
+	// began and answered are when the attempt and its answer began.
+	began, answered time.Duration
 	// sent is set once the request may have reached the server.
 	sent  atomic.Bool
 	trial *state.Trial
+	// progress is when the last part of the answer arrived.
+	progress atomic.Int64
 	// received counts the events of the attempt that were read.
 	received int
 }
@@ -166,7 +170,7 @@
 	q.attempts++
 	f := &flight{
 		process: process{a.Server, a.Incarnation}, attempt: a, fingerprint: q.fingerprint,
-		id: q.id + "-" + strconv.Itoa(q.attempts),
+		id: q.id + "-" + strconv.Itoa(q.attempts), began: e.opts.Now(),
 	}
 	set := e.flights[f.process]
 	if set == nil {
@@ -192,7 +196,14 @@
 		delete(e.flights, f.process)
 	}
 	e.router.Done(e.opts.Now(), f.attempt, result)
-	if qu := e.queues[q.key]; end == endWhole {
+	switch {
+	case f.trial != nil || f.answered == 0:
+	case result == routing.Success:
+		e.router.Answered(e.opts.Now(), f.attempt, q.key, f.answered-f.began)
+	case end == endWhole:
+		e.router.Failed(e.opts.Now(), f.attempt)
+	}
+	if qu := e.queues[e.queueKey(q.key)]; end == endWhole {
 		e.router.Cached(f.attempt, q.prefix)
 		qu.limiter.Admitted(qu.nominal)
 	}
@@ -210,21 +221,38 @@
 func (e *Entry) attempt(ctx context.Context, q *call, w *answer, f *flight) ending {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	end := e.exchange(attemptCtx, q, w, f, false)
+	exchangeCtx, stall := context.WithCancelCause(attemptCtx)
+	defer stall(nil)
+	if !e.opts.off.stalls {
+		defer e.watch(attemptCtx, q, f, stall)()
+	}
+	end := e.exchange(exchangeCtx, q, w, f, false)
+	life, probed := backend.LifeUnknown, false
 	for range maxResumes {
-		if end != endCut || q.key.Model == "" || e.opts.off.resume || attemptCtx.Err() != nil {
+		if end != endCut || q.key.Model == "" || e.opts.off.resume || exchangeCtx.Err() != nil {
 			break
 		}
-		if life := e.probe(attemptCtx, f); life != backend.LifeRuns {
+		if life, probed = e.probe(attemptCtx, f), true; life != backend.LifeRuns {
 			break
 		}
-		end = e.exchange(attemptCtx, q, w, f, true)
+		end, probed = e.exchange(exchangeCtx, q, w, f, true), false
 	}
 	if ctx.Err() != nil && end != endWhole {
 		return endCaller
 	}
-	if end == endCut && e.probe(attemptCtx, f) == backend.LifeEnded {
+	if end != endCut {
+		return end
+	}
+	if exchangeCtx.Err() != nil {
+		life = e.vital(attemptCtx, f)
+	} else if !probed {
+		life = e.probe(attemptCtx, f)
+	}
+	switch {
+	case life == backend.LifeEnded:
 		return e.awaitCrash(ctx, f)
+	case life == backend.LifeUnknown && attemptCtx.Err() == nil:
+		e.stalled(f.process, f.attempt.Address)
 	}
 	return end
 }
@@ -260,7 +288,11 @@
 		send = e.opts.Client.DoOnce
 	}
 	resp, err := send(backend.OnSent(ctx, func() { f.sent.Store(true) }), f.attempt.Address, q.method, q.path, header, q.body)
+	f.progress.Store(int64(e.opts.Now()))
 	if err == nil {
+		if !resume {
+			f.answered = e.opts.Now()
+		}
 		defer func() { _ = resp.Body.Close() }()
 		end := e.relay(q, w, f, resp, resume)
 		if end == endWhole {
