--- a/node/entry/isolation_test.go
+++ b/node/entry/isolation_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -242,7 +244,7 @@
 func TestFaultsStayIsolated(t *testing.T) {
 	for _, f := range isoFaults {
 		t.Run(f.name, func(t *testing.T) {
-			for seed := uint64(1); seed <= isoSeeds; seed++ {
+			for seed := uint64(1); seed <= isoRuns(); seed++ {
 				faults, summary := f.check(t, seed, nil)
 				t.Logf("seed %d: %s", seed, summary)
 				for _, s := range faults[:min(len(faults), 5)] {
@@ -256,6 +258,13 @@
 // isoSeeds is the number of seeded runs of each fault.
 const isoSeeds = 3
 
+// isoRuns is one run for every ten checks that are asked for, as a run takes
+// about as long as ten random checks.
+func isoRuns() uint64 {
+	n, _ := strconv.ParseUint(os.Getenv("POLLENWHEEL_FUZZ_CHECKS"), 10, 64)
+	return max(isoSeeds, n/10)
+}
+
 // isoOff is a mechanism that is switched off or weakened under a fault that it
 // contains. want is part of what the oracle must report.
 type isoOff struct {
