--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -60,12 +60,15 @@
 	places   map[Replica]*candidate
 }
 
-// target holds the candidates of one key; those in the own data centre first.
+// target holds the candidates of one key whose server is not closed; those in
+// the own data centre first.
 type target struct {
 	candidates []*candidate
 	local      int
-	// open counts the candidates whose server is neither closed nor stalled.
-	open    int
+	// stalled counts the candidates whose server is stalled.
+	stalled int
+	// lost are the candidates with own attempts on closed servers.
+	lost    []*candidate
 	typical typical
 }
 
@@ -83,8 +86,11 @@
 	// attempts that began after the newest report and after the one before it;
 	// because reports lag, neither is taken to be part of reported.
 	reported, previous, current int
-	epoch                       uint32
-	sequence                    uint64
+	// ended is set when the process was found to have ended, until a newer
+	// report shows that it runs.
+	ended    bool
+	epoch    uint32
+	sequence uint64
 	// stalled servers do not answer probes. They receive no new work.
 	stalled bool
 	// cacheEpoch invalidates all prefix entries of the server when it changes.
@@ -129,6 +135,9 @@
 			c = &candidate{server: s, breaker: breaker{after: r.opts.BreakerFailures}}
 		}
 		places[p] = c
+		if s.Closed && c.running == 0 {
+			continue
+		}
 		t := targets[p.Key]
 		if t == nil {
 			t = &target{}
@@ -137,6 +146,10 @@
 			}
 			targets[p.Key] = t
 		}
+		if s.Closed {
+			t.lost = append(t.lost, c)
+			continue
+		}
 		t.add(c, s.DataCentre == r.opts.DataCentre)
 	}
 	r.servers, r.targets, r.places = next, targets, places
@@ -144,8 +157,8 @@
 
 func (t *target) add(c *candidate, local bool) {
 	t.candidates = append(t.candidates, c)
-	if !c.server.Closed && !c.server.stalled {
-		t.open++
+	if c.server.stalled {
+		t.stalled++
 	}
 	if !local {
 		return
@@ -167,9 +180,9 @@
 		switch {
 		case c.server != s || s.Closed:
 		case stalled:
-			r.targets[place.Key].open--
+			r.targets[place.Key].stalled++
 		default:
-			r.targets[place.Key].open++
+			r.targets[place.Key].stalled--
 		}
 	}
 	return true
@@ -182,30 +195,36 @@
 	if !ok || s.Incarnation != incarnation || sequence <= s.sequence {
 		return
 	}
-	s.sequence, s.reported = sequence, load
+	s.sequence, s.reported, s.ended = sequence, load, false
 	s.previous, s.current = s.current, 0
 	s.epoch++
 }
 
-// Count returns the number of open servers for a key.
+// Count returns the number of servers for a key that are open and not stalled.
 func (r *Router) Count(k Key) int {
 	t := r.targets[k]
 	if t == nil {
 		return 0
 	}
-	return t.open
+	return len(t.candidates) - t.stalled
 }
 
 // Stuck returns the number of own attempts for a key on servers that Count
 // leaves out.
 func (r *Router) Stuck(k Key) int {
 	t := r.targets[k]
-	if t == nil || t.open == len(t.candidates) {
+	if t == nil {
 		return 0
 	}
 	n := 0
+	for _, c := range t.lost {
+		n += c.running
+	}
+	if t.stalled == 0 {
+		return n
+	}
 	for _, c := range t.candidates {
-		if c.server.Closed || c.server.stalled {
+		if c.server.stalled {
 			n += c.running
 		}
 	}
@@ -237,8 +256,14 @@
 	affinitySlack  = 2
 )
 
-// samples is how many random candidates are tried before a scan.
-const samples = 4
+const (
+	// samples is how many random candidates are tried before a scan.
+	samples = 4
+	// scanned bounds the scan, which keeps a decision below 2 us while most
+	// servers of a large fleet are unusable. A request that finds none looks
+	// again soon.
+	scanned = 128
+)
 
 // Pick chooses the less loaded of two random servers for an attempt, or a
 // server that has the prefix cached unless its load is out of bounds. It
@@ -305,7 +330,7 @@
 		return first
 	}
 	start := r.rng.IntN(len(list))
-	for i := range list {
+	for i := range min(len(list), scanned) {
 		if c := list[(start+i)%len(list)]; r.usable(now, c, exclude) {
 			return c
 		}
@@ -316,7 +341,8 @@
 func (r *Router) usable(now time.Duration, c *candidate, exclude string) bool {
 	s := c.server
 	full := r.opts.PerServer > 0 && c.running >= r.opts.PerServer
-	return !s.Closed && !s.stalled && !full && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
+	open := !s.Closed && !s.ended && !s.stalled
+	return open && !full && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
 }
 
 func (r *Router) begin(now time.Duration, c *candidate) Attempt {
@@ -361,6 +387,10 @@
 	Neutral
 )
 
+// Ended closes the server of an attempt whose process has ended, so that other
+// requests do not find it out one by one.
+func (r *Router) Ended(a Attempt) { a.candidate.server.ended = true }
+
 // Done records the end of an attempt.
 func (r *Router) Done(now time.Duration, a Attempt, result Result) {
 	s := a.candidate.server
--- a/node/entry/answer.go
+++ b/node/entry/answer.go
@@ -45,7 +45,9 @@
 	overflow bool
 	whole    bool
 	media    string
-	body     []byte
+	// join skips the comparison of a rerun; only tests set it.
+	join bool
+	body []byte
 }
 
 // rerunnable reports whether a new attempt can continue the answer.
@@ -88,8 +90,11 @@
 	}
 	var refusal backend.RefusalBody
 	if json.Unmarshal(body, &refusal) == nil && refusal.Error.Execution == string(NotRun) && refusal.Error.Code != "bad_request" {
-		if refusal.Error.Code == backend.CodeNotAdmitted {
+		switch refusal.Error.Code {
+		case backend.CodeNotAdmitted:
 			e.notAdmitted(q)
+		case backend.CodeWrongProcess:
+			return endGone
 		}
 		return endNotRun
 	}
@@ -175,7 +180,7 @@
 			return endCut
 		}
 		if f.received < w.sent && !bytes.HasPrefix(event, terminal) {
-			if f.received >= len(w.events) || !sameChoices(event, w.events[f.received]) {
+			if f.received >= len(w.events) || !w.join && !sameChoices(event, w.events[f.received]) {
 				return endBroken
 			}
 			f.received++
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -58,7 +58,7 @@
 
 // mechanisms are switched off only by tests.
 type mechanisms struct {
-	claims, suspects, attemptCheck, resume, terminal, honest, deadlines bool
+	claims, suspects, attemptCheck, resume, terminal, honest, deadlines, cancel, sameAnswer bool
 	// queues: all models share one queue.
 	queues, perServer, breakers, stalls, pace, retryBudget bool
 }
@@ -196,7 +196,8 @@
 }
 
 // Drain refuses new requests and waits until every request in progress has
-// ended and every outcome is committed. It stops nothing.
+// ended and every outcome is committed. It stops nothing; Run must go on until it
+// returns.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.mu.Lock()
 	if !e.draining {
@@ -261,7 +262,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), q.timeout)
 	defer cancel()
-	w := &answer{c: c, now: e.opts.Now, keep: !q.idempotent || q.stream}
+	w := &answer{c: c, now: e.opts.Now, join: e.opts.off.sameAnswer, keep: !q.idempotent || q.stream}
 	refusal = e.handle(ctx, q, w)
 	e.observe(q, w, refusal, start)
 	if refusal == nil {
