Show that a host without a quorum sends no orders

Guards against the load that was committed before the quorum was lost. The oracle sees an order when the lease is ignored. The load is sent once the quorum is back.

--- /dev/null
+++ b/node/control/quorum_test.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/backend"
+	"github.com/pollenwheel/pollenwheel/node/replica"
+)
+
+// gatedLog commits only while the quorum is there.
+type gatedLog struct {
+	*LocalLog
+	quorum *atomic.Bool
+}
+
+func (g gatedLog) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	if !g.quorum.Load() {
+		return state.Result{}, errors.New("no quorum")
+	}
+	return g.LocalLog.Propose(ctx, c)
+}
+
+// countOrders returns a client whose server accepts every order, and the count.
+func countOrders() (*backend.Client, *atomic.Int64) {
+	var orders atomic.Int64
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/orders" {
+			orders.Add(1)
+		}
+		_, _ = io.WriteString(w, `{"accepted":true,"incarnation":1,"sequence":1}`)
+	})
+	return backend.NewClientWith(func(context.Context, string, string) (net.Conn, error) {
+		ours, theirs := net.Pipe()
+		l := &oneConn{conn: make(chan net.Conn, 1), closed: make(chan struct{})}
+		l.conn <- &closing{Conn: theirs, listener: l}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+		go func() { _ = server.Serve(l) }()
+		return ours, nil
+	}), &orders
+}
+
+// oneConn is a listener for one connection, which ends with it.
+type oneConn struct {
+	conn   chan net.Conn
+	closed chan struct{}
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conn:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *oneConn) Close() error   { return nil }
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+type closing struct {
+	net.Conn
+	listener *oneConn
+	once     atomic.Bool
+}
+
+func (c *closing) Close() error {
+	if !c.once.Swap(true) {
+		close(c.listener.closed)
+	}
+	return c.Conn.Close()
+}
+
+// Guards against orders by a host whose quorum is lost, also for a load that was
+// committed before, and against a load that is forgotten when the quorum is back.
+func TestNoOrdersWithoutQuorum(t *testing.T) {
+	sender := state.Sender{Host: "entry-1", Incarnation: 1}
+	for _, c := range []struct {
+		name string
+		// leading is the answer to the nth question while the quorum is lost.
+		leading    func(n int64) bool
+		wantOrders bool
+	}{
+		{"lease ended", func(int64) bool { return false }, false},
+		{"lease ends between the step and the send", func(n int64) bool { return n%2 == 1 }, false},
+		{"lease ignored, which the oracle must see", func(int64) bool { return true }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				r := replica.New(state.New())
+				var quorum atomic.Bool
+				var asked atomic.Int64
+				quorum.Store(true)
+				log := gatedLog{NewLocalLog(r), &quorum}
+				server := membership.Server{Name: "runner-1", Address: "10.0.0.1:80", Incarnation: 1, MemoryMiB: 100}
+				start, heard := time.Now(), time.Duration(0)
+				now := func() time.Duration { return time.Since(start) }
+				logger := logrus.New()
+				logger.SetOutput(io.Discard)
+				client, orders := countOrders()
+				d := NewDispatcher(log, r, client, DispatcherSources{
+					Servers: func() []membership.Presence { return []membership.Presence{{Server: server, Heard: heard}} },
+					Hosts:   func() []membership.Host { return []membership.Host{{Name: sender.Host, Incarnation: 1}} },
+					Now:     now,
+					Leading: func() bool { return quorum.Load() || c.leading(asked.Add(1)) },
+				}, sender, logrus.NewEntry(logger))
+				for _, cmd := range []state.Command{
+					{Configure: &state.Configure{ChangeID: "first", Next: config.Configuration{
+						Services: []config.Service{{Name: "lace-assist", Kind: config.KindEngine}},
+						Models:   []config.Model{{Name: "lace", Service: "lace-assist", Version: "1", MemoryMiB: 10, MaxReplicas: 1}},
+					}}},
+					{Register: &state.Register{Server: "runner-1", Incarnation: 1, Service: "lace-assist", Kind: config.KindEngine, Address: server.Address, MemoryMiB: 100}},
+					{Load: &state.Load{Server: "runner-1", Incarnation: 1, Model: "lace", Sender: sender}},
+				} {
+					res, err := log.Propose(ctx, cmd)
+					if err != nil || res.Err() != nil {
+						t.Fatal(err, res.Err())
+					}
+				}
+				quorum.Store(false)
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					_ = d.Run(ctx)
+				}()
+				time.Sleep(time.Minute)
+				if got := orders.Load(); (got > 0) != c.wantOrders {
+					t.Errorf("%d orders without a quorum", got)
+				}
+				quorum.Store(true)
+				time.Sleep(10 * time.Second)
+				if orders.Load() == 0 {
+					t.Error("the load is forgotten after the quorum is back")
+				}
+				stop()
+				<-done
+				time.Sleep(time.Minute)
+				client.CloseIdle()
+			})
+		})
+	}
+}
