Demote slow servers sooner and try them less often

Cause: slowness was seen only when answers ended, and a server that gets one call a second needs 4 s for four of them; each trial of the demoted server added a slow answer. Attempts that are overdue now count before they are answered, three slow or failed answers demote, and the first trial comes after 5 s. The pace is taken from the begin of an answer, so a long stream is not slow. Ruled out: a longer detection time, since the server would keep its share for as long.

--- a/core/routing/isolation_test.go
+++ b/core/routing/isolation_test.go
@@ -81,27 +81,30 @@
 		want    string
 	}{
 		{"fast", []time.Duration{fast, fast, fast, fast}, "near"},
-		{"three slow in a row", []time.Duration{slow, slow, slow}, "near"},
-		{"four slow in a row", []time.Duration{slow, slow, slow, slow}, "far"},
-		{"slow now and then", []time.Duration{slow, slow, slow, fast, slow, slow, slow}, "near"},
-		{"four failures", []time.Duration{0, 0, 0, 0}, "far"},
-		{"slow and failed", []time.Duration{slow, 0, slow, 0}, "far"},
+		{"two slow in a row", []time.Duration{slow, slow}, "near"},
+		{"three slow in a row", []time.Duration{slow, slow, slow}, "far"},
+		{"slow now and then", []time.Duration{slow, slow, fast, slow, slow}, "near"},
+		{"three failures", []time.Duration{0, 0, 0}, "far"},
+		{"slow and failed", []time.Duration{slow, 0, slow}, "far"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			r := pair(Options{Spill: 100})
 			for _, took := range append([]time.Duration{fast, fast, fast, fast, fast, fast}, c.answers...) {
 				_, a := pickedServer(t, r, 0)
-				r.Done(0, a, Success)
 				if took == 0 {
 					r.Failed(0, a)
 				} else {
-					r.Answered(0, a, lace, took)
+					a.began = -took
+					r.Answered(0, a)
 				}
+				r.Done(0, a, Success)
 			}
-			if got, _ := pickedServer(t, r, 0); got != c.want {
+			got, a := pickedServer(t, r, 0)
+			if got != c.want {
 				t.Errorf("picked %q, want %q", got, c.want)
 			}
+			r.Done(0, a, Neutral)
 			if got, _ := pickedServer(t, r, trialPause); got != "near" {
 				t.Errorf("after the pause picked %q", got)
 			}
@@ -115,3 +118,28 @@
 		})
 	}
 }
+
+// Guards against a demotion that waits until slow answers are there.
+func TestOverdueAttemptsDemote(t *testing.T) {
+	r := pair(Options{Spill: 100})
+	for range learnAnswers {
+		_, a := pickedServer(t, r, 0)
+		r.Answered(100*time.Millisecond, a)
+		r.Done(100*time.Millisecond, a, Success)
+	}
+	var waiting []Attempt
+	for range poorAnswers {
+		_, a := pickedServer(t, r, time.Second)
+		waiting = append(waiting, a)
+	}
+	if got, _ := pickedServer(t, r, time.Second+300*time.Millisecond); got != "near" {
+		t.Errorf("before the attempts are overdue picked %q", got)
+	}
+	if got, _ := pickedServer(t, r, time.Second+400*time.Millisecond); got != "far" {
+		t.Errorf("with overdue attempts picked %q", got)
+	}
+	r.Answered(time.Second+100*time.Millisecond, waiting[0])
+	if got, _ := pickedServer(t, r, time.Second+400*time.Millisecond); got != "near" {
+		t.Errorf("after an answer picked %q", got)
+	}
+}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -58,6 +58,8 @@
 	targets  map[Key]*target
 	prefixes map[uint64]prefixEntry
 	places   map[Replica]*candidate
+	// serial numbers the attempts.
+	serial uint64
 }
 
 // target holds the candidates of one key whose server is not closed; those in
@@ -69,13 +71,16 @@
 	stalled int
 	// lost are the candidates with own attempts on closed servers.
 	lost    []*candidate
-	typical typical
+	typical *typical
 }
 
 type candidate struct {
 	server  *server
 	breaker breaker
 	pace    pace
+	typical *typical
+	// waits are the attempts whose answer has not begun, oldest first.
+	waits []wait
 	// running counts own attempts in progress.
 	running int
 }
@@ -140,12 +145,13 @@
 		}
 		t := targets[p.Key]
 		if t == nil {
-			t = &target{}
+			t = &target{typical: &typical{}}
 			if old := r.targets[p.Key]; old != nil {
 				t.typical = old.typical
 			}
 			targets[p.Key] = t
 		}
+		c.typical = t.typical
 		if s.Closed {
 			t.lost = append(t.lost, c)
 			continue
@@ -247,6 +253,8 @@
 	Incarnation uint64
 	candidate   *candidate
 	epoch       uint32
+	serial      uint64
+	began       time.Duration
 }
 
 // affinityFactor and affinitySlack bound how much more load a server with the
@@ -274,7 +282,7 @@
 		return Attempt{}, false
 	}
 	best := r.sample(now, t.candidates[:t.local], q.Exclude)
-	if best == nil || best.server.load() >= r.opts.Spill || best.pace.demoted(now) {
+	if best == nil || best.server.load() >= r.opts.Spill || best.demoted(now) {
 		remote := r.sample(now, t.candidates[t.local:], q.Exclude)
 		if best == nil || remote != nil && remote.better(now, best) {
 			best = remote
@@ -283,7 +291,7 @@
 	if best == nil {
 		return Attempt{}, false
 	}
-	if c := r.cached(now, q); c != nil && !c.pace.demoted(now) && c.server.load() <= int(affinityFactor*float64(best.server.load()))+affinitySlack {
+	if c := r.cached(now, q); c != nil && !c.demoted(now) && c.server.load() <= int(affinityFactor*float64(best.server.load()))+affinitySlack {
 		best = c
 	}
 	return r.begin(now, best), true
@@ -292,16 +300,16 @@
 // better reports whether a server of another data centre is preferred to a
 // local one.
 func (c *candidate) better(now time.Duration, local *candidate) bool {
-	if c.pace.demoted(now) != local.pace.demoted(now) {
-		return local.pace.demoted(now)
+	if c.demoted(now) != local.demoted(now) {
+		return local.demoted(now)
 	}
-	return 2*c.server.load() < local.server.load() && !local.pace.demoted(now)
+	return 2*c.server.load() < local.server.load() && !local.demoted(now)
 }
 
 // less reports whether a server is preferred to another of the same place.
 func (c *candidate) less(now time.Duration, other *candidate) bool {
-	if c.pace.demoted(now) != other.pace.demoted(now) {
-		return other.pace.demoted(now)
+	if c.demoted(now) != other.demoted(now) {
+		return other.demoted(now)
 	}
 	return c.server.load() < other.server.load()
 }
@@ -350,9 +358,13 @@
 	c.running++
 	c.breaker.begin(now)
 	c.pace.begin(now)
+	r.serial++
+	if !r.opts.IgnorePace {
+		c.waits = append(c.waits, wait{r.serial, now})
+	}
 	return Attempt{
 		Server: c.server.Name, Address: c.server.Address, Incarnation: c.server.Incarnation,
-		candidate: c, epoch: c.server.epoch,
+		candidate: c, epoch: c.server.epoch, serial: r.serial, began: now,
 	}
 }
 
@@ -403,5 +415,6 @@
 		s.reported = max(0, s.reported-1)
 	}
 	a.candidate.running--
+	a.candidate.waitOver(a)
 	a.candidate.breaker.done(now, result, r.rng)
 }
--- a/node/entry/isolation_test.go
+++ b/node/entry/isolation_test.go
@@ -111,8 +111,8 @@
 	engineFault("slow", isSlow),
 	engineFault("resets", resets),
 	{
-		// The server is demoted after 4 failures for each of two models, and
-		// tried again after 2 and 6 s. Other hosts fall back on it at times.
+		// The server is demoted after 3 failures for each of two models, and
+		// tried again after 5 s. Other hosts fall back on it at times.
 		name: "server fails", maxBad: 20, inject: func(w *isoWorld) { w.servers[0].server.Store(int32(fails)) },
 		touched: func(c *isoCall) bool { return c.model == "lace" || c.model == "bobbin" },
 	},
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -25,8 +25,6 @@
 	id          string
 	fingerprint string
 	attempt     routing.Attempt
-	// began and answered are when the attempt and its answer began.
-	began, answered time.Duration
 	// sent is set once the request may have reached the server.
 	sent  atomic.Bool
 	trial *state.Trial
@@ -173,7 +171,7 @@
 	q.attempts++
 	f := &flight{
 		process: process{a.Server, a.Incarnation}, attempt: a, fingerprint: q.fingerprint,
-		id: q.id + "-" + strconv.Itoa(q.attempts), began: e.opts.Now(),
+		id: q.id + "-" + strconv.Itoa(q.attempts),
 	}
 	set := e.flights[f.process]
 	if set == nil {
@@ -199,13 +197,6 @@
 		delete(e.flights, f.process)
 	}
 	e.router.Done(e.opts.Now(), f.attempt, result)
-	switch {
-	case f.trial != nil || f.answered == 0:
-	case result == routing.Success:
-		e.router.Answered(e.opts.Now(), f.attempt, q.key, f.answered-f.began)
-	case end == endWhole:
-		e.router.Failed(e.opts.Now(), f.attempt)
-	}
 	if end == endGone || end == endCrashed || end == endUncommitted {
 		e.router.Ended(f.attempt)
 	}
@@ -298,7 +289,7 @@
 	f.progress.Store(int64(e.opts.Now()))
 	if err == nil {
 		if !resume {
-			f.answered = e.opts.Now()
+			e.answered(f, resp.StatusCode)
 		}
 		defer func() { _ = resp.Body.Close() }()
 		end := e.relay(q, w, f, resp, resume)
@@ -324,6 +315,20 @@
 	return endCut
 }
 
+// answered tells the router that the answer of an attempt has begun. A server
+// that did not admit the request says nothing about its pace.
+func (e *Entry) answered(f *flight, status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case f.trial != nil || status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+	case status >= http.StatusInternalServerError:
+		e.router.Failed(e.opts.Now(), f.attempt)
+	default:
+		e.router.Answered(e.opts.Now(), f.attempt)
+	}
+}
+
 // answerEndTimeout bounds the wait for the end of a connection's answer after
 // its terminal mark.
 const answerEndTimeout = 100 * time.Millisecond
