--- a/core/orders/orders_test.go
+++ b/core/orders/orders_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/pollenwheel/pollenwheel/core/config"
 	"github.com/pollenwheel/pollenwheel/core/internal/proptest"
+	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/state"
 )
 
@@ -65,6 +68,73 @@
 	}
 }
 
+// TestReturnedServerIsReconciled guards against surplus that stays loaded on a
+// server that was presumed lost and came back: it is registered again, what it
+// holds is adopted as surplus, and adapters are unloaded before their model.
+func TestReturnedServerIsReconciled(t *testing.T) {
+	s := state.New()
+	index := uint64(0)
+	apply := func(commands ...state.Command) {
+		for _, c := range commands {
+			index++
+			s.Apply(index, c)
+		}
+	}
+	server := membership.Server{Name: "e", Service: "s", Incarnation: 1, Sequence: 1, MemoryMiB: 100, Models: []membership.Report{
+		{Model: "m0", Phase: membership.ReportReady, Order: 3}, {Model: "m0", Adapter: "am0", Phase: membership.ReportReady, Order: 4},
+	}}
+	apply(state.Command{Configure: &state.Configure{ChangeID: "c", Next: testConfiguration()}})
+	apply(registration(server), state.Command{Lose: &state.Lose{Server: "e", Incarnation: 1}})
+	x := New(state.Sender{Host: "h", Incarnation: 1})
+	var sent []string
+	for now := range 20 {
+		out := x.Step(Input{Now: time.Duration(now) * time.Second, State: s, Leading: true, Servers: []membership.Presence{{Server: server}}})
+		for _, o := range out.Orders {
+			sent = append(sent, o.Key.Adapter+"/"+o.Key.Model)
+			for i, r := range server.Models {
+				if r.Model == o.Key.Model && r.Adapter == o.Key.Adapter {
+					server.Models[i].Phase, server.Models[i].Order = membership.ReportAbsent, o.Fence
+				}
+			}
+			server.Sequence++
+		}
+		apply(out.Commands...)
+	}
+	if want := []string{"am0/m0", "/m0"}; !slices.Equal(sent, want) || len(s.Placements) != 0 {
+		t.Fatalf("orders %v, want %v; placements left %v", sent, want, s.Placements)
+	}
+}
+
+// TestUnloadWaitsForRequests guards against an unload that cuts requests in
+// progress, or that is sent before every host stopped routing to the replica.
+func TestUnloadWaitsForRequests(t *testing.T) {
+	s := state.New()
+	key := state.PlaceKey{Server: "e", Model: "m0"}
+	s.Apply(1, state.Command{Configure: &state.Configure{ChangeID: "c", Next: testConfiguration()}})
+	s.Apply(2, registration(membership.Server{Name: "e", Service: "s", Incarnation: 1, MemoryMiB: 100}))
+	s.Apply(3, state.Command{Load: &state.Load{Server: "e", Incarnation: 1, Model: "m0"}})
+	s.Apply(4, state.Command{Settle: &state.Settle{Server: "e", Incarnation: 1, Model: "m0", Fence: 3, Loaded: true}})
+	s.Apply(5, state.Command{Unload: &state.Unload{Server: "e", Incarnation: 1, Model: "m0"}})
+	x := New(state.Sender{Host: "h", Incarnation: 1})
+	cases := []struct {
+		name string
+		at   time.Duration
+		busy bool
+		want int
+	}{
+		{"the hosts may not know the intent yet", time.Second, false, 0},
+		{"a request is in progress", 4 * time.Second, true, 0},
+		{"the request has ended", 5 * time.Second, false, 1},
+		{"the order was just sent", 6 * time.Second, false, 0},
+	}
+	for _, c := range cases {
+		busy := func(k state.PlaceKey) bool { return c.busy && k == key }
+		if got := len(x.Step(Input{Now: c.at, State: s, Leading: true, Busy: busy}).Orders); got != c.want {
+			t.Errorf("%s: %d orders, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 func testConfiguration() config.Configuration {
 	c := config.Configuration{Services: []config.Service{{Name: "s", Kind: config.KindEngine}}}
 	for i := range 3 {
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -18,6 +18,10 @@
 // planInterval is how often the leader plans.
 const planInterval = 20 * time.Millisecond
 
+// reportTimeout is how long a new leader waits for the reports of the
+// registered backend servers.
+const reportTimeout = membership.SilentAfter + time.Second
+
 // Log commits commands.
 type Log interface {
 	Propose(ctx context.Context, c state.Command) (state.Result, error)
@@ -41,12 +45,16 @@
 	// planning guards the planner.
 	planning sync.Mutex
 	planner  *placement.Planner
+
+	since   time.Duration
+	settled bool
 }
 
 // NewLeader returns a leader that identifies itself as sender.
 func NewLeader(log Log, r *replica.Replica, src Sources, sender state.Sender, logger *logrus.Entry) *Leader {
 	return &Leader{
-		log: log, replica: r, sources: src, sender: sender, planner: placement.New(), logger: logger,
+		log: log, replica: r, sources: src, sender: sender, logger: logger,
+		planner: placement.New(), since: src.Now(),
 	}
 }
 
@@ -66,16 +74,45 @@
 
 func (l *Leader) step(ctx context.Context) {
 	in := placement.Input{
-		Now: l.sources.Now(), State: snapshot(l.replica), Servers: l.sources.Servers(),
-		Demand: l.sources.Demand(), Sender: l.sender,
+		Now: l.sources.Now(), UnixMS: time.Now().UnixMilli(), State: l.replica.Snapshot(),
+		Servers: l.sources.Servers(), Demand: l.sources.Demand(), Sender: l.sender,
+	}
+	if !l.reported(in) {
+		return
 	}
 	for _, d := range l.plan(in) {
 		propose(ctx, l.log, state.Command{Load: d.Load, Unload: d.Unload}, l.logger)
 	}
 }
 
+// reported tells whether every registered backend server was heard from since
+// this host began to lead, or had the time for it. Before that, a plan could
+// load again what a server already holds.
+func (l *Leader) reported(in placement.Input) bool {
+	if l.settled {
+		return true
+	}
+	heard := map[string]bool{}
+	for _, srv := range in.Servers {
+		heard[srv.Name] = !srv.Silent
+	}
+	l.settled = true
+	for name, srv := range in.State.Servers {
+		l.settled = l.settled && (srv.Lost || heard[name])
+	}
+	l.settled = l.settled || in.Now-l.since > reportTimeout
+	return l.settled
+}
+
 func (l *Leader) plan(in placement.Input) []placement.Decision {
 	l.planning.Lock()
 	defer l.planning.Unlock()
 	return l.planner.Plan(in)
 }
+
+// Predict returns what the newest plan says about a target that is waited for.
+func (l *Leader) Predict(t placement.Target) (placement.Prediction, bool) {
+	l.planning.Lock()
+	defer l.planning.Unlock()
+	return l.planner.Ready(t)
+}
--- a/node/control/groupapi.go
+++ b/node/control/groupapi.go
@@ -43,6 +43,11 @@
 	RepairAfter time.Duration
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
+
+	// maxBytes bounds the data folder's file in tests.
+	maxBytes int
+	// sendFirst sends before it syncs, in the test that shows why not to.
+	sendFirst bool
 }
 
 // MemberStatus is one member as this host knows it.
@@ -54,10 +59,17 @@
 // Status is a consistent view of the group on this host.
 type Status struct {
 	// Leader is the leader's host name, or empty.
-	Leader     string
-	Term       uint64
-	Applied    uint64
+	Leader string
+	Term   uint64
+	// Applied covers every entry that this host has answered for.
+	Applied uint64
+	// Last is the highest index in this host's log. A committed entry is at or
+	// below the highest Last of any majority of voters, even where the hosts
+	// that report have not applied it yet.
+	Last       uint64
 	LeaseValid bool
+	// Leading is set while this host leads, with or without a valid lease.
+	Leading bool
 	// Self is this host's member id.
 	Self    uint64
 	Members []MemberStatus
@@ -100,6 +112,24 @@
 	return "control: outcome of the proposal is unknown: " + e.Reason
 }
 
+// MaxCommandBytes bounds one encoded command.
+const MaxCommandBytes = 16 << 20
+
+// CommandSizeError refuses a command above MaxCommandBytes.
+type CommandSizeError struct{ Bytes int }
+
+func (e *CommandSizeError) Error() string {
+	return fmt.Sprintf("control: command has %d bytes, at most %d are allowed", e.Bytes, MaxCommandBytes)
+}
+
+// StorageError refuses a proposal because the data folder cannot be written.
+type StorageError struct{ Err error }
+
+func (e *StorageError) Error() string { return "control: " + e.Err.Error() }
+
+// Unwrap returns the storage error.
+func (e *StorageError) Unwrap() error { return e.Err }
+
 // MemberError refuses a membership change or a transfer.
 type MemberError struct{ Err error }
 
--- a/node/control/quorum_test.go
+++ b/node/control/quorum_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/pollenwheel/pollenwheel/core/config"
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/placement"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/backend"
 	"github.com/pollenwheel/pollenwheel/node/replica"
@@ -111,9 +112,12 @@
 				logger := logrus.New()
 				logger.SetOutput(io.Discard)
 				client, orders := countOrders()
+				unchanged := make(chan struct{})
 				d := NewDispatcher(log, r, client, DispatcherSources{
 					Servers: func() []membership.Presence { return []membership.Presence{{Server: server, Heard: heard}} },
 					Hosts:   func() []membership.Host { return []membership.Host{{Name: sender.Host, Incarnation: 1}} },
+					Demand:  func() []placement.Demand { return nil },
+					Changed: func() <-chan struct{} { return unchanged },
 					Now:     now,
 					Leading: func() bool { return quorum.Load() || c.leading(asked.Add(1)) },
 				}, sender, logrus.NewEntry(logger))
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -19,6 +19,9 @@
 	CallerAddress string
 	// PeerAddress is the IP address and port for other hosts.
 	PeerAddress string
+	// AdvertisedPeerAddress is what other hosts use instead of PeerAddress, if
+	// set, as behind a forwarder.
+	AdvertisedPeerAddress string
 	// AddressKeep is how long callers may cache the address list. A leaving host
 	// serves for this long after it left the list.
 	AddressKeep time.Duration
@@ -122,6 +125,7 @@
 		inifile.Name("data_centre", &r.DataCentre).Must(),
 		inifile.Address("caller_address", &r.CallerAddress).Must(),
 		inifile.Address("peer_address", &r.PeerAddress).Must(),
+		inifile.Address("advertised_peer_address", &r.AdvertisedPeerAddress),
 		inifile.Duration("address_keep", &r.AddressKeep, time.Second, time.Hour),
 	}
 }
@@ -178,8 +182,8 @@
 		return r.fault("control", "data_folder", r.DataFolder, "left out, because control is not enabled")
 	}
 	for _, p := range r.Peers {
-		if p.Name == r.Host && p.Address != r.PeerAddress {
-			return r.fault("peers", p.Name, p.Address, "the host's own peer_address "+r.PeerAddress)
+		if p.Name == r.Host && p.Address != r.advertised() {
+			return r.fault("peers", p.Name, p.Address, "the host's own peer_address "+r.advertised())
 		}
 		if p.Name != r.Host && (p.Address == r.PeerAddress || p.Address == r.CallerAddress) {
 			return r.fault("peers", p.Name, p.Address, "different from the addresses of this host")
@@ -199,12 +203,20 @@
 	return nil
 }
 
+// advertised is the own address as the other hosts list it.
+func (r *reader) advertised() string {
+	if r.AdvertisedPeerAddress != "" {
+		return r.AdvertisedPeerAddress
+	}
+	return r.PeerAddress
+}
+
 func (r *reader) fault(section, key, value, allowed string) error {
 	return &Error{File: r.path, Section: section, Key: key, Value: value, Allowed: allowed}
 }
 
 func (r *reader) resolveVoters() error {
-	known := append([]Peer{{Name: r.Host, Address: r.PeerAddress}}, r.Peers...)
+	known := append([]Peer{{Name: r.Host, Address: r.advertised()}}, r.Peers...)
 	for _, name := range r.voters {
 		i := slices.IndexFunc(known, func(p Peer) bool { return p.Name == name })
 		if i < 0 {
