--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -39,6 +39,15 @@
 	// Spill is the load above which a server of another data centre is
 	// considered as well.
 	Spill int
+	// PerServer bounds own attempts in progress for one key on one server; zero
+	// means no bound.
+	PerServer int
+	// BreakerFailures is how many consecutive failures open a breaker; zero
+	// means 3.
+	BreakerFailures int
+	// IgnorePace sends work to servers that answer slowly or with errors as to
+	// any other.
+	IgnorePace bool
 }
 
 // Router is not safe for concurrent use.
@@ -49,6 +58,8 @@
 	targets  map[Key]*target
 	prefixes map[uint64]prefixEntry
 	places   map[Replica]*candidate
+	// serial numbers the attempts.
+	serial uint64
 }
 
 // target holds the candidates of one key whose server is not closed; those in
@@ -56,11 +67,22 @@
 type target struct {
 	candidates []*candidate
 	local      int
+	// stalled counts the candidates whose server is stalled.
+	stalled int
+	// lost are the candidates with own attempts on closed servers.
+	lost    []*candidate
+	typical *typical
 }
 
 type candidate struct {
 	server  *server
 	breaker breaker
+	pace    pace
+	typical *typical
+	// waits are the attempts whose answer has not begun, oldest first.
+	waits []wait
+	// running counts own attempts in progress.
+	running int
 }
 
 type server struct {
@@ -74,6 +96,8 @@
 	ended    bool
 	epoch    uint32
 	sequence uint64
+	// stalled servers do not answer probes. They receive no new work.
+	stalled bool
 	// cacheEpoch invalidates all prefix entries of the server when it changes.
 	cacheEpoch    uint32
 	cacheSequence uint64
@@ -83,6 +107,9 @@
 
 // New returns a router without servers.
 func New(opts Options, rng *rand.Rand) *Router {
+	if opts.BreakerFailures == 0 {
+		opts.BreakerFailures = breakerFailures
+	}
 	return &Router{
 		opts: opts, rng: rng, servers: map[string]*server{}, targets: map[Key]*target{},
 		prefixes: map[uint64]prefixEntry{}, places: map[Replica]*candidate{},
@@ -110,17 +137,25 @@
 		}
 		c := r.places[p]
 		if c == nil || c.server != s {
-			c = &candidate{server: s}
+			c = &candidate{server: s, breaker: breaker{after: r.opts.BreakerFailures}}
 		}
 		places[p] = c
-		if s.Closed {
+		if s.Closed && c.running == 0 {
 			continue
 		}
 		t := targets[p.Key]
 		if t == nil {
-			t = &target{}
+			t = &target{typical: &typical{}}
+			if old := r.targets[p.Key]; old != nil {
+				t.typical = old.typical
+			}
 			targets[p.Key] = t
 		}
+		c.typical = t.typical
+		if s.Closed {
+			t.lost = append(t.lost, c)
+			continue
+		}
 		t.add(c, s.DataCentre == r.opts.DataCentre)
 	}
 	r.servers, r.targets, r.places = next, targets, places
@@ -128,6 +163,9 @@
 
 func (t *target) add(c *candidate, local bool) {
 	t.candidates = append(t.candidates, c)
+	if c.server.stalled {
+		t.stalled++
+	}
 	if !local {
 		return
 	}
@@ -136,6 +174,26 @@
 	t.local++
 }
 
+// SetStalled records whether a server process answers probes. It reports
+// whether that changed.
+func (r *Router) SetStalled(name string, incarnation uint64, stalled bool) bool {
+	s, ok := r.servers[name]
+	if !ok || s.Incarnation != incarnation || s.stalled == stalled {
+		return false
+	}
+	s.stalled = stalled
+	for place, c := range r.places {
+		switch {
+		case c.server != s || s.Closed:
+		case stalled:
+			r.targets[place.Key].stalled++
+		default:
+			r.targets[place.Key].stalled--
+		}
+	}
+	return true
+}
+
 // Report merges a server's load report. Reports of an older sequence are
 // ignored.
 func (r *Router) Report(name string, incarnation, sequence uint64, load int) {
@@ -148,13 +206,35 @@
 	s.epoch++
 }
 
-// Count returns the number of open servers for a key.
+// Count returns the number of servers for a key that are open and not stalled.
 func (r *Router) Count(k Key) int {
 	t := r.targets[k]
 	if t == nil {
 		return 0
 	}
-	return len(t.candidates)
+	return len(t.candidates) - t.stalled
+}
+
+// Stuck returns the number of own attempts for a key on servers that Count
+// leaves out.
+func (r *Router) Stuck(k Key) int {
+	t := r.targets[k]
+	if t == nil {
+		return 0
+	}
+	n := 0
+	for _, c := range t.lost {
+		n += c.running
+	}
+	if t.stalled == 0 {
+		return n
+	}
+	for _, c := range t.candidates {
+		if c.server.stalled {
+			n += c.running
+		}
+	}
+	return n
 }
 
 // Query describes one attempt.
@@ -173,6 +253,8 @@
 	Incarnation uint64
 	candidate   *candidate
 	epoch       uint32
+	serial      uint64
+	began       time.Duration
 }
 
 // affinityFactor and affinitySlack bound how much more load a server with the
@@ -200,21 +282,38 @@
 		return Attempt{}, false
 	}
 	best := r.sample(now, t.candidates[:t.local], q.Exclude)
-	if best == nil || best.server.load() >= r.opts.Spill {
+	if best == nil || best.server.load() >= r.opts.Spill || best.demoted(now) {
 		remote := r.sample(now, t.candidates[t.local:], q.Exclude)
-		if best == nil || remote != nil && 2*remote.server.load() < best.server.load() {
+		if best == nil || remote != nil && remote.better(now, best) {
 			best = remote
 		}
 	}
 	if best == nil {
 		return Attempt{}, false
 	}
-	if c := r.cached(now, q); c != nil && c.server.load() <= int(affinityFactor*float64(best.server.load()))+affinitySlack {
+	if c := r.cached(now, q); c != nil && !c.demoted(now) && c.server.load() <= int(affinityFactor*float64(best.server.load()))+affinitySlack {
 		best = c
 	}
 	return r.begin(now, best), true
 }
 
+// better reports whether a server of another data centre is preferred to a
+// local one.
+func (c *candidate) better(now time.Duration, local *candidate) bool {
+	if c.demoted(now) != local.demoted(now) {
+		return local.demoted(now)
+	}
+	return 2*c.server.load() < local.server.load() && !local.demoted(now)
+}
+
+// less reports whether a server is preferred to another of the same place.
+func (c *candidate) less(now time.Duration, other *candidate) bool {
+	if c.demoted(now) != other.demoted(now) {
+		return other.demoted(now)
+	}
+	return c.server.load() < other.server.load()
+}
+
 // sample returns the better of two random usable candidates.
 func (r *Router) sample(now time.Duration, list []*candidate, exclude string) *candidate {
 	if len(list) == 0 {
@@ -223,14 +322,14 @@
 	var first *candidate
 	for range samples {
 		c := list[r.rng.IntN(len(list))]
-		if c == first || !c.usable(now, exclude) {
+		if c == first || !r.usable(now, c, exclude) {
 			continue
 		}
 		if first == nil {
 			first = c
 			continue
 		}
-		if c.server.load() < first.server.load() {
+		if c.less(now, first) {
 			return c
 		}
 		return first
@@ -240,24 +339,32 @@
 	}
 	start := r.rng.IntN(len(list))
 	for i := range min(len(list), scanned) {
-		if c := list[(start+i)%len(list)]; c.usable(now, exclude) {
+		if c := list[(start+i)%len(list)]; r.usable(now, c, exclude) {
 			return c
 		}
 	}
 	return nil
 }
 
-func (c *candidate) usable(now time.Duration, exclude string) bool {
+func (r *Router) usable(now time.Duration, c *candidate, exclude string) bool {
 	s := c.server
-	return !s.Closed && !s.ended && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
+	full := r.opts.PerServer > 0 && c.running >= r.opts.PerServer
+	open := !s.Closed && !s.ended && !s.stalled
+	return open && !full && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
 }
 
 func (r *Router) begin(now time.Duration, c *candidate) Attempt {
 	c.server.current++
+	c.running++
 	c.breaker.begin(now)
+	c.pace.begin(now)
+	r.serial++
+	if !r.opts.IgnorePace {
+		c.waits = append(c.waits, wait{r.serial, now})
+	}
 	return Attempt{
 		Server: c.server.Name, Address: c.server.Address, Incarnation: c.server.Incarnation,
-		candidate: c, epoch: c.server.epoch,
+		candidate: c, epoch: c.server.epoch, serial: r.serial, began: now,
 	}
 }
 
@@ -269,7 +376,7 @@
 	}
 	var best *candidate
 	for _, c := range t.candidates {
-		if c.usable(now, exclude) && (best == nil || c.server.load() < best.server.load()) {
+		if r.usable(now, c, exclude) && (best == nil || c.server.load() < best.server.load()) {
 			best = c
 		}
 	}
@@ -307,5 +414,7 @@
 	default:
 		s.reported = max(0, s.reported-1)
 	}
+	a.candidate.running--
+	a.candidate.waitOver(a)
 	a.candidate.breaker.done(now, result, r.rng)
 }
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -29,6 +29,8 @@
 	// sent is set once the request may have reached the server.
 	sent  atomic.Bool
 	trial *state.Trial
+	// progress is when the last part of the answer arrived.
+	progress atomic.Int64
 	// received counts the events of the attempt that were read.
 	received int
 }
@@ -199,7 +201,7 @@
 	if end == endGone || end == endCrashed || end == endUncommitted {
 		e.router.Ended(f.attempt)
 	}
-	if qu := e.queues[q.key]; end == endWhole {
+	if qu := e.queues[e.queueKey(q.key)]; end == endWhole {
 		e.router.Cached(f.attempt, q.prefix)
 		qu.limiter.Admitted(qu.nominal)
 	}
@@ -217,21 +219,38 @@
 func (e *Entry) attempt(ctx context.Context, q *call, w *answer, f *flight) ending {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	end := e.exchange(attemptCtx, q, w, f, false)
+	exchangeCtx, stall := context.WithCancelCause(attemptCtx)
+	defer stall(nil)
+	if !e.opts.off.stalls {
+		defer e.watch(attemptCtx, q, f, stall)()
+	}
+	end := e.exchange(exchangeCtx, q, w, f, false)
+	life, probed := backend.LifeUnknown, false
 	for range maxResumes {
-		if end != endCut || q.key.Model == "" || e.opts.off.resume || attemptCtx.Err() != nil {
+		if end != endCut || q.key.Model == "" || e.opts.off.resume || exchangeCtx.Err() != nil {
 			break
 		}
-		if life := e.probe(attemptCtx, f); life != backend.LifeRuns {
+		if life, probed = e.probe(attemptCtx, f), true; life != backend.LifeRuns {
 			break
 		}
-		end = e.exchange(attemptCtx, q, w, f, true)
+		end, probed = e.exchange(exchangeCtx, q, w, f, true), false
 	}
 	if ctx.Err() != nil && end != endWhole {
 		return endCaller
 	}
-	if end == endCut && e.probe(attemptCtx, f) == backend.LifeEnded {
+	if end != endCut {
+		return end
+	}
+	if exchangeCtx.Err() != nil {
+		life = e.vital(attemptCtx, f)
+	} else if !probed {
+		life = e.probe(attemptCtx, f)
+	}
+	switch {
+	case life == backend.LifeEnded:
 		return e.awaitCrash(ctx, f)
+	case life == backend.LifeUnknown && attemptCtx.Err() == nil:
+		e.stalled(f.process, f.attempt.Address)
 	}
 	return end
 }
@@ -268,7 +287,11 @@
 		send = e.opts.Client.DoOnce
 	}
 	resp, err := send(backend.OnSent(ctx, func() { f.sent.Store(true) }), f.attempt.Address, q.method, q.path, header, q.body)
+	f.progress.Store(int64(e.opts.Now()))
 	if err == nil {
+		if !resume {
+			e.answered(f, resp.StatusCode)
+		}
 		defer func() { _ = resp.Body.Close() }()
 		end := e.relay(q, w, f, resp, resume)
 		if end == endWhole {
@@ -293,6 +316,20 @@
 	return endCut
 }
 
+// answered tells the router that the answer of an attempt has begun. A server
+// that did not admit the request says nothing about its pace.
+func (e *Entry) answered(f *flight, status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case f.trial != nil || status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+	case status >= http.StatusInternalServerError:
+		e.router.Failed(e.opts.Now(), f.attempt)
+	default:
+		e.router.Answered(e.opts.Now(), f.attempt)
+	}
+}
+
 // answerEndTimeout bounds the wait for the end of a connection's answer after
 // its terminal mark.
 const answerEndTimeout = 100 * time.Millisecond
