--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -51,7 +51,8 @@
 	places   map[Replica]*candidate
 }
 
-// target holds the candidates of one key; those in the own data centre first.
+// target holds the candidates of one key whose server is not closed; those in
+// the own data centre first.
 type target struct {
 	candidates []*candidate
 	local      int
@@ -68,8 +69,11 @@
 	// attempts that began after the newest report and after the one before it;
 	// because reports lag, neither is taken to be part of reported.
 	reported, previous, current int
-	epoch                       uint32
-	sequence                    uint64
+	// ended is set when the process was found to have ended, until a newer
+	// report shows that it runs.
+	ended    bool
+	epoch    uint32
+	sequence uint64
 	// cacheEpoch invalidates all prefix entries of the server when it changes.
 	cacheEpoch    uint32
 	cacheSequence uint64
@@ -109,6 +113,9 @@
 			c = &candidate{server: s}
 		}
 		places[p] = c
+		if s.Closed {
+			continue
+		}
 		t := targets[p.Key]
 		if t == nil {
 			t = &target{}
@@ -136,7 +143,7 @@
 	if !ok || s.Incarnation != incarnation || sequence <= s.sequence {
 		return
 	}
-	s.sequence, s.reported = sequence, load
+	s.sequence, s.reported, s.ended = sequence, load, false
 	s.previous, s.current = s.current, 0
 	s.epoch++
 }
@@ -147,13 +154,7 @@
 	if t == nil {
 		return 0
 	}
-	n := 0
-	for _, c := range t.candidates {
-		if !c.server.Closed {
-			n++
-		}
-	}
-	return n
+	return len(t.candidates)
 }
 
 // Query describes one attempt.
@@ -181,8 +182,14 @@
 	affinitySlack  = 2
 )
 
-// samples is how many random candidates are tried before a scan.
-const samples = 4
+const (
+	// samples is how many random candidates are tried before a scan.
+	samples = 4
+	// scanned bounds the scan, which keeps a decision below 2 us while most
+	// servers of a large fleet are unusable. A request that finds none looks
+	// again soon.
+	scanned = 128
+)
 
 // Pick chooses the less loaded of two random servers for an attempt, or a
 // server that has the prefix cached unless its load is out of bounds. It
@@ -232,7 +239,7 @@
 		return first
 	}
 	start := r.rng.IntN(len(list))
-	for i := range list {
+	for i := range min(len(list), scanned) {
 		if c := list[(start+i)%len(list)]; c.usable(now, exclude) {
 			return c
 		}
@@ -242,7 +249,7 @@
 
 func (c *candidate) usable(now time.Duration, exclude string) bool {
 	s := c.server
-	return !s.Closed && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
+	return !s.Closed && !s.ended && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
 }
 
 func (r *Router) begin(now time.Duration, c *candidate) Attempt {
@@ -285,13 +292,17 @@
 	Neutral
 )
 
+// Ended closes the server of an attempt whose process has ended, so that other
+// requests do not find it out one by one.
+func (r *Router) Ended(a Attempt) { a.candidate.server.ended = true }
+
 // Done records the end of an attempt.
 func (r *Router) Done(now time.Duration, a Attempt, result Result) {
 	s := a.candidate.server
-	switch {
-	case s.epoch == a.epoch:
+	switch s.epoch {
+	case a.epoch:
 		s.current = max(0, s.current-1)
-	case s.epoch == a.epoch+1:
+	case a.epoch + 1:
 		s.previous = max(0, s.previous-1)
 	default:
 		s.reported = max(0, s.reported-1)
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -31,6 +31,13 @@
 	return fmt.Sprintf("%08x.%d ", h.Sum32(), i)
 }
 
+func (e *Engine) token(j *job, i int) string {
+	if e.opts.Faults.Vary {
+		return Token(j.entry.Prompt+j.entry.Attempt, i)
+	}
+	return Token(j.entry.Prompt, i)
+}
+
 func (q completionRequest) prompt() string {
 	var parts []string
 	for _, m := range q.Messages {
@@ -45,6 +52,10 @@
 		refuse(w, http.StatusBadRequest, "bad_request", "body is not a completion request with a message")
 		return
 	}
+	if meant := r.Header.Get(backend.HeaderIncarnation); meant != "" && meant != strconv.FormatUint(e.opts.Incarnation, 10) {
+		refuse(w, http.StatusServiceUnavailable, backend.CodeWrongProcess, "another process is meant")
+		return
+	}
 	attempt := r.Header.Get(backend.HeaderAttempt)
 	offset, resume := 0, r.Header.Get(backend.HeaderResume) != ""
 	if resume {
@@ -171,7 +182,7 @@
 				panic(http.ErrAbortHandler)
 			}
 			_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n",
-				j.entry.Attempt, j.request.Model, Token(j.entry.Prompt, sent))
+				j.entry.Attempt, j.request.Model, e.token(j, sent))
 			w.(http.Flusher).Flush()
 		}
 		if !over {
@@ -196,7 +207,7 @@
 	}
 	var text strings.Builder
 	for i := range j.tokens {
-		text.WriteString(Token(j.entry.Prompt, i))
+		text.WriteString(e.token(j, i))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = fmt.Fprintf(w, `{"object":"chat.completion","model":%q,"choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}]}`,
