Bound what a starting host compares with

Cause: a starting host compared with every host, 340 messages each 200 ms. Change: it compares with 16 hosts. The stand-in engine sends its last announcement before it ends, which an idle engine skipped.

--- a/core/membership/gossip.go
+++ b/core/membership/gossip.go
@@ -21,6 +21,10 @@
 	digestInterval = time.Second
 	// joinInterval is the same until the first comparison is complete.
 	joinInterval = 200 * time.Millisecond
+	// joinPeers is the number of hosts that a starting host compares with. A
+	// state that was spread for a second is on all of them; with up to 17 hosts,
+	// all are asked.
+	joinPeers = 16
 	// seedTimeout is how long a starting host waits for a seed to answer.
 	seedTimeout = 3 * time.Second
 	// joinTimeout bounds the wait for hosts that others hear from but that do
@@ -231,7 +235,7 @@
 }
 
 // Synced reports whether a starting host has compared its table with every
-// host that is heard from. A host without seeds, or whose seeds do not answer
+// host that is heard from, or with 16 of them. A host without seeds, or whose seeds do not answer
 // in time, has nobody to compare with.
 func (t *Table) Synced(now time.Duration) bool {
 	if !t.started {
@@ -242,12 +246,24 @@
 	} else if !t.seedSynced && len(t.seeds()) > 0 && waited <= seedTimeout {
 		return false
 	}
+	done, open := t.joined(now)
+	return done >= joinPeers || len(open) == 0
+}
+
+// joined returns the number of hosts that this one compared with, and the
+// addresses of the others that are heard from.
+func (t *Table) joined(now time.Duration) (done int, open []string) {
 	for _, h := range t.hosts {
-		if h.Name != t.opts.Self.Name && !h.synced && !t.hostSilent(now, h) {
-			return false
+		switch {
+		case h.Name == t.opts.Self.Name:
+		case h.synced:
+			done++
+		case !t.hostSilent(now, h):
+			open = append(open, h.PeerAddress)
 		}
 	}
-	return true
+	slices.Sort(open)
+	return done, open
 }
 
 func (t *Table) seeds() []string {
--- a/core/membership/network_test.go
+++ b/core/membership/network_test.go
@@ -1,9 +1,9 @@
 package membership
 
 import (
+	"container/heap"
 	"fmt"
 	"math/rand"
-	"slices"
 	"time"
 )
 
@@ -17,8 +17,25 @@
 }
 
 type flight struct {
-	at  time.Duration
-	msg Message
+	at     time.Duration
+	number int
+	msg    Message
+}
+
+// flights is a heap by time of arrival, and by order of sending.
+type flights []flight
+
+func (q flights) Len() int { return len(q) }
+func (q flights) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
+}
+func (q flights) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *flights) Push(x any)   { *q = append(*q, x.(flight)) }
+func (q *flights) Pop() any {
+	last := len(*q) - 1
+	f := (*q)[last]
+	*q = (*q)[:last]
+	return f
 }
 
 type member struct {
@@ -35,10 +52,13 @@
 	rand    *rand.Rand
 	faults  faults
 	members []*member
-	cut     map[[2]string]bool
-	queue   []flight
+	// byAddress finds members by their peer address.
+	byAddress map[string]*member
+	cut       map[[2]string]bool
+	queue     flights
 	// old keeps some delivered messages to be repeated much later.
-	old []Message
+	old    []Message
+	posted int
 	// count is called with every message sent, to measure traffic.
 	count func(Message)
 }
@@ -46,13 +66,14 @@
 var dataCentres = []string{"waco", "temple", "bryan"}
 
 func newNetwork(n int, seed int64, f faults) *network {
-	w := &network{rand: rand.New(rand.NewSource(seed)), faults: f, cut: map[[2]string]bool{}}
+	w := &network{rand: rand.New(rand.NewSource(seed)), faults: f, cut: map[[2]string]bool{}, byAddress: map[string]*member{}}
 	for i := range n {
 		h := Host{
 			Name: fmt.Sprintf("host-%03d", i), DataCentre: dataCentres[i%len(dataCentres)], Ready: true,
 			PeerAddress: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), CallerAddress: fmt.Sprintf("10.0.%d.%d:2", i/250, i%250),
 		}
 		w.members = append(w.members, &member{host: h})
+		w.byAddress[h.PeerAddress] = w.members[i]
 		w.restart(i)
 	}
 	return w
@@ -87,23 +108,17 @@
 }
 
 func (w *network) deliver() bool {
-	slices.SortStableFunc(w.queue, func(a, b flight) int { return int(a.at - b.at) })
 	if len(w.queue) == 0 || w.queue[0].at > w.now {
 		return false
 	}
-	f := w.queue[0]
-	w.queue = w.queue[1:]
-	for _, m := range w.members {
-		if m.host.PeerAddress != f.msg.To {
-			continue
-		}
-		if m.frozen {
-			m.held = append(m.held, f.msg)
-			continue
-		}
-		m.table.Step(w.now, f.msg)
-		w.collect(m)
+	f := heap.Pop(&w.queue).(flight)
+	m := w.byAddress[f.msg.To]
+	if m.frozen {
+		m.held = append(m.held, f.msg)
+		return true
 	}
+	m.table.Step(w.now, f.msg)
+	w.collect(m)
 	return true
 }
 
@@ -139,7 +154,8 @@
 	if w.faults.delay > 0 {
 		d = time.Duration(w.rand.Int63n(int64(w.faults.delay)))
 	}
-	w.queue = append(w.queue, flight{w.now + d, msg})
+	w.posted++
+	heap.Push(&w.queue, flight{w.now + d, w.posted, msg})
 }
 
 // replay delivers an old message again.
--- a/core/membership/spread.go
+++ b/core/membership/spread.go
@@ -119,7 +119,7 @@
 
 // sendDigests starts a comparison with one host that is heard from and with
 // one address that is not, so that separated groups find each other again. A
-// starting host compares with all.
+// starting host compares with several, and with the seeds.
 func (t *Table) sendDigests(now time.Duration) {
 	if t.opts.off.digest {
 		return
@@ -128,6 +128,9 @@
 	lost := slices.DeleteFunc(t.allAddresses(), func(a string) bool { return slices.Contains(live, a) })
 	if t.Synced(now) {
 		live, lost = t.pick(live, 1), t.pick(lost, 1)
+	} else {
+		_, open := t.joined(now)
+		live, lost = t.pick(open, joinPeers), t.pick(lost, joinPeers)
 	}
 	for _, address := range append(live, lost...) {
 		t.send(Message{To: address, Digest: slices.Clone(t.buckets[:]), Beats: t.ownBeat()})
--- a/core/membership/table_test.go
+++ b/core/membership/table_test.go
@@ -80,6 +80,23 @@
 	})
 }
 
+// TestLeavingIsKnownOnManyHosts guards against a spread that is fast enough
+// only among few hosts.
+func TestLeavingIsKnownOnManyHosts(t *testing.T) {
+	w := newNetwork(100, 1, faults{drop: 0.1, delay: 100 * time.Millisecond})
+	servers := []*serverModel{newServer(0)}
+	w.run(10*time.Second, servers)
+	servers[0].Leaving, servers[0].running = true, false
+	w.announce(servers[0], 7)
+	for range 20 {
+		w.step()
+		t.Logf("%s: %d hosts do not know", w.now, len(unaware(w, servers[0])))
+	}
+	if u := unaware(w, servers[0]); len(u) > 0 {
+		t.Errorf("2 s after the announcement, %v do not know that the server is leaving", u)
+	}
+}
+
 // healBound is the time after the end of a cut within which both sides know
 // what the other learned: a lost address is tried every second, and its answer
 // is spread like any new state.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -212,7 +212,8 @@
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
-	e.notify()
+	// An idle engine ends at once, so the announcement cannot be left to the loop.
+	e.announceOnce(ctx, 0)
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
 	for {
