Check the lease before each order and commit the own attempt

Cause: with several control hosts, a leader whose lease ended could still send an order, and a new leader resent an order before it was recorded as a sender. Change: both are checked in node/control; an order that was not sent is tried again by a later plan. Linter findings are fixed.

--- a/cmd/pollenwheel/cluster_test.go
+++ b/cmd/pollenwheel/cluster_test.go
@@ -73,7 +73,7 @@
 	for _, p := range d.processes {
 		d.await(p.settings.Host+" lists all hosts, those of bryan first", func() bool {
 			var a host.AddressAnswer
-			if _, err := d.get(p, "/v1/addresses?data_centre=bryan", &a); err != nil || len(a.Addresses) != len(d.processes) {
+			if err := d.get(p, "/v1/addresses?data_centre=bryan", &a); err != nil || len(a.Addresses) != len(d.processes) {
 				return false
 			}
 			return a.KeepSeconds == 1 && a.Addresses[0].DataCentre == "bryan" && a.Addresses[1].DataCentre == "bryan"
@@ -85,7 +85,7 @@
 func (d *deployment) listed(p *process) bool {
 	for _, other := range d.processes {
 		var a host.AddressAnswer
-		if _, err := d.get(other, "/v1/addresses", &a); err != nil && other != p {
+		if err := d.get(other, "/v1/addresses", &a); err != nil && other != p {
 			return true
 		}
 		for _, x := range a.Addresses {
@@ -142,7 +142,9 @@
 
 func (d *deployment) kill(p *process) {
 	d.signal(p, syscall.SIGKILL)
-	<-p.exited
+	if err := <-p.exited; err == nil {
+		d.t.Errorf("%s ended without an error", p.settings.Host)
+	}
 }
 
 // leader returns the process that a host of the majority believes to lead.
@@ -152,7 +154,7 @@
 	d.await("a leader is known", func() bool {
 		for _, p := range d.processes {
 			var s admin.StatusAnswer
-			if _, err := d.get(p, "/v1/admin/status", &s); err != nil {
+			if err := d.get(p, "/v1/admin/status", &s); err != nil {
 				continue
 			}
 			for _, x := range d.processes {
--- a/cmd/pollenwheel/measure_test.go
+++ b/cmd/pollenwheel/measure_test.go
@@ -137,7 +137,7 @@
 					Servers struct{ Leaving int } `json:"servers"`
 				}
 				for {
-					if _, err := d.get(p, "/v1/admin/status", &s); err == nil && s.Servers.Leaving >= left {
+					if err := d.get(p, "/v1/admin/status", &s); err == nil && s.Servers.Leaving >= left {
 						return
 					}
 					time.Sleep(time.Millisecond)
@@ -152,6 +152,8 @@
 
 func printQuantiles(what string, times []time.Duration) {
 	slices.Sort(times)
-	at := func(q float64) time.Duration { return times[int(q*float64(len(times)-1))].Round(100 * time.Microsecond) }
+	at := func(q float64) time.Duration {
+		return times[int(q*float64(len(times)-1))].Round(100 * time.Microsecond)
+	}
 	fmt.Printf("%s: n %d, median %s, 95%% %s, maximum %s\n", what, len(times), at(0.5), at(0.95), at(1))
 }
--- a/cmd/pollenwheel/processes_test.go
+++ b/cmd/pollenwheel/processes_test.go
@@ -192,24 +192,24 @@
 }
 
 // get decodes the answer of a GET request to a host.
-func (d *deployment) get(p *process, path string, out any) (int, error) {
+func (d *deployment) get(p *process, path string, out any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.settings.CallerAddress+path, nil)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	req.Header.Set("Authorization", "Bearer "+operatorKey)
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(out)
+	return json.NewDecoder(resp.Body).Decode(out)
 }
 
 func (d *deployment) readiness(p *process) (out host.ReadyAnswer, err error) {
-	_, err = d.get(p, "/readyz", &out)
+	err = d.get(p, "/readyz", &out)
 	return out, err
 }
 
@@ -241,7 +241,7 @@
 }
 
 // apply sends one change through the hosts in turn until it is accepted.
-func (d *deployment) apply(generation int, through ...*process) uint64 {
+func (d *deployment) apply(generation int, through ...*process) {
 	d.t.Helper()
 	expected := d.accepted.Load()
 	c := d.configuration(generation)
@@ -261,7 +261,6 @@
 		d.t.Fatalf("change %d got version %d after %d", generation, version, expected)
 	}
 	d.accepted.Store(version)
-	return version
 }
 
 func (d *deployment) post(p *process, body []byte) (uint64, error) {
--- a/core/membership/network_test.go
+++ b/core/membership/network_test.go
@@ -88,12 +88,6 @@
 	m.frozen, m.held = false, nil
 }
 
-func (w *network) advance(d time.Duration) {
-	for end := w.now + d; w.now < end; {
-		w.step()
-	}
-}
-
 // step advances by one tick and delivers what is due.
 func (w *network) step() {
 	w.now += tick
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,9 @@
 	Servers func() []membership.Presence
 	Demand  func() []placement.Demand
 	Now     func() time.Duration
+	// CheckLease reports whether this host holds the lease now. Nil counts as
+	// always, for a log of one process.
+	CheckLease func() bool
 }
 
 // Leader plans and executes orders while this host leads.
@@ -123,7 +128,15 @@
 			Kind: orderKind(key, p.Phase), Model: key.Model, Adapter: key.Adapter, Version: p.Version,
 			Fence: p.Fence, Incarnation: p.Incarnation,
 		}
-		go l.send(ctx, key, s.Servers[key.Server].Address, o)
+		go l.send(ctx, key, s.Servers[key.Server].Address, p, o)
+	}
+}
+
+func (l *Leader) unmarkSent(key state.PlaceKey, fence uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sent[key] == fence {
+		delete(l.sent, key)
 	}
 }
 
@@ -137,10 +150,25 @@
 	return true
 }
 
-func (l *Leader) send(ctx context.Context, key state.PlaceKey, address string, o backend.Order) {
+// send executes an intent. The intent of another sender is sent only after the
+// own attempt is committed, and no order leaves without the lease. An order
+// that was not sent is tried again by a later plan.
+func (l *Leader) send(ctx context.Context, key state.PlaceKey, address string, p state.Placement, o backend.Order) {
+	if p.Phase == state.PhaseLoading && !slices.Contains(p.LoadSenders, l.sender) && !l.attempt(ctx, key, p.Fence) {
+		l.unmarkSent(key, p.Fence)
+		return
+	}
+	if l.sources.CheckLease != nil && !l.sources.CheckLease() {
+		l.unmarkSent(key, p.Fence)
+		return
+	}
 	a, err := l.client.Order(ctx, address, o)
 	if err != nil {
 		l.logger.WithError(err).WithField("server", key.Server).Info("order got no answer")
+		var sendErr *backend.SendError
+		if errors.As(err, &sendErr) && sendErr.Delivery == backend.NotSent {
+			l.unmarkSent(key, p.Fence)
+		}
 		return
 	}
 	l.propose(ctx, state.Command{Resolve: &state.Resolve{
@@ -149,6 +177,14 @@
 	}})
 }
 
+// attempt commits this host as a sender of an open intent.
+func (l *Leader) attempt(ctx context.Context, key state.PlaceKey, fence uint64) bool {
+	res, err := l.log.Propose(ctx, state.Command{UnixMS: time.Now().UnixMilli(), Attempt: &state.Attempt{
+		Server: key.Server, Model: key.Model, Adapter: key.Adapter, Fence: fence, Sender: l.sender,
+	}})
+	return err == nil && res.Rejection == nil
+}
+
 func orderKind(key state.PlaceKey, phase state.Phase) backend.OrderKind {
 	switch {
 	case key.Adapter != "" && phase == state.PhaseLoading:
--- a/node/host/lifecycle.go
+++ b/node/host/lifecycle.go
@@ -21,8 +21,12 @@
 			return nil
 		}
 	}
-	if err := h.follower.WaitCurrent(ctx); err != nil {
-		return nil //nolint:nilerr // the process is stopping
+	err := h.follower.WaitCurrent(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err != nil {
+		return err
 	}
 	h.entry.Refresh()
 	h.ready.Store(true)
@@ -53,9 +57,8 @@
 	if !sleep(running, h.settings.AddressKeep) {
 		return nil
 	}
-	if h.entry.Drain(running) != nil {
-		return nil
-	}
+	// An error means that another part of the process ended, which is reported.
+	_ = h.entry.Drain(running)
 	h.transfer(running)
 	h.logger.Info("leaving: all requests have ended")
 	return nil
--- a/node/peer/log.go
+++ b/node/peer/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/consensus"
@@ -18,18 +19,21 @@
 	return &peerpb.ProposeRequest{Command: data}, nil
 }
 
-func resultToProto(r state.Result, err error) (*peerpb.ProposeReply, error) {
-	switch e := err.(type) {
-	case nil:
-		data, err := json.Marshal(r)
-		if err != nil {
-			return &peerpb.ProposeReply{Unknown: err.Error()}, nil
-		}
-		return &peerpb.ProposeReply{Result: data}, nil
-	case *control.NotLeaderError:
-		return &peerpb.ProposeReply{NotLeader: true, Leader: e.Leader}, nil
+// resultToProto reports every failure but that of a host that does not lead as
+// an unknown outcome.
+func resultToProto(r state.Result, err error) *peerpb.ProposeReply {
+	var notLeader *control.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return &peerpb.ProposeReply{NotLeader: true, Leader: notLeader.Leader}
+	}
+	var data []byte
+	if err == nil {
+		data, err = json.Marshal(r)
+	}
+	if err != nil {
+		return &peerpb.ProposeReply{Unknown: err.Error()}
 	}
-	return &peerpb.ProposeReply{Unknown: err.Error()}, nil
+	return &peerpb.ProposeReply{Result: data}
 }
 
 func resultFromProto(r *peerpb.ProposeReply) (state.Result, error) {
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -51,8 +51,8 @@
 	return logrus.NewEntry(l)
 }
 
-func lose(server string) state.Command {
-	return state.Command{Lose: &state.Lose{Server: server, Incarnation: 1}}
+func lose() state.Command {
+	return state.Command{Lose: &state.Lose{Server: "s", Incarnation: 1}}
 }
 
 // await bounds a wait only to end a test that would hang.
@@ -76,7 +76,7 @@
 		if leader == "c" {
 			servers["b"].Stop()
 		}
-		if _, err := f.Propose(t.Context(), lose("s")); err != nil {
+		if _, err := f.Propose(t.Context(), lose()); err != nil {
 			t.Fatalf("leader %s: %v", leader, err)
 		}
 		if n := len(log.entries); n != i+1 {
@@ -113,7 +113,7 @@
 	log.setLeader("")
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
-	_, err := NewForwarder("x", nil, newTestClient(t), hosts).Propose(ctx, lose("s"))
+	_, err := NewForwarder("x", nil, newTestClient(t), hosts).Propose(ctx, lose())
 	var none *NoLeaderError
 	if !errors.As(err, &none) {
 		t.Fatalf("error %v; want that no leader accepted the command", err)
@@ -133,7 +133,7 @@
 	index := uint64(0)
 	add := func() {
 		index++
-		if _, err := log.append(lose("s")); err != nil {
+		if _, err := log.append(lose()); err != nil {
 			t.Fatal(err)
 		}
 		await(t, fmt.Sprintf("entry %d", index), func() bool { return f.index() == index })
@@ -157,7 +157,7 @@
 	log := newFakeLog("a", "b", "c")
 	hosts, groups, servers := serveGroups(t, log)
 	for range 5 {
-		if _, err := log.append(lose("s")); err != nil {
+		if _, err := log.append(lose()); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -110,8 +110,7 @@
 		return nil, statusError(&MessageError{Part: "command", Err: err})
 	}
 	res, err := s.handlers.Group.Propose(ctx, c)
-	reply, err := resultToProto(res, err)
-	return reply, statusError(err)
+	return resultToProto(res, err), nil
 }
 
 // Follow implements the protocol.
