--- a/node/host/lifecycle.go
+++ b/node/host/lifecycle.go
@@ -21,13 +21,12 @@
 			return nil
 		}
 	}
-	err := h.follower.WaitCurrent(ctx)
+	if err := h.follower.WaitCurrent(ctx); ctx.Err() == nil && err != nil {
+		return err
+	}
 	if ctx.Err() != nil {
 		return nil
 	}
-	if err != nil {
-		return err
-	}
 	h.entry.Refresh()
 	h.ready.Store(true)
 	h.members.setReady(true)
