Plan on changes and keep copies of the state across claims

Cause: the leader planned and copied the state every 20 ms; at the target size that is 66 percent of a core (docs/CAPACITY.md). Ruled out: reading the state in place under the lock, which blocks the log for the time of a plan. Change: the leader plans while requests wait or after a change, every 50 ms, else twice a second. A copy of the state stays valid while only claims change.

--- a/node/control/control.go
+++ b/node/control/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,8 +16,13 @@
 	"github.com/pollenwheel/pollenwheel/node/replica"
 )
 
-// planInterval is how often the leader plans.
-const planInterval = 20 * time.Millisecond
+const (
+	// planInterval is how often the leader plans while requests wait or after a
+	// change.
+	planInterval = 50 * time.Millisecond
+	// idlePlanInterval is how often it plans otherwise.
+	idlePlanInterval = 500 * time.Millisecond
+)
 
 // reportTimeout is how long a new leader waits for the reports of the
 // registered backend servers.
@@ -32,6 +38,8 @@
 	Servers func() []membership.Presence
 	Demand  func() []placement.Demand
 	Now     func() time.Duration
+	// Changed returns a channel that is closed at the next change of servers.
+	Changed func() <-chan struct{}
 }
 
 // Leader plans while this host leads.
@@ -48,6 +56,10 @@
 
 	since   time.Duration
 	settled bool
+
+	planned      *state.State
+	plannedAt    time.Duration
+	plannedAfter <-chan struct{}
 }
 
 // NewLeader returns a leader that identifies itself as sender.
@@ -77,7 +89,7 @@
 		Now: l.sources.Now(), UnixMS: time.Now().UnixMilli(), State: l.replica.Snapshot(),
 		Servers: l.sources.Servers(), Demand: l.sources.Demand(), Sender: l.sender,
 	}
-	if !l.reported(in) {
+	if !l.reported(in) || !l.due(in) {
 		return
 	}
 	for _, d := range l.plan(in) {
@@ -104,6 +116,23 @@
 	return l.settled
 }
 
+// due reports whether a plan could decide something new: requests wait, the
+// state or a server has changed, or enough time has passed for idle models.
+func (l *Leader) due(in placement.Input) bool {
+	changed := in.State != l.planned
+	select {
+	case <-l.plannedAfter:
+		changed = true
+	default:
+	}
+	waiting := slices.ContainsFunc(in.Demand, func(d placement.Demand) bool { return d.Waiting > 0 })
+	if !changed && !waiting && in.Now-l.plannedAt < idlePlanInterval {
+		return false
+	}
+	l.planned, l.plannedAt, l.plannedAfter = in.State, in.Now, l.sources.Changed()
+	return true
+}
+
 func (l *Leader) plan(in placement.Input) []placement.Decision {
 	l.planning.Lock()
 	defer l.planning.Unlock()
--- a/node/host/lead.go
+++ b/node/host/lead.go
@@ -40,7 +40,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	leader := control.NewLeader(h.forward, h.replica, control.Sources{
-		Servers: h.members.Servers, Demand: l.allDemand, Now: h.now,
+		Servers: h.members.Servers, Demand: l.allDemand, Now: h.now, Changed: h.members.serversChanged,
 	}, h.sender, h.logger)
 	l.set(leader)
 	defer l.set(nil)
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -15,8 +15,12 @@
 	state   *state.State
 	changed chan struct{}
 
+	// visible counts the changes that a snapshot shows.
+	visible uint64
+
 	snapshotMu sync.Mutex
 	snapshot   *state.State
+	taken      uint64
 }
 
 // New returns a replica of s, which the replica then owns.
@@ -29,6 +33,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	res := r.state.Apply(index, c)
+	if c.Claim == nil && c.Outcome == nil {
+		r.visible++
+	}
 	r.notify()
 	return res
 }
@@ -41,6 +48,7 @@
 		return
 	}
 	r.state = s
+	r.visible++
 	r.notify()
 }
 
@@ -57,13 +65,14 @@
 }
 
 // Snapshot returns a copy of the state without claims, which must not be
-// modified. Callers between two changes get the same copy.
+// modified. Callers get the same copy until something besides claims changes,
+// so its index may be behind that of the state.
 func (r *Replica) Snapshot() *state.State {
 	r.snapshotMu.Lock()
 	defer r.snapshotMu.Unlock()
 	r.View(func(s *state.State) {
-		if r.snapshot == nil || r.snapshot.Index != s.Index {
-			r.snapshot = s.ForFollowers()
+		if r.snapshot == nil || r.taken != r.visible {
+			r.snapshot, r.taken = s.ForFollowers(), r.visible
 		}
 	})
 	return r.snapshot
