Shorten the fault simulation

Ruled out: dropping an oracle or a case. Change: a violation ends a simulated run by a panic that the caller turns into an error, in place of error results in every function; rapid's defaults are set before the command line is parsed. Conclusion: the same checks with fewer lines.

--- a/core/consensus/fuzz_test.go
+++ b/core/consensus/fuzz_test.go
@@ -11,23 +11,18 @@
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes rapid's seed. POLLENWHEEL_FUZZ_CHECKS raises the number of checks.
+// TestMain fixes rapid's seed, unless flags say otherwise.
+// POLLENWHEEL_FUZZ_CHECKS raises the number of checks.
 func TestMain(m *testing.M) {
-	flag.Parse()
 	checks := os.Getenv("POLLENWHEEL_FUZZ_CHECKS")
 	if checks == "" {
 		checks = "60"
 	}
-	set := func(name, value string) {
-		given := false
-		flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
-		if !given {
-			_ = flag.Set(name, value)
-		}
+	// Flags given on the command line are parsed later and replace these.
+	err := errors.Join(flag.Set("rapid.checks", checks), flag.Set("rapid.seed", "1"), flag.Set("rapid.nofailfile", "true"))
+	if err != nil {
+		panic(err)
 	}
-	set("rapid.checks", checks)
-	set("rapid.seed", "1")
-	set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
@@ -56,14 +51,13 @@
 }
 
 // inject starts one fault and lets the group run.
-func (s *sim) inject(f fault) error {
+func (s *sim) inject(f fault) {
 	a := s.members[f.A]
-	var err error
 	switch f.Kind {
 	case "propose":
-		err = s.propose(3)
+		s.propose(3)
 	case "burst":
-		err = s.propose(300)
+		s.propose(300)
 	case "lossy":
 		s.lossy = !s.lossy
 	case "cut":
@@ -77,34 +71,31 @@
 			s.isolate(m)
 		}
 	case "heal":
-		err = s.heal()
+		s.heal()
 	case "freeze":
 		a.frozen = a.node != nil
 	case "thaw":
-		err = s.thaw(a)
+		s.thaw(a)
 	case "kill":
 		s.kill(a)
 	case "bounce":
 		s.kill(a)
-		err = s.start(a)
+		s.start(a)
 	case "empty":
 		s.empty(a)
 	case "restart":
 		if a.node == nil {
-			err = s.start(a)
+			s.start(a)
 		}
 	case "rate":
 		a.rate = simMinRate + (simMaxRate-simMinRate)*s.rand.Float64()
 	default:
 		s.change(f)
 		for _, m := range s.leading() {
-			err = s.drain(m)
+			s.drain(m)
 		}
 	}
-	if err != nil {
-		return err
-	}
-	return s.run(f.For)
+	s.run(f.For)
 }
 
 func (s *sim) isolate(m *simMember) {
@@ -136,25 +127,27 @@
 	}
 }
 
-func (s *sim) startAll() error {
+func (s *sim) startAll() {
 	for _, m := range s.members {
-		if err := s.start(m); err != nil {
-			return err
-		}
+		s.start(m)
 	}
-	return s.run(5 * s.election)
+	s.run(5 * s.election)
 }
 
 func (s *sim) play(schedule []fault) error {
-	if err := s.startAll(); err != nil {
-		return err
-	}
-	for i, f := range schedule {
-		if err := s.inject(f); err != nil {
-			return fmt.Errorf("step %d (%s %d %d): %w", i, f.Kind, f.A, f.B, err)
+	step := -1
+	err := observe(func() {
+		s.startAll()
+		for i, f := range schedule {
+			step = i
+			s.inject(f)
 		}
+		s.settle()
+	})
+	if err != nil {
+		return fmt.Errorf("step %d of %d: %w", step, len(schedule), err)
 	}
-	return s.settle()
+	return nil
 }
 
 // TestFaults guards every promise of the package at once: one leader per term,
@@ -181,26 +174,20 @@
 
 // settle heals and requires that the group elects a leader, finishes its
 // repairs, commits and agrees.
-func (s *sim) settle() error {
-	if err := s.heal(); err != nil {
-		return err
-	}
+func (s *sim) settle() {
+	s.heal()
 	for range 40 {
-		if err := s.run(5 * simElection); err != nil {
-			return err
-		}
+		s.run(5 * simElection)
 		if s.settled() {
 			break
 		}
 	}
 	before := s.top
-	if err := errors.Join(s.propose(1), s.run(5*simElection)); err != nil {
-		return err
-	}
+	s.propose(1)
+	s.run(5 * simElection)
 	if s.top == before || !s.settled() {
-		return fmt.Errorf("group does not settle: committed %d, voters %v, %s", s.top, s.voters, s.describe())
+		s.failf("group does not settle: committed %d, voters %v, %s", s.top, s.voters, s.describe())
 	}
-	return nil
 }
 
 func (s *sim) describe() string {
--- a/core/consensus/mechanism_test.go
+++ b/core/consensus/mechanism_test.go
@@ -1,17 +1,16 @@
 package consensus
 
 import (
-	"errors"
 	"fmt"
 	"testing"
 	"time"
 )
 
 // leaderAndOthers returns the settled leader and the other hosts.
-func (s *sim) leaderAndOthers() (*simMember, []*simMember, error) {
+func (s *sim) leaderAndOthers() (*simMember, []*simMember) {
 	lead := s.leading()
 	if len(lead) != 1 {
-		return nil, nil, fmt.Errorf("%d leaders after the start", len(lead))
+		s.failf("%d leaders after the start", len(lead))
 	}
 	var others []*simMember
 	for _, m := range s.members {
@@ -19,188 +18,144 @@
 			others = append(others, m)
 		}
 	}
-	return lead[0], others, nil
+	return lead[0], others
 }
 
 // scenarioRestartInLease cuts one follower off from the leader, restarts the
 // other within the lease and cuts the leader off.
-func scenarioRestartInLease(s *sim) error {
-	lead, others, err := s.leaderAndOthers()
-	if err != nil {
-		return err
-	}
+func scenarioRestartInLease(s *sim) {
+	lead, others := s.leaderAndOthers()
 	s.cut[[2]int{s.host(lead.ID), s.host(others[0].ID)}] = true
-	if err := s.run(3 * simElection); err != nil {
-		return err
-	}
+	s.run(3 * simElection)
 	if s.leading()[0] != lead {
-		return nil // too much skew for this seed
+		return // too much skew for this seed
 	}
 	s.kill(others[1])
 	s.isolate(lead)
-	return errors.Join(s.start(others[1]), s.run(3*simElection))
+	s.start(others[1])
+	s.run(3 * simElection)
 }
 
 // scenarioSkew cuts off a leader whose clock is slow while the others' are fast.
-func scenarioSkew(s *sim) error {
-	lead, others, err := s.leaderAndOthers()
-	if err != nil {
-		return err
-	}
+func scenarioSkew(s *sim) {
+	lead, others := s.leaderAndOthers()
 	lead.rate, others[0].rate, others[1].rate = simMinRate, simMaxRate, simMaxRate
-	if err := s.run(2 * s.election); err != nil {
-		return err
-	}
+	s.run(2 * s.election)
 	s.isolate(lead)
-	return s.run(3 * s.election)
+	s.run(3 * s.election)
 }
 
 // scenarioPowerLoss ends every process at once, ten times, shortly after a
 // proposal. Whatever was committed must still be there.
-func scenarioPowerLoss(s *sim) error {
+func scenarioPowerLoss(s *sim) {
 	for round := range 10 {
-		if err := errors.Join(s.propose(1), s.run(time.Duration(round)*simStep)); err != nil {
-			return err
-		}
+		s.propose(1)
+		s.run(time.Duration(round) * simStep)
 		for _, m := range s.members {
 			s.kill(m)
 		}
-		if err := s.startAll(); err != nil {
-			return err
-		}
+		s.startAll()
 	}
-	return s.settle()
+	s.settle()
 }
 
 // scenarioTransfer transfers leadership while the old leader is cut off from
 // its successor's messages.
-func scenarioTransfer(s *sim) error {
-	lead, others, err := s.leaderAndOthers()
-	if err != nil {
-		return err
-	}
+func scenarioTransfer(s *sim) {
+	lead, others := s.leaderAndOthers()
 	h := s.host(lead.ID)
 	for _, m := range others {
 		s.cut[[2]int{s.host(m.ID), h}] = true
 	}
-	if err := lead.node.Transfer(lead.now()); err != nil {
-		return err
-	}
-	return errors.Join(s.drain(lead), s.run(2*simElection))
+	s.must(lead.node.Transfer(lead.now()))
+	s.drain(lead)
+	s.run(2 * simElection)
 }
 
 // scenarioReturn cuts off a follower for ten election timeouts. Its return must
 // not depose the leader.
-func scenarioReturn(s *sim) error {
-	lead, others, err := s.leaderAndOthers()
-	if err != nil {
-		return err
-	}
+func scenarioReturn(s *sim) {
+	lead, others := s.leaderAndOthers()
 	term := lead.node.term
 	s.isolate(others[0])
-	if err := s.run(10 * simElection); err != nil {
-		return err
-	}
-	if err := errors.Join(s.heal(), s.run(5*simElection)); err != nil {
-		return err
-	}
+	s.run(10 * simElection)
+	s.heal()
+	s.run(5 * simElection)
 	if lead.node.role != Leader || lead.node.term != term {
-		return errors.New("a returning member deposed the leader")
+		s.failf("a returning member deposed the leader")
 	}
-	return nil
 }
 
 // scenarioSilentPartition requires that a leader without a quorum stops leading.
-func scenarioSilentPartition(s *sim) error {
-	lead, _, err := s.leaderAndOthers()
-	if err != nil {
-		return err
-	}
+func scenarioSilentPartition(s *sim) {
+	lead, _ := s.leaderAndOthers()
 	s.isolate(lead)
-	if err := s.run(3 * simElection); err != nil {
-		return err
-	}
+	s.run(3 * simElection)
 	if lead.node.role == Leader {
-		return errors.New("a leader without a quorum still leads")
+		s.failf("a leader without a quorum still leads")
 	}
-	return nil
 }
 
 // scenarioLostDuringRepair loses the replacement of a lost voter as soon as it
 // has joined. The two remaining voters of three must still commit.
-func scenarioLostDuringRepair(s *sim) error {
-	lead, others, err := s.leaderAndOthers()
-	if err != nil {
-		return err
-	}
+func scenarioLostDuringRepair(s *sim) {
+	lead, others := s.leaderAndOthers()
 	s.empty(others[0])
-	if err := s.start(others[0]); err != nil {
-		return err
-	}
+	s.start(others[0])
 	joined := func() bool { _, ok := lead.node.Status().Membership.Member(others[0].ID); return ok }
 	for range 100 {
-		if err := s.run(simStep); err != nil || joined() {
+		s.run(simStep)
+		if joined() {
 			break
 		}
 	}
 	s.isolate(others[0])
 	before := s.top
-	if err := errors.Join(s.run(simElection), s.propose(1), s.run(2*simElection)); err != nil {
-		return err
-	}
+	s.run(simElection)
+	s.propose(1)
+	s.run(2 * simElection)
 	if s.top == before {
-		return errors.New("two healthy voters of three cannot commit")
+		s.failf("two healthy voters of three cannot commit")
 	}
-	return nil
 }
 
 // scenarioLostAfterRepair loses a second voter right after a repair has ended.
-func scenarioLostAfterRepair(s *sim) error {
-	_, others, err := s.leaderAndOthers()
-	if err != nil {
-		return err
-	}
-	if err := s.propose(300); err != nil {
-		return err
-	}
+func scenarioLostAfterRepair(s *sim) {
+	_, others := s.leaderAndOthers()
+	s.propose(300)
 	s.kill(others[0])
 	for range 400 {
-		if err := s.run(simStep); err != nil {
-			return err
-		}
+		s.run(simStep)
 		if !s.voters.IsVoter(others[0].ID) {
 			break
 		}
 	}
 	if s.voters.IsVoter(others[0].ID) {
-		return errors.New("the lost voter was not replaced")
+		s.failf("the lost voter was not replaced")
 	}
 	s.gone[others[0].ID] = true
 	s.empty(others[1])
 	before := s.top
-	if err := errors.Join(s.run(5*simElection), s.propose(1), s.run(5*simElection)); err != nil {
-		return err
-	}
+	s.run(5 * simElection)
+	s.propose(1)
+	s.run(5 * simElection)
 	if s.top == before {
-		return errors.New("no progress after the second loss")
+		s.failf("no progress after the second loss")
 	}
-	return nil
 }
 
 // random plays a drawn schedule.
-func random(hosts int) func(*sim, int) error {
-	return func(s *sim, seed int) error {
+func random(hosts int) func(*sim, int) {
+	return func(s *sim, seed int) {
 		for _, f := range faults(hosts).Example(seed) {
-			if err := s.inject(f); err != nil {
-				return err
-			}
+			s.inject(f)
 		}
-		return s.settle()
+		s.settle()
 	}
 }
 
-func scenario(f func(*sim) error) func(*sim, int) error {
-	return func(s *sim, _ int) error { return f(s) }
+func scenario(f func(*sim)) func(*sim, int) {
+	return func(s *sim, _ int) { f(s) }
 }
 
 // TestMechanisms guards each mechanism by its oracle: no seed fails with it, and
@@ -210,7 +165,7 @@
 	cases := []struct {
 		name  string
 		hosts int
-		play  func(*sim, int) error
+		play  func(*sim, int)
 		off   func(*sim)
 		seeds int
 	}{
@@ -238,10 +193,10 @@
 					if c.name == "drift margin of the lease" {
 						s.election = 10 * simElection
 					}
-					err := s.startAll()
-					if err == nil {
-						err = c.play(s, seed)
-					}
+					err := observe(func() {
+						s.startAll()
+						c.play(s, seed)
+					})
 					if err != nil && !off {
 						t.Fatalf("seed %d: %v", seed, err)
 					}
@@ -276,26 +231,23 @@
 // again (found by TestFaults with seed 817283).
 func TestRemovedLearnerOffersItself(t *testing.T) {
 	s := newSim(1, 4, 3, mechanismsOff{})
-	if err := s.startAll(); err != nil {
-		t.Fatal(err)
-	}
-	lead, others, err := s.leaderAndOthers()
-	if err != nil {
-		t.Fatal(err)
-	}
 	learner := s.members[3]
-	steps := []func() error{
-		func() error { _, _, err := lead.node.AddLearner(learner.Member); return err },
-		func() error { s.isolate(learner); return nil },
-		func() error { _, _, err := lead.node.Remove(learner.ID); return err },
-		func() error { clear(s.cut); s.kill(others[0]); return nil },
-	}
-	for _, step := range steps {
-		if err := errors.Join(step(), s.run(5*simElection)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := s.run(20 * simElection); err != nil || !s.voters.IsVoter(learner.ID) {
+	err := observe(func() {
+		s.startAll()
+		lead, others := s.leaderAndOthers()
+		_, _, err := lead.node.AddLearner(learner.Member)
+		s.must(err)
+		s.run(5 * simElection)
+		s.isolate(learner)
+		s.run(5 * simElection)
+		_, _, err = lead.node.Remove(learner.ID)
+		s.must(err)
+		s.run(5 * simElection)
+		clear(s.cut)
+		s.kill(others[0])
+		s.run(25 * simElection)
+	})
+	if err != nil || !s.voters.IsVoter(learner.ID) {
 		t.Errorf("the learner did not replace the lost voter: %v, %v", err, s.voters)
 	}
 }
--- a/core/consensus/sim_test.go
+++ b/core/consensus/sim_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -114,9 +113,35 @@
 	return s
 }
 
+// simError is what an oracle saw. It ends the run of a sim.
+type simError struct{ error }
+
+func (s *sim) failf(format string, args ...any) { panic(simError{fmt.Errorf(format, args...)}) }
+
+func (s *sim) must(err error) {
+	if err != nil {
+		panic(simError{err})
+	}
+}
+
+// observe runs f and returns the violation that ended it, if any.
+func observe(f func()) (err error) {
+	defer func() {
+		switch p := recover().(type) {
+		case nil:
+		case simError:
+			err = p.error
+		default:
+			panic(p)
+		}
+	}()
+	f()
+	return nil
+}
+
 func (s *sim) newID() uint64 { return s.rand.Uint64() | 1 }
 
-func (s *sim) start(m *simMember) error {
+func (s *sim) start(m *simMember) {
 	node, err := New(Options{
 		ID: m.ID, ElectionTimeout: s.election, HeartbeatInterval: s.election / 5, DriftMargin: s.election / 5,
 		RepairAfter: simRepair * s.election, Rand: rand.New(rand.NewSource(s.rand.Int63())), off: s.off,
@@ -124,7 +149,7 @@
 	m.node, m.held, m.frozen, m.stopped = node, nil, false, false
 	m.applied = m.disk.snapshot.Index
 	m.chain = chainOf(m.disk.snapshot)
-	return err
+	s.must(err)
 }
 
 func chainOf(s Snapshot) uint64 {
@@ -185,28 +210,23 @@
 	return s.voters.Repair != nil
 }
 
-// run advances true time by d and returns the first violation.
-func (s *sim) run(d time.Duration) error {
+// run advances true time by d.
+func (s *sim) run(d time.Duration) {
 	for end := s.now + d; s.now < end; {
 		s.now += simStep
 		for _, m := range s.members {
 			m.clock += float64(simStep) * m.rate
 		}
-		if err := s.deliver(); err != nil {
-			return err
-		}
+		s.deliver()
 		for _, m := range s.members {
 			if !m.running() {
 				continue
 			}
 			s.offer(m)
 			m.node.Tick(m.now())
-			if err := s.drain(m); err != nil {
-				return err
-			}
+			s.drain(m)
 		}
 	}
-	return nil
 }
 
 // offer introduces a host without a leader to every host it reaches.
@@ -222,7 +242,7 @@
 	}
 }
 
-func (s *sim) deliver() error {
+func (s *sim) deliver() {
 	due := []simMessage{}
 	s.queue = slices.DeleteFunc(s.queue, func(q simMessage) bool {
 		if q.at <= s.now {
@@ -241,39 +261,29 @@
 			m.held = append(m.held, q.m)
 			continue
 		}
-		if err := s.step(m, q.m); err != nil {
-			return err
-		}
+		s.step(m, q.m)
 	}
-	return nil
 }
 
-func (s *sim) step(m *simMember, msg Message) error {
-	if err := m.node.Step(m.now(), msg); err != nil {
-		return err
-	}
-	return s.drain(m)
+func (s *sim) step(m *simMember, msg Message) {
+	s.must(m.node.Step(m.now(), msg))
+	s.drain(m)
 }
 
-func (s *sim) thaw(m *simMember) error {
+func (s *sim) thaw(m *simMember) {
 	held := m.held
 	m.frozen, m.held = false, nil
 	for _, msg := range held {
 		if m.node == nil {
-			return nil
-		}
-		if err := s.step(m, msg); err != nil {
-			return err
+			return
 		}
+		s.step(m, msg)
 	}
-	return nil
 }
 
-func (s *sim) transmit(msgs []Message) error {
+func (s *sim) transmit(msgs []Message) {
 	for _, msg := range msgs {
-		if err := s.checkVote(msg); err != nil {
-			return err
-		}
+		s.checkVote(msg)
 		from, to := s.host(msg.From), s.host(msg.To)
 		copies := 1
 		if s.lossy {
@@ -290,25 +300,20 @@
 			s.queue = append(s.queue, simMessage{s.now + delay, msg})
 		}
 	}
-	return nil
 }
 
 // drain takes the effects of m's node in their order.
-func (s *sim) drain(m *simMember) error {
+func (s *sim) drain(m *simMember) {
 	for {
-		if err := s.checkNode(m); err != nil {
-			return err
-		}
+		s.checkNode(m)
 		r := m.node.Ready()
 		if r.Empty() {
-			return nil
-		}
-		if err := s.transmit(r.Early); err != nil {
-			return err
+			return
 		}
+		s.transmit(r.Early)
 		if s.lossy && r.Durable() && s.rand.Intn(2000) == 0 {
 			s.kill(m) // between the early messages and the sync
-			return nil
+			return
 		}
 		if s.sendFirst {
 			if m.unsaved != nil {
@@ -318,36 +323,32 @@
 		} else {
 			m.disk.write(r)
 		}
-		if err := s.transmit(r.Messages); err != nil {
-			return err
-		}
-		if err := s.apply(m, r); err != nil {
-			return err
-		}
+		s.transmit(r.Messages)
+		s.apply(m, r)
 		m.node.Advance(r)
 		s.compact(m)
 	}
 }
 
-func (s *sim) apply(m *simMember, r Ready) error {
+func (s *sim) apply(m *simMember, r Ready) {
 	if r.Snapshot != nil {
 		m.applied, m.chain = r.Snapshot.Index, chainOf(*r.Snapshot)
 		s.restored++
 	}
 	for _, e := range r.Committed {
 		if e.Index != m.applied+1 {
-			return fmt.Errorf("member %x applies %d after %d", m.ID, e.Index, m.applied)
+			s.failf("member %x applies %d after %d", m.ID, e.Index, m.applied)
 		}
 		text := fmt.Sprint(e.Term, e.Kind, string(e.Data))
 		if old, ok := s.committed[e.Index]; ok && old != text {
-			return fmt.Errorf("committed entry %d changed from %q to %q", e.Index, old, text)
+			s.failf("committed entry %d changed from %q to %q", e.Index, old, text)
 		}
 		s.committed[e.Index] = text
 		sum := fnv.New64a()
 		_, _ = fmt.Fprint(sum, m.chain, e.Index, text)
 		m.applied, m.chain = e.Index, sum.Sum64()
 		if old, ok := s.chains[e.Index]; ok && old != m.chain {
-			return fmt.Errorf("applied state differs at index %d", e.Index)
+			s.failf("applied state differs at index %d", e.Index)
 		}
 		s.chains[e.Index] = m.chain
 		if e.Index > s.top {
@@ -358,7 +359,6 @@
 			}
 		}
 	}
-	return nil
 }
 
 func (s *sim) compact(m *simMember) {
@@ -375,34 +375,31 @@
 	m.disk.entries = slices.DeleteFunc(slices.Clone(m.disk.entries), func(e Entry) bool { return e.Index < dropped })
 }
 
-var errTwoLeases = errors.New("two members hold a valid lease")
-
 // checkVote guards against a second vote in a term under one identity.
-func (s *sim) checkVote(msg Message) error {
+func (s *sim) checkVote(msg Message) {
 	candidate := msg.To
 	switch {
 	case msg.Kind == MessageVote:
 		candidate = msg.From
 	case msg.Kind != MessageVoteResponse || msg.Reject:
-		return nil
+		return
 	}
 	key := [2]uint64{msg.From, msg.Term}
 	if old, ok := s.votes[key]; ok && old != candidate {
-		return fmt.Errorf("member %x voted for %x and %x in term %d", msg.From, old, candidate, msg.Term)
+		s.failf("member %x voted for %x and %x in term %d", msg.From, old, candidate, msg.Term)
 	}
 	s.votes[key] = candidate
-	return nil
 }
 
 // checkNode guards against two leaders in a term, a leader of a newer term
 // without a committed entry, and two valid leases. A thawed member may become
 // leader of an older term, in which it can commit nothing.
-func (s *sim) checkNode(m *simMember) error {
+func (s *sim) checkNode(m *simMember) {
 	if n := m.node; n.role == Leader {
 		if old, ok := s.leaders[n.term]; ok && old != m.ID {
-			return fmt.Errorf("members %x and %x lead term %d", old, m.ID, n.term)
+			s.failf("members %x and %x lead term %d", old, m.ID, n.term)
 		} else if !ok && n.term > slices.Max(append(slices.Collect(maps.Keys(s.leaders)), 0)) && n.log.last() <= s.top {
-			return fmt.Errorf("leader of term %d lacks committed entry %d", n.term, s.top)
+			s.failf("leader of term %d lacks committed entry %d", n.term, s.top)
 		}
 		s.leaders[n.term] = m.ID
 	}
@@ -413,9 +410,8 @@
 		}
 	}
 	if holders > 1 {
-		return errTwoLeases
+		s.failf("two members hold a valid lease")
 	}
-	return nil
 }
 
 // leading returns the members that lead, newest term first.
@@ -431,35 +427,27 @@
 }
 
 // propose appends count commands on every member that believes it leads.
-func (s *sim) propose(count int) error {
+func (s *sim) propose(count int) {
 	for _, m := range s.leading() {
 		for range count {
 			s.proposed++
 			_, _, _ = m.node.Propose([]byte(fmt.Sprint("c", s.proposed)))
 		}
-		if err := s.drain(m); err != nil {
-			return err
-		}
+		s.drain(m)
 	}
-	return nil
 }
 
 // heal ends every fault.
-func (s *sim) heal() error {
+func (s *sim) heal() {
 	clear(s.cut)
 	s.lossy = false
 	for _, m := range s.members {
 		m.rate = 1
 		if m.frozen {
-			if err := s.thaw(m); err != nil {
-				return err
-			}
+			s.thaw(m)
 		}
 		if m.node == nil {
-			if err := s.start(m); err != nil {
-				return err
-			}
+			s.start(m)
 		}
 	}
-	return nil
 }
