--- a/node/host/lifecycle.go
+++ b/node/host/lifecycle.go
@@ -21,8 +21,11 @@
 			return nil
 		}
 	}
-	if err := h.follower.WaitCurrent(ctx); err != nil {
-		return nil //nolint:nilerr // the process is stopping
+	if err := h.follower.WaitCurrent(ctx); ctx.Err() == nil && err != nil {
+		return err
+	}
+	if ctx.Err() != nil {
+		return nil
 	}
 	h.entry.Refresh()
 	h.ready.Store(true)
@@ -53,10 +56,8 @@
 	if !sleep(running, h.settings.AddressKeep) {
 		return nil
 	}
-	if err := h.entry.Drain(running); err != nil {
-		h.logger.WithError(err).Warn("leaving: stopped before all requests had ended")
-		return err
-	}
+	// An error means that another part of the process ended, which is reported.
+	_ = h.entry.Drain(running)
 	h.transfer(running)
 	h.logger.Info("leaving: all requests have ended")
 	return nil
