Record what stand-in engines hold, and inject order failures

Cause: no record showed what a set of engines holds at the same time, so the limits on replicas and memory could not be judged with processes. Change: Holdings keeps the holdings of engines in every phase and the peaks. Loads and unloads can fail, and an engine can check or ignore the incarnation of an order. Ruled out: counting from announcements, which lag behind the engine. Conclusion: the record is the oracle of the tests with processes.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -29,6 +29,8 @@
 	Listen     string
 	// Listener replaces Listen if set.
 	Listener net.Listener
+	// Advertised replaces the listening address in announcements if set.
+	Advertised string
 	// Incarnation defaults to the start time in nanoseconds.
 	Incarnation uint64
 	// Hosts are entry host addresses to announce to. With none, the engine does
@@ -36,6 +38,8 @@
 	Hosts         []string
 	MemoryMiB     int64
 	ChecksFencing bool
+	// ChecksIncarnation refuses orders that name another process.
+	ChecksIncarnation bool
 	// Loaded models and adapters are ready from the start.
 	Loaded   []membership.Report
 	LoadTime time.Duration
@@ -54,7 +58,9 @@
 	// CrashOn ends the process when a prompt that contains it is run.
 	CrashOn string
 	Journal *Journal
-	Faults  Faults
+	// Holdings, if set, records what the engine holds.
+	Holdings *Holdings
+	Faults   Faults
 }
 
 // Faults are injected where the function is set and says so.
@@ -71,6 +77,8 @@
 	Vary bool
 	// Refuse reports that a request is not admitted.
 	Refuse func(attempt string) bool
+	// FailOrder reports that an accepted load or unload has no effect.
+	FailOrder func(o backend.Order) bool
 }
 
 // Defaults of the options.
@@ -127,7 +135,7 @@
 	}
 	for _, r := range opts.Loaded {
 		r.Phase = membership.ReportReady
-		e.reports[[2]string{r.Model, r.Adapter}] = r
+		e.report(r)
 	}
 	e.server = &http.Server{Handler: e.routes(), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = e.server.Serve(l) }()
@@ -174,6 +182,14 @@
 // Address is where the engine listens.
 func (e *Engine) Address() string { return e.listener.Addr().String() }
 
+// announced is the address that entry hosts connect to.
+func (e *Engine) announced() string {
+	if e.opts.Advertised != "" {
+		return e.opts.Advertised
+	}
+	return e.Address()
+}
+
 // Journal is the record of what the engine executed.
 func (e *Engine) Journal() *Journal { return e.opts.Journal }
 
@@ -185,6 +201,7 @@
 		return nil
 	}
 	e.down = true
+	e.opts.Holdings.drop(e.process())
 	for _, j := range append(e.active, e.queue...) {
 		e.opts.Journal.end(j.entry, EndCrashed)
 	}
@@ -293,7 +310,7 @@
 	e.sequence++
 	s := membership.Server{
 		Name: e.opts.Name, Service: e.opts.Service, Kind: config.KindEngine, DataCentre: e.opts.DataCentre,
-		Address: e.Address(), Incarnation: e.opts.Incarnation, Sequence: e.sequence, Accelerators: 1,
+		Address: e.announced(), Incarnation: e.opts.Incarnation, Sequence: e.sequence, Accelerators: 1,
 		MemoryMiB: e.opts.MemoryMiB, Engine: "stand-in", ChecksFencing: e.opts.ChecksFencing,
 		Leaving: e.leaving, NewestOrder: e.fence, Load: e.laggingLoad(),
 	}
