Check announcements and cache reports, and fuzz them

Cause: an announcement was accepted with any address text, negative numbers, texts and lists of any length, and unknown kinds and phases. Change: check.go bounds texts, lists and numbers, requires a canonical IP address and port, and names the faulty field. Two fuzz targets. Ruled out: a host name in place of an IP address (design, section 1.6). Conclusion: what a host keeps of a backend server is well formed.

--- a/node/backend/announce.go
+++ b/node/backend/announce.go
@@ -43,19 +43,3 @@
 		return c.JSON(http.StatusOK, answer())
 	}
 }
-
-func checkAnnouncement(s membership.Server) *AnnouncementError {
-	switch {
-	case s.Name == "":
-		return &AnnouncementError{"name", "set"}
-	case s.Service == "":
-		return &AnnouncementError{"service", "set"}
-	case s.Address == "":
-		return &AnnouncementError{"address", "an IP address and port"}
-	case s.Incarnation == 0:
-		return &AnnouncementError{"incarnation", "greater than 0"}
-	case s.MemoryMiB < 0:
-		return &AnnouncementError{"memory_mib", "0 or more"}
-	}
-	return nil
-}
--- a/node/backend/attempt.go
+++ b/node/backend/attempt.go
@@ -135,8 +135,11 @@
 	return func(c echo.Context) error {
 		var r CacheReport
 		body := http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncementBytes)
-		if err := json.NewDecoder(body).Decode(&r); err != nil || r.Server == "" {
-			return c.JSON(http.StatusBadRequest, &AnnouncementError{Field: "body", Allowed: "a JSON cache report with a server"})
+		if err := json.NewDecoder(body).Decode(&r); err != nil {
+			return c.JSON(http.StatusBadRequest, &AnnouncementError{Field: "body", Allowed: "a JSON cache report"})
+		}
+		if err := checkCacheReport(r); err != nil {
+			return c.JSON(http.StatusBadRequest, err)
 		}
 		accept(r)
 		return c.NoContent(http.StatusNoContent)
