--- a/cmd/pollenwheel/cluster_test.go
+++ b/cmd/pollenwheel/cluster_test.go
@@ -168,6 +168,17 @@
 	return out
 }
 
+// otherLeads reports whether one of the others knows a leader that is not old.
+func (d *deployment) otherLeads(old *process, others []*process) bool {
+	for _, p := range others {
+		var s admin.StatusAnswer
+		if err := d.get(p, "/v1/admin/status", &s); err == nil && s.Control.Leader != "" && s.Control.Leader != old.settings.Host {
+			return true
+		}
+	}
+	return false
+}
+
 // disturbLeader breaks the leader while requests run, applies a change through
 // the other hosts, and ends the fault.
 func (d *deployment) disturbLeader(fault string, begin, end func(*process)) {
@@ -182,6 +193,7 @@
 			others = append(others, p)
 		}
 	}
+	d.await("another host leads", func() bool { return d.otherLeads(leader, others) })
 	d.apply(int(d.accepted.Load())+1, others...)
 	before := load.served.Load()
 	d.await("requests are served while the leader is "+fault, func() bool { return load.served.Load() > before+50 })
--- a/node/host/lifecycle.go
+++ b/node/host/lifecycle.go
@@ -13,21 +13,23 @@
 	transferTimeout = 5 * time.Second
 )
 
-// becomeReady publishes this host once its membership table was compared with
-// those of the other hosts and its replica is as new as a majority's.
-func (h *Host) becomeReady(ctx context.Context) error {
+// caughtUp blocks until the membership table was compared with those of the
+// other hosts and the replica is as new as a majority's. It returns false if ctx
+// ended before.
+func (h *Host) caughtUp(ctx context.Context) bool {
 	for !h.members.synced() {
 		if !sleep(ctx, syncInterval) {
-			return nil
+			return false
 		}
 	}
-	err := h.follower.WaitCurrent(ctx)
-	if ctx.Err() != nil {
+	return h.follower.WaitCurrent(ctx) == nil
+}
+
+// becomeReady publishes this host once it has caught up.
+func (h *Host) becomeReady(ctx context.Context) error {
+	if !h.caughtUp(ctx) {
 		return nil
 	}
-	if err != nil {
-		return err
-	}
 	h.entry.Refresh()
 	h.ready.Store(true)
 	h.members.setReady(true)
