--- a/cmd/pollenwheel/processes_test.go
+++ b/cmd/pollenwheel/processes_test.go
@@ -70,15 +70,24 @@
 	return binary
 }
 
-// freeAddress returns an address whose port the kernel chose.
-func freeAddress(t testing.TB) string {
+// freeAddresses returns addresses whose ports the kernel chose. They belong to
+// a loopback address of this test process, because a port that is free on
+// 127.0.0.1 may be taken by an outgoing connection before a host listens on it.
+func freeAddresses(t testing.TB, n int) []string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	ip := fmt.Sprintf("127.%d.%d.2", 1+os.Getpid()/250%250, 1+os.Getpid()%250)
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		// All listeners stay open until the last port is chosen, so that no port
+		// is chosen twice.
+		defer func() { _ = l.Close() }()
+		out = append(out, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return out
 }
 
 // newDeployment starts hosts over three data centres; the first three have the
@@ -86,12 +95,13 @@
 func newDeployment(t *testing.T, hosts int) *deployment {
 	d := &deployment{t: t, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	binary, folder := buildBinary(t), t.TempDir()
+	addresses := freeAddresses(t, 2*hosts)
 	var peers, voters []settings.Peer
 	for i := range hosts {
 		p := &process{binary: binary, file: filepath.Join(folder, fmt.Sprintf("host-%d.ini", i))}
 		p.settings = settings.Settings{
 			Host: fmt.Sprintf("host-%d", i), DataCentre: testCentres[i%len(testCentres)],
-			CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), AddressKeep: time.Second,
+			CallerAddress: addresses[2*i], PeerAddress: addresses[2*i+1], AddressKeep: time.Second,
 			BootstrapKeySHA256: admin.HashKey(operatorKey), LogLevel: settings.LogInfo,
 		}
 		if i < controlHosts {
