Protect the models of a server that runs unreported requests

Cause: a host that reports only waiting requests makes a model in use look idle, and the planner would unload it. Ruled out: trusting the demand alone; the entry does not report running requests yet. Change: while a server reports more running requests than the demand accounts for, nothing on it is unloaded as idle or as a victim.

--- a/core/placement/arrivals.go
+++ b/core/placement/arrivals.go
@@ -252,6 +252,26 @@
 	act.drain.observe(in.Now, d, ready, act.history)
 }
 
+// attribute compares the running requests that servers report with those that
+// hosts report for models.
+func (a *arrivals) attribute(v *view) {
+	for i := range v.servers {
+		srv := &v.servers[i]
+		srv.unattributed = false
+		if srv.presence == nil || srv.presence.Load.Running == 0 {
+			continue
+		}
+		known := 0
+		for _, r := range srv.models {
+			act := a.targets[Target{Model: r.key.Model}]
+			if act != nil && act.plan == a.plan {
+				known += max(act.own.runningOn[srv.name], act.viaAdapters.runningOn[srv.name])
+			}
+		}
+		srv.unattributed = known < srv.presence.Load.Running
+	}
+}
+
 // noteGap records the idle period that a new arrival ended.
 func (a *arrivals) noteGap(in Input, act *activity, start time.Duration, d *tally) {
 	gap := start - act.lastActive
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -231,6 +231,9 @@
 func (p *Planner) evictable(in Input, w want, server int) []victim {
 	srv := &p.view.servers[server]
 	var out []victim
+	if srv.unattributed {
+		return nil
+	}
 	for _, r := range srv.adapters {
 		t := Target{r.key.Model, r.key.Adapter}
 		if r.placement.Phase != state.PhaseReady || t == w.target || p.active(t) {
--- a/core/placement/idle.go
+++ b/core/placement/idle.go
@@ -142,8 +142,7 @@
 	if _, ok := p.outdated[r.key]; !ok {
 		p.outdated[r.key] = in.Now
 	}
-	busy := p.arrivals.targets[t].runsOn(p.arrivals.plan, r.key.Server)
-	if !busy || in.Now-p.outdated[r.key] >= drainBound {
+	if !p.busy(p.arrivals.targets[t], r) || in.Now-p.outdated[r.key] >= drainBound {
 		p.unload(in, r)
 	}
 }
@@ -192,7 +191,7 @@
 		if r.placement.Phase != state.PhaseReady || !p.view.servers[r.server].usable || left <= m.PinnedReplicas {
 			continue
 		}
-		if d.waiting > 0 || act.runsOn(p.arrivals.plan, r.key.Server) {
+		if d.waiting > 0 || p.busy(act, r) {
 			p.busySince(in, r.key)
 			continue
 		}
@@ -203,6 +202,11 @@
 	}
 }
 
+// busy reports whether a replica may be running requests.
+func (p *Planner) busy(act *activity, r replicaView) bool {
+	return p.view.servers[r.server].unattributed || act.runsOn(p.arrivals.plan, r.key.Server)
+}
+
 // busySince marks a replica as in use.
 func (p *Planner) busySince(in Input, key state.PlaceKey) {
 	f := p.lastBusy[key]
@@ -224,7 +228,7 @@
 
 func (p *Planner) unloadIdleAdapter(in Input, r replicaView) {
 	t := Target{r.key.Model, r.key.Adapter}
-	if r.placement.Phase != state.PhaseReady || p.active(t) {
+	if r.placement.Phase != state.PhaseReady || p.active(t) || p.view.servers[r.server].unattributed {
 		return
 	}
 	version, configured := p.index.wantedVersion(r.key)
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -134,6 +134,7 @@
 	p.index.refresh(&in.State.Config)
 	p.view.build(in)
 	p.arrivals.observe(in, &p.view)
+	p.arrivals.attribute(&p.view)
 	p.observeFlights(in)
 	p.store.configure(in.Now, storeRate(in.State.Config.Deployment))
 
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -147,6 +147,12 @@
 			s.ready("s0", "a", "")
 			s.newVersion()
 		}, []string{"unload s0 a"}},
+		{"running requests without demand protect the server's models", 2, nil, func(s *scene) {
+			s.ready("s0", "a", "")
+			s.ready("s0", "b", "")
+			s.servers[0].Load.Running, s.servers[1].Leaving = 1, true
+			s.demand = waiting("c")
+		}, nil},
 		{"surplus of a returned server goes before new work", 1, nil, func(s *scene) {
 			s.do(state.Command{Lose: &state.Lose{Server: "s0", Incarnation: 1}})
 			s.register(0)
--- a/core/placement/view.go
+++ b/core/placement/view.go
@@ -82,6 +82,9 @@
 	// reservedMiB covers every phase; freeingMiB is the part being unloaded.
 	reservedMiB int64
 	freeingMiB  int64
+	// unattributed is set while the server reports more running requests than
+	// the hosts' demand accounts for. Any of its models may be running them.
+	unattributed bool
 	// claimed is memory promised to more urgent wants of this plan.
 	claimed  int64
 	models   []replicaView
