--- a/cmd/pollenwheel/load.go
+++ b/cmd/pollenwheel/load.go
@@ -12,7 +12,8 @@
 	"github.com/pollenwheel/pollenwheel/standin/load"
 )
 
-const loadRequest = `{"model":"pattern-guide","max_tokens":1,"messages":[{"role":"user","content":"Which thread for Torchon?"}]}`
+// loadRequest takes whether to stream and the number of tokens.
+const loadRequest = `{"model":"pattern-guide","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"Which thread for Torchon?"}]}`
 
 // loadFlags are the settings of the load command.
 type loadFlags struct {
@@ -21,6 +22,7 @@
 	length      time.Duration
 	connections int
 	tokenTime   time.Duration
+	tokens      int
 }
 
 func addLoadFlags(cmd *kingpin.CmdClause) *loadFlags {
@@ -30,6 +32,7 @@
 	cmd.Flag("length", "Length of each run.").Default("30s").DurationVar(&f.length)
 	cmd.Flag("connections", "Connections in the run without pauses.").Default("64").IntVar(&f.connections)
 	cmd.Flag("token-time", "Time of one token of the engine.").Default("0s").DurationVar(&f.tokenTime)
+	cmd.Flag("tokens", "Tokens of an answer. More than one are streamed.").Default("1").IntVar(&f.tokens)
 	return f
 }
 
@@ -44,8 +47,9 @@
 		return err
 	}
 	defer func() { _ = eng.Close() }()
-	direct := load.NewTarget("direct", eng.Address(), loadRequest, f.connections)
-	entry := load.NewTarget("entry host", f.entry, loadRequest, f.connections)
+	body := fmt.Sprintf(loadRequest, f.tokens > 1, f.tokens)
+	direct := load.NewTarget("direct", eng.Address(), body, f.connections)
+	entry := load.NewTarget("entry host", f.entry, body, f.connections)
 	for _, t := range []*load.Target{entry, direct} {
 		if err := t.Send(ctx); err != nil {
 			return err
