Prove limits, adapters and calls with processes; refuse as not ready

Cause: a control host that was killed and started again answered 404 unknown_model for configured models until it had caught up, and 401 for configured callers. Callers take both as final. Found by the new test TestLimitsHoldWithProcesses. Change: until the host is ready, an unknown name or key is refused with 503 not_ready. The tests run seven hosts and six engines with tight memory through a killed leader, a frozen leader, engine restarts, lost order answers and failed orders; and adapters and calls that may not be repeated through five hosts. The oracle is what the stand-ins record. Ruled out: closing the caller port until the host is ready, since a host that restarts serves the names that it knows, and /readyz needs the port.

--- /dev/null
+++ b/cmd/pollenwheel/calls_test.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/standin/plain"
+)
+
+// TestAdaptersAndCallsWithProcesses guards against adapters that are not loaded
+// or not found through every host, and against a second run of a call that may
+// not be repeated when it is resent through other hosts, also after the host
+// that sent it was killed.
+func TestAdaptersAndCallsWithProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d := newDeployment(t, 5)
+	d.adjust = func(c *config.Configuration) {
+		c.Services = append(c.Services, config.Service{Name: "supply-ledger", Kind: config.KindPlain})
+		for i, m := range d.models {
+			c.Adapters = append(c.Adapters, config.Adapter{Name: fmt.Sprintf("adapter-%d", i), Model: m, Version: "1", MemoryMiB: 500})
+		}
+	}
+	for _, p := range d.processes {
+		d.awaitReady(p)
+	}
+	d.startEngines(ctx, 3)
+	calls := d.startPlain(ctx, 2)
+	d.apply(1, d.processes...)
+	d.awaitVersion()
+	d.adapters(ctx)
+	d.resendThroughOthers(ctx, calls)
+	d.sendThroughAll(ctx, calls)
+	for i, p := range []*process{d.processes[4], d.leader()} {
+		d.killEntry(ctx, calls, p, fmt.Sprintf("killed-%d", i))
+	}
+}
+
+// adapters asks for each adapter through all hosts at once while it is cold,
+// and then once more while it is warm.
+func (d *deployment) adapters(ctx context.Context) {
+	d.t.Helper()
+	for _, state := range []string{"cold", "warm"} {
+		var wg sync.WaitGroup
+		for i := range d.models {
+			for _, p := range d.processes {
+				wg.Go(func() {
+					name := fmt.Sprintf("adapter-%d", i)
+					if err := d.ask(ctx, p, name, state+" "+name+" "+p.settings.Host, 3, patience); err != nil {
+						d.t.Errorf("%s %s through %s: %v", state, name, p.settings.Host, err)
+					}
+				})
+			}
+		}
+		wg.Wait()
+	}
+}
+
+const callTime = 300 * time.Millisecond
+
+// startPlain starts plain servers that share a record.
+func (d *deployment) startPlain(ctx context.Context, n int) *plain.Journal {
+	d.t.Helper()
+	journal := &plain.Journal{}
+	for i := range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		s := plain.Start(plain.Options{
+			Name: fmt.Sprintf("ledger-%d", i), Service: "supply-ledger", DataCentre: testCentres[i], Incarnation: 1,
+			Listener: listener, CallTime: callTime, Journal: journal,
+		})
+		d.t.Cleanup(s.Close)
+		go d.announce(ctx, s)
+	}
+	return journal
+}
+
+// announce sends a plain server's announcements to every host.
+func (d *deployment) announce(ctx context.Context, s *plain.Server) {
+	for ctx.Err() == nil {
+		for _, p := range d.processes {
+			body, _ := json.Marshal(s.Announcement())
+			once, cancel := context.WithTimeout(ctx, time.Second)
+			req, err := http.NewRequestWithContext(once, http.MethodPost, "http://"+p.settings.CallerAddress+"/v1/backend/announce", bytes.NewReader(body))
+			if err == nil {
+				if resp, err := d.client.Do(req); err == nil {
+					_ = resp.Body.Close()
+				}
+			}
+			cancel()
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// once sends a call that may not be repeated.
+func (d *deployment) once(ctx context.Context, p *process, key string) (status int, replayed bool, body string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.settings.CallerAddress+"/v1/services/supply-ledger/entries", strings.NewReader(key))
+	if err != nil {
+		return 0, false, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("X-Idempotent", "false")
+	req.Header.Set("Idempotency-Key", key)
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return 0, false, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header.Get("X-Replayed") == "true", string(data), err
+}
+
+func newKey(token string) string { return fmt.Sprintf("%d.%s", time.Now().UnixMilli(), token) }
+
+func runs(j *plain.Journal, key string) int {
+	n := 0
+	for _, c := range j.Calls() {
+		if c.Body == key {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *deployment) checkRuns(j *plain.Journal, key string, want int) {
+	d.t.Helper()
+	if n := runs(j, key); n != want {
+		d.t.Errorf("the call %s ran %d times, want %d", key, n, want)
+	}
+}
+
+// resendThroughOthers sends a call and resends it through each other host,
+// which must answer with the recorded answer.
+func (d *deployment) resendThroughOthers(ctx context.Context, j *plain.Journal) {
+	d.t.Helper()
+	key, first := newKey("resent"), ""
+	d.await("the call is answered", func() bool {
+		status, _, body, err := d.once(ctx, d.processes[0], key)
+		first = body
+		return err == nil && status == http.StatusOK
+	})
+	for _, p := range d.processes[1:] {
+		d.await("the recorded answer through "+p.settings.Host, func() bool {
+			status, replayed, body, err := d.once(ctx, p, key)
+			return err == nil && status == http.StatusOK && replayed && body == first
+		})
+	}
+	d.checkRuns(j, key, 1)
+}
+
+// sendThroughAll sends the same call through all hosts at once.
+func (d *deployment) sendThroughAll(ctx context.Context, j *plain.Journal) {
+	d.t.Helper()
+	key := newKey("at-once")
+	var wg sync.WaitGroup
+	for _, p := range d.processes {
+		wg.Go(func() {
+			status, _, body, err := d.once(ctx, p, key)
+			if err != nil || status != http.StatusOK && refusalError(status, body) != nil {
+				d.t.Errorf("call through %s: status %d, %q, error %v", p.settings.Host, status, body, err)
+			}
+		})
+	}
+	wg.Wait()
+	d.checkRuns(j, key, 1)
+}
+
+// refusalError returns nil for a typed refusal.
+func refusalError(status int, body string) error {
+	err := refusalIn(status, body)
+	if _, ok := err.(*refusedError); ok {
+		return nil
+	}
+	return err
+}
+
+// killEntry kills a host while a call runs that came through it, and resends
+// the call through the other hosts.
+func (d *deployment) killEntry(ctx context.Context, j *plain.Journal, p *process, token string) {
+	d.t.Helper()
+	key := newKey(token)
+	sent := make(chan struct{})
+	go func() {
+		_, _, _, _ = d.once(ctx, p, key)
+		close(sent)
+	}()
+	d.await("the call runs", func() bool { return runs(j, key) > 0 })
+	d.kill(p)
+	<-sent
+	for range 2 {
+		for _, other := range d.processes {
+			if other == p {
+				continue
+			}
+			status, replayed, body, err := d.once(ctx, other, key)
+			if err != nil || status == http.StatusOK && !replayed || status != http.StatusOK && refusalError(status, body) != nil {
+				d.t.Errorf("resend through %s: status %d, %q, error %v", other.settings.Host, status, body, err)
+			}
+		}
+	}
+	d.start(p)
+	d.awaitReady(p)
+	if _, _, _, err := d.once(ctx, p, key); err != nil {
+		d.t.Errorf("resend through the restarted host: %v", err)
+	}
+	time.Sleep(2 * callTime)
+	d.checkRuns(j, key, 1)
+}
--- a/cmd/pollenwheel/cluster_test.go
+++ b/cmd/pollenwheel/cluster_test.go
@@ -141,6 +141,8 @@
 }
 
 func (d *deployment) kill(p *process) {
+	p.down.Store(true)
+	p.killed.Add(1)
 	d.signal(p, syscall.SIGKILL)
 	if err := <-p.exited; err == nil {
 		d.t.Errorf("%s ended by itself before it was killed", p.settings.Host)
--- /dev/null
+++ b/cmd/pollenwheel/limits_test.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/node/admin"
+	"github.com/pollenwheel/pollenwheel/node/backend"
+	"github.com/pollenwheel/pollenwheel/standin/engine"
+)
+
+const (
+	limitModels   = 14
+	limitAdapters = 4
+	limitEngines  = 6
+	// engineMiB holds two models and one adapter.
+	engineMiB  = 21_000
+	modelMiB   = 10_000
+	adapterMiB = 1_000
+)
+
+// limits is a deployment whose engines record what they hold.
+type limits struct {
+	*deployment
+	names    []string
+	holdings *engine.Holdings
+	options  []engine.Options
+	links    []*lossyLink
+}
+
+// TestLimitsHoldWithProcesses guards against more replicas than operators
+// decided, and against overcommitted memory, in what the engines hold: while
+// the leader is killed or frozen during loads, an engine restarts during a
+// load, answers to orders are lost, loads and unloads fail, and half of the
+// engines ignore fencing numbers.
+func TestLimitsHoldWithProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l := newLimits(ctx, t)
+	b := l.startBursts(l.names, 1)
+	l.killLeader(b)
+	l.freezeLeader(b)
+	l.restartEngine(ctx, 0)
+	l.restartEngine(ctx, 3)
+	l.moreLoads(6)
+	b.stop()
+	for _, link := range l.links {
+		link.lossless.Store(true)
+	}
+	l.serveAll(ctx)
+	l.checkLimits()
+	t.Logf("%d served, %d refused %v, %d cut by a killed host, %d loads, %d order answers lost",
+		b.served.Load(), b.refused.Load(), b.codes, b.cut.Load(), l.holdings.Loads(), l.dropped())
+}
+
+func newLimits(ctx context.Context, t *testing.T) *limits {
+	l := &limits{deployment: newDeployment(t, 7)}
+	sizes := map[engine.Target]int64{}
+	l.models = nil
+	for i := range limitModels {
+		name := fmt.Sprintf("model-%d", i)
+		l.models = append(l.models, name)
+		sizes[engine.Target{Model: name}] = modelMiB
+	}
+	l.names = append(l.names, l.models...)
+	for i := range limitAdapters {
+		name := fmt.Sprintf("adapter-%d", i)
+		l.names = append(l.names, name)
+		sizes[engine.Target{Model: l.models[i], Adapter: name}] = adapterMiB
+	}
+	l.adjust = l.describe
+	l.holdings = engine.NewHoldings(sizes)
+	for _, p := range l.processes {
+		l.awaitReady(p)
+	}
+	for i := range limitEngines {
+		l.addEngine(ctx, i)
+	}
+	l.apply(1, l.processes...)
+	l.awaitVersion()
+	return l
+}
+
+// describe gives every second model one replica and adds the adapters.
+func (l *limits) describe(c *config.Configuration) {
+	c.Deployment.StoreLoadsPerSecond, c.Deployment.StoreConcurrency = 50, 50
+	for i := range c.Models {
+		c.Models[i].MaxReplicas = 1 + i%2
+	}
+	for i := range limitAdapters {
+		c.Adapters = append(c.Adapters, config.Adapter{
+			Name: fmt.Sprintf("adapter-%d", i), Model: l.models[i], Version: "1", MemoryMiB: adapterMiB,
+		})
+	}
+}
+
+// addEngine starts an engine. Every second one ignores fencing numbers and
+// incarnations, two are behind a lossy link, and two fail some orders.
+func (l *limits) addEngine(ctx context.Context, i int) {
+	l.t.Helper()
+	o := engine.Options{
+		Name: fmt.Sprintf("engine-%d", i), Service: "lace-assist", DataCentre: testCentres[i%len(testCentres)],
+		Listen: freeAddress(l.t), MemoryMiB: engineMiB, ChecksFencing: i%2 == 0, ChecksIncarnation: i%2 == 0,
+		LoadTime: 300 * time.Millisecond, TokenTime: 20 * time.Millisecond, Holdings: l.holdings,
+	}
+	for k := range l.processes {
+		o.Hosts = append(o.Hosts, l.processes[(i+k)%len(l.processes)].settings.CallerAddress)
+	}
+	switch i {
+	case 1, 2:
+		link := newLossyLink(l.t, o.Listen)
+		o.Advertised = link.listener.Addr().String()
+		l.links = append(l.links, link)
+	case 4, 5:
+		var orders atomic.Int64
+		o.Faults.FailOrder = func(backend.Order) bool { return orders.Add(1)%5 == 0 }
+	}
+	l.options = append(l.options, o)
+	l.engines = append(l.engines, l.startEngine(ctx, i))
+}
+
+func (l *limits) startEngine(ctx context.Context, i int) *engine.Engine {
+	l.t.Helper()
+	var e *engine.Engine
+	l.await("the engine listens", func() (ok bool) {
+		var err error
+		e, err = engine.Start(ctx, l.options[i])
+		return err == nil
+	})
+	return e
+}
+
+// moreLoads waits until n more loads have begun.
+func (l *limits) moreLoads(n int) {
+	l.t.Helper()
+	before := l.holdings.Loads()
+	l.await(fmt.Sprintf("%d more loads", n), func() bool { return l.holdings.Loads() >= before+n })
+}
+
+func (l *limits) awaitLoad(server string) {
+	l.t.Helper()
+	l.await("a load is in progress on "+server, func() bool { return l.holdings.Loading(server) > 0 })
+}
+
+func (l *limits) killLeader(b *bursts) {
+	l.t.Helper()
+	l.moreLoads(3)
+	leader := l.leader()
+	l.awaitLoad("")
+	l.kill(leader)
+	l.successor(leader)
+	before := b.served.Load()
+	l.await("requests are served", func() bool { return b.served.Load() > before+20 })
+	l.moreLoads(2)
+	l.start(leader)
+	l.awaitReady(leader)
+	leader.down.Store(false)
+}
+
+func (l *limits) freezeLeader(b *bursts) {
+	l.t.Helper()
+	leader := l.leader()
+	l.awaitLoad("")
+	l.signal(leader, syscall.SIGSTOP)
+	l.successor(leader)
+	before := b.served.Load()
+	l.await("requests are served", func() bool { return b.served.Load() > before+20 })
+	l.moreLoads(2)
+	l.signal(leader, syscall.SIGCONT)
+	l.awaitReady(leader)
+}
+
+// successor waits until another control host leads.
+func (l *limits) successor(old *process) {
+	l.t.Helper()
+	l.await("another leader", func() bool {
+		for _, p := range l.processes[:controlHosts] {
+			var s admin.StatusAnswer
+			if p != old && l.get(p, "/v1/admin/status", &s) == nil && s.Control.Leader == p.settings.Host {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// restartEngine ends an engine during a load and starts a new process at the
+// same address.
+func (l *limits) restartEngine(ctx context.Context, i int) {
+	l.t.Helper()
+	l.awaitLoad(l.options[i].Name)
+	_ = l.engines[i].Close()
+	l.engines[i] = l.startEngine(ctx, i)
+}
+
+// serveAll asks for every model and adapter until it is served.
+func (l *limits) serveAll(ctx context.Context) {
+	l.t.Helper()
+	var wg sync.WaitGroup
+	for i, name := range l.names {
+		wg.Go(func() {
+			var err error
+			stop := time.Now().Add(patience)
+			for k := i; time.Now().Before(stop); k++ {
+				err = l.ask(ctx, l.processes[k%len(l.processes)], name, "last "+name, burstTokens, 30*time.Second)
+				if err == nil {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			l.t.Errorf("%s is not served in the end: %v", name, err)
+		})
+	}
+	wg.Wait()
+	if l.t.Failed() {
+		var models json.RawMessage
+		_ = l.get(l.processes[0], "/v1/admin/models", &models)
+		l.t.Logf("replicas at the failure: %s", models)
+	}
+}
+
+func (l *limits) checkLimits() {
+	l.t.Helper()
+	c := l.configuration(0)
+	replicas := l.holdings.PeakReplicas()
+	for _, m := range c.Models {
+		if replicas[m.Name] > m.MaxReplicas {
+			l.t.Errorf("%s had %d replicas, its limit is %d", m.Name, replicas[m.Name], m.MaxReplicas)
+		}
+	}
+	memory := l.holdings.PeakMemory()
+	for server, mib := range memory {
+		if mib > engineMiB {
+			l.t.Errorf("%s held %d of %d MiB", server, mib, engineMiB)
+		}
+	}
+	l.t.Logf("peak replicas %v, peak memory %v", replicas, memory)
+}
+
+func (l *limits) dropped() int64 {
+	n := int64(0)
+	for _, link := range l.links {
+		n += link.dropped.Load()
+	}
+	return n
+}
--- a/cmd/pollenwheel/processes_test.go
+++ b/cmd/pollenwheel/processes_test.go
@@ -47,6 +47,10 @@
 	// before the newest one.
 	started atomic.Int64
 	floor   atomic.Uint64
+	// killed counts the SIGKILLs; down is set from one until the process is
+	// ready again.
+	killed atomic.Int64
+	down   atomic.Bool
 }
 
 // deployment is several processes with stand-in engines.
@@ -58,6 +62,8 @@
 	// accepted is the highest configuration version that an answer reported.
 	accepted atomic.Uint64
 	models   []string
+	// adjust, if set, changes the configuration before it is applied.
+	adjust func(*config.Configuration)
 }
 
 func buildBinary(t testing.TB) string {
@@ -237,6 +243,9 @@
 			Name: name, Service: "lace-assist", Version: "1", MemoryMiB: 8_000, KVMiB: 2_000, MaxReplicas: 2, QueueLimit: 100,
 		})
 	}
+	if d.adjust != nil {
+		d.adjust(&c)
+	}
 	return c
 }
 
--- a/node/entry/call.go
+++ b/node/entry/call.go
@@ -74,7 +74,7 @@
 	}
 	key, ok := v.names[head.Model]
 	if !ok {
-		return nil, unknownName("unknown_model", "no model or adapter has this name")
+		return nil, e.unknownName("unknown_model", "no model or adapter has this name")
 	}
 	q.key, q.stream = key, head.Stream
 	q.defaults(v.classes[key.Model])
@@ -96,7 +96,7 @@
 	}
 	name := c.Param("service")
 	if !v.plain[name] {
-		return nil, unknownName("unknown_service", "no plain service has this name")
+		return nil, e.unknownName("unknown_service", "no plain service has this name")
 	}
 	r := c.Request()
 	q.key = routing.Key{Service: name}
@@ -114,14 +114,31 @@
 	return q, nil
 }
 
-func unknownName(code, reason string) *Refusal { return refuse(http.StatusNotFound, code, reason) }
+// unknownName refuses a name that is not configured. A host that still catches
+// up cannot tell.
+func (e *Entry) unknownName(code, reason string) *Refusal {
+	if e.behind() {
+		return notReady()
+	}
+	return refuse(http.StatusNotFound, code, reason)
+}
+
+// behind reports whether the host may hold an old configuration.
+func (e *Entry) behind() bool { return e.opts.Ready != nil && !e.opts.Ready() }
+
+func notReady() *Refusal {
+	return unavailable("not_ready", "the host is starting and does not have the current configuration yet")
+}
 
 // parseCommon reads what all requests share.
 func (e *Entry) parseCommon(c echo.Context, v *view) (*call, *Refusal) {
 	r := c.Request()
 	q := &call{method: r.Method, idempotent: true}
 	var ok bool
-	if q.caller, ok = v.identify(r.Header.Get("Authorization")); !ok {
+	if q.caller, ok = v.identify(r.Header.Get("Authorization")); !ok && e.behind() {
+		return nil, notReady()
+	}
+	if !ok {
 		refusal := refuse(http.StatusUnauthorized, "unauthorized", "Authorization must carry the key of a caller as a bearer token")
 		refusal.RetryAfterMS = 0
 		return nil, refusal
--- a/node/entry/call_test.go
+++ b/node/entry/call_test.go
@@ -145,3 +145,19 @@
 		}
 	})
 }
+
+// Guards against a host that, while it catches up after a restart, tells a
+// caller that a new key or model does not exist.
+func TestStartingHostDoesNotKnowYet(t *testing.T) {
+	for _, callers := range [][]config.Caller{nil, {{Name: "desk", KeySHA256: "none"}}} {
+		e := parser(callers...)
+		e.opts.Ready = func() bool { return false }
+		web := echo.New()
+		e.Routes(web)
+		rec := httptest.NewRecorder()
+		web.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(`{"model":"bobbin"}`)))
+		if rec.Code != http.StatusServiceUnavailable || !strings.Contains(rec.Body.String(), "not_ready") {
+			t.Errorf("status %d: %s", rec.Code, rec.Body)
+		}
+	}
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -37,6 +37,9 @@
 	Self state.Sender
 
 	DataCentre string
+	// Ready reports whether the configuration of this host is current. Until
+	// then an unknown name may be a new one. Unset means always.
+	Ready func() bool
 	// Predict returns when a model or adapter that is not ready will be.
 	Predict func(model, adapter string) (time.Duration, bool)
 	// Observe is told the end of every request.
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -97,7 +97,7 @@
 	h.burn = newBurnCounter(h)
 	h.entry = entry.New(entry.Options{
 		Replica: h.replica, Client: h.backend, Log: h.forward, Servers: h.members.Servers, Now: h.now,
-		Self: h.sender, DataCentre: s.DataCentre, Predict: h.predict, Observe: h.burn.observe,
+		Self: h.sender, DataCentre: s.DataCentre, Predict: h.predict, Ready: h.ready.Load, Observe: h.burn.observe,
 	})
 	return h, h.measure()
 }
