Keep what the leader learned in the replicated state

Change: the leader records them every ten minutes; a new leader imports them. Entry hosts do not receive them. Conclusion: a test in virtual time checks that the next leader knows them.

--- a/cmd/pollenwheel/limits_test.go
+++ b/cmd/pollenwheel/limits_test.go
@@ -110,7 +110,7 @@
 	l.t.Helper()
 	o := engine.Options{
 		Name: fmt.Sprintf("engine-%d", i), Service: "lace-assist", DataCentre: testCentres[i%len(testCentres)],
-		Listen: freeAddress(l.t), MemoryMiB: engineMiB, ChecksFencing: i%2 == 0, ChecksIncarnation: i%2 == 0,
+		Listen: freeAddresses(l.t, 1)[0], MemoryMiB: engineMiB, ChecksFencing: i%2 == 0, ChecksIncarnation: i%2 == 0,
 		LoadTime: 300 * time.Millisecond, TokenTime: 20 * time.Millisecond, Holdings: l.holdings,
 	}
 	for k := range l.processes {
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -30,6 +30,7 @@
 	Suspect   *Suspect   `json:"suspect,omitempty"`
 	Trial     *Trial     `json:"trial,omitempty"`
 	Acquit    *Acquit    `json:"acquit,omitempty"`
+	Learn     *Learn     `json:"learn,omitempty"`
 }
 
 // Configure changes the configuration if Expected is the current version.
@@ -210,6 +211,12 @@
 	Fingerprint string `json:"fingerprint"`
 }
 
+// Learn keeps what the leader has learned of loads and arrivals for its
+// successors. The state does not look into it.
+type Learn struct {
+	Data json.RawMessage `json:"data"`
+}
+
 // EncodeCommand returns the log form of c.
 func EncodeCommand(c Command) ([]byte, error) { return json.Marshal(c) }
 
@@ -226,9 +233,9 @@
 }
 
 // ForFollowers returns the command as entry hosts without the control role
-// receive it: claims and outcomes are left out, since only the consensus
-// group answers for them.
+// receive it: claims, outcomes and what the leader learned are left out, since
+// only the consensus group uses them.
 func (c Command) ForFollowers() Command {
-	c.Claim, c.Outcome = nil, nil
+	c.Claim, c.Outcome, c.Learn = nil, nil, nil
 	return c
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -131,6 +131,9 @@
 	Claims     map[string]ClaimRecord   `json:"claims"`
 	Suspects   map[string]SuspectRecord `json:"suspects"`
 
+	// Learned is what the last leader learned of loads and arrivals.
+	Learned json.RawMessage `json:"learned,omitempty"`
+
 	// ExpiredMS is the key creation time up to which claims were dropped. It is
 	// kept so that a longer retention never admits a key whose claim is gone.
 	ExpiredMS int64 `json:"expired_ms"`
@@ -194,6 +197,8 @@
 		return s.trial(*c.Trial)
 	case c.Acquit != nil:
 		return s.acquit(*c.Acquit)
+	case c.Learn != nil:
+		s.Learned = c.Learn.Data
 	}
 	return Result{}
 }
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,9 @@
 	planInterval = 50 * time.Millisecond
 	// idlePlanInterval is how often it plans otherwise.
 	idlePlanInterval = 500 * time.Millisecond
+	// learnInterval is how often the leader records what it has learned. What
+	// is lost with a leader takes days to learn, but minutes matter little.
+	learnInterval = 10 * time.Minute
 )
 
 // reportTimeout is how long a new leader waits for the reports of the
@@ -57,6 +61,7 @@
 	since   time.Duration
 	settled bool
 
+	recordedAt   time.Duration
 	planned      *state.State
 	plannedAt    time.Duration
 	plannedAfter <-chan struct{}
@@ -64,10 +69,43 @@
 
 // NewLeader returns a leader that identifies itself as sender.
 func NewLeader(log Log, r *replica.Replica, src Sources, sender state.Sender, logger *logrus.Entry) *Leader {
-	return &Leader{
+	l := &Leader{
 		log: log, replica: r, sources: src, sender: sender, logger: logger,
-		planner: placement.New(), since: src.Now(),
+		planner: placement.New(), since: src.Now(), recordedAt: src.Now(),
 	}
+	l.restore()
+	return l
+}
+
+// restore takes over what an earlier leader recorded.
+func (l *Leader) restore() {
+	data := l.replica.Snapshot().Learned
+	if len(data) == 0 {
+		return
+	}
+	var learned placement.Learned
+	if err := json.Unmarshal(data, &learned); err != nil {
+		l.logger.WithError(err).Warn("what an earlier leader learned cannot be read")
+		return
+	}
+	l.planner.Import(learned)
+}
+
+// record keeps what the planner has learned in the replicated state.
+func (l *Leader) record(ctx context.Context, in placement.Input) {
+	if in.Now-l.recordedAt < learnInterval {
+		return
+	}
+	l.recordedAt = in.Now
+	l.planning.Lock()
+	learned := l.planner.Export(in.Now, in.UnixMS)
+	l.planning.Unlock()
+	data, err := json.Marshal(learned)
+	if err != nil {
+		l.logger.WithError(err).Warn("what was learned cannot be recorded")
+		return
+	}
+	propose(ctx, l.log, state.Command{Learn: &state.Learn{Data: data}}, l.logger)
 }
 
 // Run plans until ctx ends.
@@ -92,6 +130,7 @@
 	if !l.reported(in) || !l.due(in) {
 		return
 	}
+	l.record(ctx, in)
 	for _, d := range l.plan(in) {
 		propose(ctx, l.log, state.Command{Load: d.Load, Unload: d.Unload}, l.logger)
 	}
