--- a/cmd/pollenwheel/burst_test.go
+++ b/cmd/pollenwheel/burst_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand"
@@ -130,7 +131,8 @@
 
 // count judges the end of one request. Only a host that was killed may cut one.
 func (b *bursts) count(d *deployment, p *process, err error, mayCut bool) {
-	refused, typed := err.(*refusedError)
+	var refused *refusedError
+	typed := errors.As(err, &refused)
 	switch {
 	case err == nil:
 		b.served.Add(1)
--- a/cmd/pollenwheel/calls_test.go
+++ b/cmd/pollenwheel/calls_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -186,7 +187,8 @@
 // refusalError returns nil for a typed refusal.
 func refusalError(status int, body string) error {
 	err := refusalIn(status, body)
-	if _, ok := err.(*refusedError); ok {
+	var typed *refusedError
+	if errors.As(err, &typed) {
 		return nil
 	}
 	return err
--- a/cmd/pollenwheel/limits_test.go
+++ b/cmd/pollenwheel/limits_test.go
@@ -211,14 +211,16 @@
 		wg.Go(func() {
 			var err error
 			stop := time.Now().Add(patience)
+			tries := 0
 			for k := i; time.Now().Before(stop); k++ {
+				tries++
 				err = l.ask(ctx, l.processes[k%len(l.processes)], name, "last "+name, burstTokens, 30*time.Second)
 				if err == nil {
 					return
 				}
 				time.Sleep(100 * time.Millisecond)
 			}
-			l.t.Errorf("%s is not served in the end: %v", name, err)
+			l.t.Errorf("%s is not served in the end, after %d tries: %v", name, tries, err)
 		})
 	}
 	wg.Wait()
