--- a/core/orders/observe.go
+++ b/core/orders/observe.go
@@ -80,7 +80,9 @@
 	case state.PhaseReady:
 		return false, covers && absent
 	case state.PhaseUnloading:
-		return refused && !absent, covers && absent || refused
+		// Ready under the number of the unload means that it had no effect.
+		failed := covers && r.Phase == membership.ReportReady
+		return failed || refused && !absent, covers && absent || failed || refused
 	case state.PhaseHeld:
 		return false, absent && len(p.Copies) == 0 && srv.Sequence > p.MinSequence
 	case state.PhaseSurplus:
--- a/core/orders/orders_test.go
+++ b/core/orders/orders_test.go
@@ -105,6 +105,34 @@
 	}
 }
 
+// TestFailedUnloadIsRepeated guards against an unload that had no effect and
+// whose number the server no longer accepts, because a newer order came between.
+func TestFailedUnloadIsRepeated(t *testing.T) {
+	s := state.New()
+	server := membership.Server{Name: "e", Service: "s", Incarnation: 1, Sequence: 9, MemoryMiB: 100, ChecksFencing: true, NewestOrder: 6}
+	s.Apply(1, state.Command{Configure: &state.Configure{ChangeID: "c", Next: testConfiguration()}})
+	s.Apply(2, registration(server))
+	s.Apply(3, state.Command{Load: &state.Load{Server: "e", Incarnation: 1, Model: "m0"}})
+	s.Apply(4, state.Command{Settle: &state.Settle{Server: "e", Incarnation: 1, Model: "m0", Fence: 3, Loaded: true}})
+	s.Apply(5, state.Command{Unload: &state.Unload{Server: "e", Incarnation: 1, Model: "m0"}})
+	server.Models = []membership.Report{{Model: "m0", Phase: membership.ReportReady, Order: 5}}
+	x := New(state.Sender{Host: "h", Incarnation: 1})
+	index, newest := uint64(5), uint64(0)
+	for now := range 20 {
+		out := x.Step(Input{Now: time.Duration(now) * time.Second, State: s, Leading: true, Servers: []membership.Presence{{Server: server}}})
+		for _, c := range out.Commands {
+			index++
+			s.Apply(index, c)
+		}
+		for _, o := range out.Orders {
+			newest = max(newest, o.Fence)
+		}
+	}
+	if newest <= server.NewestOrder {
+		t.Fatalf("the newest order has number %d, the server accepts more than %d", newest, server.NewestOrder)
+	}
+}
+
 // TestUnloadWaitsForRequests guards against an unload that cuts requests in
 // progress, or that is sent before every host stopped routing to the replica.
 func TestUnloadWaitsForRequests(t *testing.T) {
--- a/core/orders/world_test.go
+++ b/core/orders/world_test.go
@@ -260,13 +260,14 @@
 	w.finishOn(e, rapid.IntRange(0, 5).Draw(t, "failure") == 0)
 }
 
-// finishOn completes the loads and unloads on one engine.
+// finishOn ends the loads and unloads on one engine, without effect if fail is
+// set.
 func (w *world) finishOn(e *engineProcess, fail bool) {
 	for key, r := range e.models {
 		switch {
-		case r.Phase == membership.ReportUnloading, r.Phase == membership.ReportLoading && fail:
+		case r.Phase == membership.ReportUnloading && !fail, r.Phase == membership.ReportLoading && fail:
 			r.Phase = membership.ReportAbsent
-		case r.Phase == membership.ReportLoading:
+		case r.Phase == membership.ReportLoading, r.Phase == membership.ReportUnloading:
 			r.Phase = membership.ReportReady
 		}
 		e.models[key] = r
