Settle unloads that failed on the server

Cause: an unload that a server accepted and failed stayed open: the report was not absent, and a server that checks fencing numbers refused the resend after a newer order. Its memory counted as being freed for ever, so other models waited for it. Found by TestLimitsHoldWithProcesses. Change: such a report settles the intent as loaded; the placement becomes surplus and is unloaded under a new number. Ruled out: a held slot or a lost copy; the state at the failure showed one unload in progress on an engine that fails orders, no held slot.

--- a/core/orders/observe.go
+++ b/core/orders/observe.go
@@ -80,7 +80,10 @@
 	case state.PhaseReady:
 		return false, covers && absent
 	case state.PhaseUnloading:
-		return refused && !absent, covers && absent || refused
+		// A server that accepted the unload and still has the model failed to
+		// unload it. It may refuse a resend for its old number.
+		failed := covers && r.Phase == membership.ReportReady
+		return (refused || failed) && !absent, covers && absent || failed || refused
 	case state.PhaseHeld:
 		return false, absent && len(p.Copies) == 0 && srv.Sequence > p.MinSequence
 	case state.PhaseSurplus:
