Count a granted request without a server as waiting

Cause: a request granted for a replica whose process had ended counted as running while it looked for a server, so the leader saw no demand and never loaded the model again; the request was refused at its deadline. Found by running the load command twice against one host. Ruled out: the planner and the order path, whose log showed a demand of 0 waiting and 1 running after the new registration. Change: such a request counts as waiting, with its class and deadline. Before: the second load run got no answer in 20 s, 3 of 3 times; the new test sees 0 waiting.

--- /dev/null
+++ b/node/entry/demand_test.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestGrantedRequestWithoutServerIsDemand guards against a model that is never
+// loaded again: a request was granted for a replica whose server process had
+// ended, counted as running, and waited for its deadline.
+func TestGrantedRequestWithoutServerIsDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(worldOptions{hosts: 1, engines: 1})
+		defer w.close()
+		w.mu.Lock()
+		only := w.engines[0]
+		w.mu.Unlock()
+		_ = only.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.hosts[0].call(ctx, "/v1/chat/completions", nil, chatBody("request", false, 1))
+		}()
+		time.Sleep(50 * time.Millisecond)
+		waiting, running := 0, 0
+		for _, d := range w.hosts[0].entry.Demand() {
+			waiting += d.Waiting + d.Classes[0].Waiting + d.Classes[1].Waiting + d.Classes[2].Waiting
+			running += d.Running
+		}
+		if waiting != 2 || running != 0 {
+			t.Errorf("waiting, with and by urgency, %d, want 2; running %d, want 0", waiting, running)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/node/entry/queue.go
+++ b/node/entry/queue.go
@@ -16,11 +16,13 @@
 
 // queue is the admission queue of one model, adapter or plain service.
 type queue struct {
-	key         routing.Key
-	admission   *admission.Queue
-	limiter     *admission.Limiter
-	budget      *admission.Budget
-	waiters     map[uint64]*waiter
+	key       routing.Key
+	admission *admission.Queue
+	limiter   *admission.Limiter
+	budget    *admission.Budget
+	waiters   map[uint64]*waiter
+	// unserved holds the deadlines of granted requests without a server.
+	unserved    map[*call]time.Duration
 	nominal     int
 	lastArrival time.Duration
 }
@@ -41,6 +43,7 @@
 	qu := &queue{
 		key: key, limiter: admission.NewLimiter(), budget: admission.NewBudget(e.opts.RetryShare),
 		waiters:   map[uint64]*waiter{},
+		unserved:  map[*call]time.Duration{},
 		admission: admission.NewQueue(admission.Options{Limit: limit, PatientLimit: patientQueueLimit}, e.rng),
 	}
 	e.queues[key] = qu
@@ -246,8 +249,18 @@
 		d = &placement.Demand{Model: key.Model, Adapter: key.Adapter}
 		sums[key] = d
 	}
-	d.Waiting += qu.admission.Waiting()
-	d.Running += qu.admission.Running()
+	d.Waiting += qu.admission.Waiting() + len(qu.unserved)
+	d.Running += qu.admission.Running() - len(qu.unserved)
+	for q, deadline := range qu.unserved {
+		if d.Earliest == 0 || deadline < d.Earliest {
+			d.Earliest = deadline
+		}
+		c := &d.Classes[urgencies[q.class]]
+		if c.Waiting == 0 || deadline < c.Earliest {
+			c.Earliest = deadline
+		}
+		c.Waiting++
+	}
 	d.Arrivals += e.arrivals[qu.key]
 	d.LastArrival = max(d.LastArrival, qu.lastArrival)
 	for class, urgency := range urgencies {
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -123,8 +123,14 @@
 	return nil
 }
 
-// choose blocks until a server may receive an attempt.
+// choose blocks until a server may receive an attempt. Meanwhile the request
+// counts as waiting in the demand: its model may have to be loaded again.
 func (e *Entry) choose(ctx context.Context, q *call, exclude string) (*flight, *Refusal) {
+	if f := e.pick(q, exclude); f != nil {
+		return f, nil
+	}
+	e.setUnserved(ctx, q, true)
+	defer e.setUnserved(ctx, q, false)
 	for {
 		if _, suspect := e.view.Load().suspects[q.fingerprint]; suspect && !e.opts.off.suspects {
 			return e.beginTrial(ctx, q)
@@ -139,6 +145,22 @@
 	}
 }
 
+// setUnserved records whether a granted request is without a server.
+func (e *Entry) setUnserved(ctx context.Context, q *call, unserved bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	qu := e.queue(q.key)
+	if !unserved {
+		delete(qu.unserved, q)
+		return
+	}
+	deadline := e.opts.Now() + q.timeout
+	if at, ok := ctx.Deadline(); ok {
+		deadline = e.opts.Now() + time.Until(at)
+	}
+	qu.unserved[q] = deadline
+}
+
 func (e *Entry) pause(ctx context.Context, changed <-chan struct{}) *Refusal {
 	timer := time.NewTimer(choosePause)
 	defer timer.Stop()
@@ -153,6 +175,9 @@
 
 // pick chooses a server and registers the attempt.
 func (e *Entry) pick(q *call, exclude string) *flight {
+	if _, suspect := e.view.Load().suspects[q.fingerprint]; suspect && !e.opts.off.suspects {
+		return nil
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	query := routing.Query{Key: q.key, Prefix: q.prefix, Exclude: exclude}
