--- a/node/control/group.go
+++ b/node/control/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -383,5 +384,23 @@
 		close(g.changed)
 		g.changed = make(chan struct{})
 	}
+	if !slices.EqualFunc(s.Members, g.status.Members, sameVote) {
+		voters, learners := s.hosts()
+		g.logger.WithFields(logrus.Fields{"voters": voters, "learners": learners}).Info("membership changed")
+	}
 	g.status = s
 }
+
+func sameVote(a, b MemberStatus) bool { return a.ID == b.ID && a.Voter == b.Voter }
+
+// hosts returns the names of the voters and learners.
+func (s Status) hosts() (voters, learners []string) {
+	for _, m := range s.Members {
+		if m.Voter {
+			voters = append(voters, m.Host)
+		} else {
+			learners = append(learners, m.Host)
+		}
+	}
+	return voters, learners
+}
