--- a/node/host/lead.go
+++ b/node/host/lead.go
@@ -11,7 +11,7 @@
 )
 
 // leaseInterval is how often a control host checks whether it leads.
-const leaseInterval = 50 * time.Millisecond
+const leaseInterval = 20 * time.Millisecond
 
 // lead runs the planner and the orders while this host holds the lease.
 type lead struct {
