--- a/core/config/patch_test.go
+++ b/core/config/patch_test.go
@@ -7,8 +7,12 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/pollenwheel/pollenwheel/core/proptest"
 )
 
+func TestMain(m *testing.M) { proptest.Main(m, proptest.Options{Checks: 100}) }
+
 func drawConfiguration(t *rapid.T, label string) Configuration {
 	c := Configuration{Deployment: Deployment{Name: rapid.SampledFrom([]string{"x", "y"}).Draw(t, label+"deployment")}}
 	for i := range 4 {
--- a/core/consensus/fuzz_test.go
+++ b/core/consensus/fuzz_test.go
@@ -1,30 +1,16 @@
 package consensus
 
 import (
-	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/pollenwheel/pollenwheel/core/proptest"
 )
 
-// TestMain fixes rapid's seed, unless flags say otherwise.
-// POLLENWHEEL_FUZZ_CHECKS raises the number of checks.
-func TestMain(m *testing.M) {
-	checks := os.Getenv("POLLENWHEEL_FUZZ_CHECKS")
-	if checks == "" {
-		checks = "60"
-	}
-	// Flags given on the command line are parsed later and replace these.
-	err := errors.Join(flag.Set("rapid.checks", checks), flag.Set("rapid.seed", "1"), flag.Set("rapid.nofailfile", "true"))
-	if err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, proptest.Options{Checks: 60}) }
 
 // fault is one step of a schedule. A and B choose hosts.
 type fault struct {
--- a/core/membership/table_test.go
+++ b/core/membership/table_test.go
@@ -1,34 +1,15 @@
 package membership
 
 import (
-	"flag"
-	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/pollenwheel/pollenwheel/core/proptest"
 )
 
-// TestMain fixes rapid's seed and count, so that every run gives the same
-// result. POLLENWHEEL_FUZZ_CHECKS sets a larger count.
-func TestMain(m *testing.M) {
-	checks := "40"
-	if n := os.Getenv("POLLENWHEEL_FUZZ_CHECKS"); n != "" {
-		checks = n
-	}
-	seed := "1"
-	if n := os.Getenv("POLLENWHEEL_FUZZ_SEED"); n != "" {
-		seed = n
-	}
-	for name, value := range map[string]string{"rapid.checks": checks, "rapid.seed": seed, "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(2)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, proptest.Options{Checks: 40}) }
 
 func drawNetwork(t *rapid.T, minHosts int) *network {
 	return newNetwork(rapid.IntRange(minHosts, 12).Draw(t, "hosts"), rapid.Int64().Draw(t, "seed"), faults{
--- a/core/orders/orders_test.go
+++ b/core/orders/orders_test.go
@@ -9,12 +9,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/pollenwheel/pollenwheel/core/config"
-	"github.com/pollenwheel/pollenwheel/core/internal/proptest"
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/proptest"
 	"github.com/pollenwheel/pollenwheel/core/state"
 )
 
-func TestMain(m *testing.M) { proptest.Main(m, "300", "300") }
+func TestMain(m *testing.M) { proptest.Main(m, proptest.Options{Checks: 300, Steps: 300}) }
 
 // TestLimitsAsEnginesSeeThem guards against more replicas than operators
 // decided and against overcommitted accelerator memory, as the engines
--- a/node/documents/property_test.go
+++ b/node/documents/property_test.go
@@ -1,9 +1,7 @@
 package documents
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"reflect"
 	"strings"
 	"testing"
@@ -11,24 +9,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/core/proptest"
 )
 
-// TestMain fixes rapid's seed, so that every run gives the same result, and
-// lets POLLENWHEEL_FUZZ_CHECKS raise the number of checks.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	checks := "100"
-	if n := os.Getenv("POLLENWHEEL_FUZZ_CHECKS"); n != "" {
-		checks = n
-	}
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": checks} {
-		if err := flag.Set(name, value); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(2)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, proptest.Options{Checks: 100}) }
 
 func drawObjective(t *rapid.T, service string) config.Objective {
 	o := config.Objective{Service: service, Kind: rapid.SampledFrom(config.ObjectiveKinds).Draw(t, "kind")}
--- a/node/entry/crash_test.go
+++ b/node/entry/crash_test.go
@@ -94,7 +94,6 @@
 // Guards against a request that takes down one server after another, and
 // against innocent requests that are refused because they ran beside it.
 func TestCrashingRequestIsContained(t *testing.T) {
-	setChecks()
 	rapid.Check(t, func(rt *rapid.T) {
 		downs, faults := poisonRun(t, func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "n") }, mechanisms{})
 		if len(faults) > 0 {
--- a/node/entry/proof_test.go
+++ b/node/entry/proof_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -15,21 +13,12 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/pollenwheel/pollenwheel/core/proptest"
 	"github.com/pollenwheel/pollenwheel/standin/engine"
 	"github.com/pollenwheel/pollenwheel/standin/plain"
 )
 
-// setChecks fixes the count of the random checks, and their seed unless a larger
-// count is asked for.
-func setChecks() {
-	checks, seed := "60", "1"
-	if n := os.Getenv("POLLENWHEEL_FUZZ_CHECKS"); n != "" {
-		checks, seed = n, "0"
-	}
-	_ = flag.Set("rapid.checks", checks)
-	_ = flag.Set("rapid.seed", seed)
-	_ = flag.Set("rapid.nofailfile", "true")
-}
+func TestMain(m *testing.M) { proptest.Main(m, proptest.Options{Checks: 60}) }
 
 // deadlineMargin is how long after its deadline a caller may get its answer.
 const deadlineMargin = 50 * time.Millisecond
@@ -244,7 +233,6 @@
 // second runs of calls that may run once, under crashes of engines and entry
 // hosts and faults of answers and of the log.
 func TestEveryRequestEndsOnce(t *testing.T) {
-	setChecks()
 	rapid.Check(t, func(rt *rapid.T) {
 		s := draw(func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "n") })
 		if faults := s.execute(t, mechanisms{}); len(faults) > 0 {
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"math/rand"
-	"os"
 	"reflect"
 	"testing"
 	"time"
@@ -18,26 +16,13 @@
 	"github.com/pollenwheel/pollenwheel/core/consensus"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/placement"
+	"github.com/pollenwheel/pollenwheel/core/proptest"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/control"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 )
 
-// TestMain fixes rapid's seed and count. POLLENWHEEL_FUZZ_CHECKS sets a larger
-// count.
-func TestMain(m *testing.M) {
-	checks := "100"
-	if n := os.Getenv("POLLENWHEEL_FUZZ_CHECKS"); n != "" {
-		checks = n
-	}
-	for name, value := range map[string]string{"rapid.checks": checks, "rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(2)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, proptest.Options{Checks: 100}) }
 
 func newTestClient(t *testing.T) *Client {
 	c := NewClient(nil)
