Bound the queue of orders to a server that does not answer

Unloads and probes are repeated every 2 s, and a server that accepts connections without answering takes 2 s for each, so its queue could grow for as long as the fault lasts. Change: an unload or probe that still waits is not queued again. Conclusion: the test queues 100 repeats and finds two.

--- a/node/control/dispatcher.go
+++ b/node/control/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -118,16 +119,26 @@
 }
 
 // enqueue adds an order to its server's queue and starts the queue's sender.
+// Unloads and probes are repeated until they are settled, so one that still
+// waits is not added again; otherwise the queue of a server that does not
+// answer would grow.
 func (d *Dispatcher) enqueue(ctx context.Context, o orders.Order) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	queue := d.queues[o.Key.Server]
+	if !o.Load && slices.ContainsFunc(queue, func(q orders.Order) bool { return sameRepeat(q, o) }) {
+		return
+	}
 	d.queues[o.Key.Server] = append(queue, o)
 	if len(queue) == 0 {
 		go d.drain(ctx, o.Key.Server)
 	}
 }
 
+func sameRepeat(a, b orders.Order) bool {
+	return !a.Load && a.Probe == b.Probe && a.Key == b.Key
+}
+
 func (d *Dispatcher) drain(ctx context.Context, server string) {
 	for {
 		d.mu.Lock()
--- /dev/null
+++ b/node/control/dispatcher_test.go
@@ -0,0 +1,36 @@
+package control
+
+import (
+	"net"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/pollenwheel/pollenwheel/core/orders"
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/backend"
+	"github.com/pollenwheel/pollenwheel/node/replica"
+)
+
+// TestQueueOfSilentServerIsBounded guards against a queue that grows with every
+// repeat while a backend server accepts connections and never answers.
+func TestQueueOfSilentServerIsBounded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	r := replica.New(state.New())
+	sources := DispatcherSources{Leading: func() bool { return true }}
+	d := NewDispatcher(NewLocalLog(r), r, backend.NewClient(), sources, state.Sender{Host: "h"}, logrus.NewEntry(logrus.New()))
+	key := state.PlaceKey{Server: "e", Model: "m"}
+	for fence := range uint64(50) {
+		d.enqueue(t.Context(), orders.Order{Key: key, Address: l.Addr().String(), Fence: fence})
+		d.enqueue(t.Context(), orders.Order{Key: state.PlaceKey{Server: "e"}, Probe: true, Address: l.Addr().String()})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n := len(d.queues["e"]); n != 2 {
+		t.Fatalf("%d orders wait, want one unload and one probe", n)
+	}
+}
