Sort the placements once for each step of the executor

Each step scanned all placements for every server, and sorted all of them by key look-ups. Change: one pass groups the placements by server and sorts only those that may need an order.

--- a/core/orders/executor.go
+++ b/core/orders/executor.go
@@ -129,16 +129,16 @@
 func (x *Executor) Step(in Input) Output {
 	var out Output
 	x.forget(in.State)
-	keys := sortedKeys(in.State)
-	for _, key := range keys {
-		x.resolve(in, key, &out)
+	byServer, open := survey(in.State)
+	for _, p := range open {
+		x.resolve(in, p, &out)
 	}
 	if !in.Leading {
 		return out
 	}
-	out.Commands = append(out.Commands, observe(in)...)
-	for _, key := range keys {
-		x.advance(in, key, &out)
+	out.Commands = append(out.Commands, observe(in, byServer)...)
+	for _, p := range open {
+		x.advance(in, p, &out)
 	}
 	return out
 }
@@ -207,10 +207,10 @@
 
 // resolve clears copies on one placement: own copies that ended or will not be
 // used, and copies of ended processes.
-func (x *Executor) resolve(in Input, key state.PlaceKey, out *Output) {
-	p := in.State.Placements[key]
+func (x *Executor) resolve(in Input, p placed, out *Output) {
+	key := p.key
 	for _, c := range p.Copies {
-		t := x.finished(in, p, c)
+		t := x.finished(in, p.Placement, c)
 		if t == nil {
 			continue
 		}
@@ -304,8 +304,8 @@
 }
 
 // advance sends the order of an open intent, or asks for a copy first.
-func (x *Executor) advance(in Input, key state.PlaceKey, out *Output) {
-	p := in.State.Placements[key]
+func (x *Executor) advance(in Input, p placed, out *Output) {
+	key := p.key
 	srv := in.State.Servers[key.Server]
 	if srv.Lost {
 		return
@@ -313,11 +313,11 @@
 	o := Order{Key: key, Address: srv.Address, Version: p.Version, Fence: p.Fence, Incarnation: p.Incarnation}
 	switch p.Phase {
 	case state.PhaseLoading:
-		x.advanceLoad(in, p, o, out)
+		x.advanceLoad(in, p.Placement, o, out)
 	case state.PhaseUnloading:
 		x.advanceUnload(in, o, out)
 	case state.PhaseSurplus:
-		out.Commands = append(out.Commands, x.unload(key, p))
+		out.Commands = append(out.Commands, x.unload(key, p.Placement))
 	case state.PhaseReady, state.PhaseHeld:
 	}
 }
@@ -384,14 +384,27 @@
 	}}
 }
 
-func sortedKeys(s *state.State) []state.PlaceKey {
-	keys := make([]state.PlaceKey, 0, len(s.Placements))
-	for k := range s.Placements {
-		keys = append(keys, k)
+// placed is a placement with its key.
+type placed struct {
+	key state.PlaceKey
+	state.Placement
+}
+
+// survey sorts the placements of a state once for a step: those of each server,
+// and by the order of their intents those that may need an order or a resolved
+// copy. Most placements are ready and need neither.
+func survey(s *state.State) (byServer map[string][]placed, open []placed) {
+	byServer = make(map[string][]placed, len(s.Servers))
+	for k, p := range s.Placements {
+		x := placed{k, p}
+		byServer[k.Server] = append(byServer[k.Server], x)
+		if p.Phase != state.PhaseReady || len(p.Copies) > 0 {
+			open = append(open, x)
+		}
 	}
-	slices.SortFunc(keys, func(a, b state.PlaceKey) int {
-		fa, fb := s.Placements[a].Fence, s.Placements[b].Fence
-		return cmp.Or(cmp.Compare(fa, fb), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	slices.SortFunc(open, func(a, b placed) int {
+		return cmp.Or(cmp.Compare(a.Fence, b.Fence), cmp.Compare(a.key.Server, b.key.Server),
+			cmp.Compare(a.key.Model, b.key.Model), cmp.Compare(a.key.Adapter, b.key.Adapter))
 	})
-	return keys
+	return byServer, open
 }
--- a/core/orders/observe.go
+++ b/core/orders/observe.go
@@ -8,7 +8,7 @@
 // observe returns the commands that bring the replicated state in line with
 // what backend servers announce: registrations, settled intents, and models
 // that no placement accounts for.
-func observe(in Input) []state.Command {
+func observe(in Input, byServer map[string][]placed) []state.Command {
 	var out []state.Command
 	for _, srv := range in.Servers {
 		known, ok := in.State.Servers[srv.Name]
@@ -16,7 +16,7 @@
 		case !ok || known.Incarnation < srv.Incarnation, known.Incarnation == srv.Incarnation && known.Lost && !srv.Silent:
 			out = append(out, registration(srv.Server))
 		case known.Incarnation == srv.Incarnation && !known.Lost:
-			out = append(out, settlements(in.State, srv.Server)...)
+			out = append(out, settlements(known, srv.Server, byServer[srv.Name])...)
 			out = append(out, adoptions(in.State, srv.Server)...)
 		}
 	}
@@ -49,13 +49,14 @@
 }
 
 // settlements closes the intents that the server's report covers.
-func settlements(s *state.State, srv membership.Server) []state.Command {
+func settlements(known state.Server, srv membership.Server, placements []placed) []state.Command {
 	var out []state.Command
-	for key, p := range s.Placements {
-		if key.Server != srv.Name || p.Incarnation != srv.Incarnation {
+	for _, p := range placements {
+		if p.Incarnation != srv.Incarnation {
 			continue
 		}
-		if loaded, ok := settled(s.Servers[srv.Name], srv, key, p); ok {
+		key := p.key
+		if loaded, ok := settled(known, srv, key, p.Placement); ok {
 			out = append(out, state.Command{Settle: &state.Settle{
 				Server: srv.Name, Incarnation: srv.Incarnation, Model: key.Model, Adapter: key.Adapter,
 				Fence: p.Fence, Loaded: loaded, Sequence: srv.Sequence,
