Ignore an acquittal without an open trial

Cause: read-through. The command may be sent again after an unknown outcome, and a late copy cleared a crash that was recorded after the clean run; the request could then end a third server. Change: only a suspect with an open trial is cleared, since a clean run is always a trial. Conclusion: a test in core/state covers the late copy; the tests of node/entry pass.

--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -78,6 +78,29 @@
 	}
 }
 
+// TestLateAcquitKeepsCrashes guards against a repeated acquittal that clears a
+// crash recorded after the clean run, so that the request crashes a third server.
+func TestLateAcquitKeepsCrashes(t *testing.T) {
+	s := New()
+	crash := func(server string) *Suspect {
+		return &Suspect{Server: server, Incarnation: 1, Fingerprints: []string{"f"}}
+	}
+	acquit := Command{Acquit: &Acquit{Fingerprint: "f"}}
+	for i, c := range []Command{
+		{Suspect: crash("a")},
+		{Trial: &Trial{Fingerprint: "f", Server: "b", Incarnation: 1}},
+		acquit,
+		{Suspect: crash("b")},
+		acquit,
+		{Suspect: crash("c")},
+	} {
+		s.Apply(uint64(i+1), c)
+	}
+	if !s.Suspects["f"].Quarantined {
+		t.Fatalf("two crashes since the clean run, and not quarantined: %+v", s.Suspects["f"])
+	}
+}
+
 // TestClaimOfDeadHolder guards against a call that stays in progress for the
 // whole retention after its host died, and against a late outcome that is lost.
 func TestClaimOfDeadHolder(t *testing.T) {
--- a/core/state/suspect.go
+++ b/core/state/suspect.go
@@ -62,9 +62,11 @@
 	return t != nil && (t.ExpiresMS == 0 || t.ExpiresMS >= s.ClockMS)
 }
 
-// acquit clears a suspect after a clean run.
+// acquit clears a suspect after a clean run, which is always a trial. Without
+// an open trial the command is a late copy, and must not clear a crash that
+// was recorded since.
 func (s *State) acquit(a Acquit) Result {
-	if rec, ok := s.Suspects[a.Fingerprint]; ok && !rec.Quarantined {
+	if rec, ok := s.Suspects[a.Fingerprint]; ok && !rec.Quarantined && rec.Trial != nil {
 		delete(s.Suspects, a.Fingerprint)
 	}
 	return Result{}
