Add the route table and its publication to the replicated state

The users' platform selects services by host and path prefix, splits routes by weight and numbers its configurations itself; the highest version wins. The product's own configuration by compare-and-set stays beside it.

--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,184 @@
+// Package route holds the table that maps requests to services: routes by host
+// and path prefix, the services behind them, and the limits on callers. It
+// performs no I/O.
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says how often a request may run.
+type Kind string
+
+// Kinds of a route.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = "safe"
+	// Unsafe requests run at most once for each attempt of the caller.
+	Unsafe Kind = "unsafe"
+	// Streaming requests are answered by events. They count as unsafe unless
+	// the route is resumable.
+	Streaming Kind = "streaming"
+)
+
+// Target is one service of a route, with its share of the requests.
+type Target struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+// Route selects the requests of one host and path prefix.
+type Route struct {
+	Name string `json:"name"`
+	Host string `json:"host"`
+	// Prefix begins and ends with a slash.
+	Prefix  string   `json:"prefix"`
+	Kind    Kind     `json:"kind"`
+	Targets []Target `json:"targets"`
+	// Timeout bounds how long a request is kept waiting.
+	Timeout time.Duration `json:"timeout"`
+	// Objective is the time within which an answer, or the first event of a
+	// stream, is on time. MaxPause is the same for the pauses of a stream.
+	Objective time.Duration `json:"objective,omitempty"`
+	MaxPause  time.Duration `json:"max_pause,omitempty"`
+	// Priority is the rank among the routes; 0 is the most urgent.
+	Priority int `json:"priority,omitempty"`
+	// MaxAttempts is the number of backend servers that one request may be sent to.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Resumable streams may be continued on another backend server.
+	Resumable bool `json:"resumable,omitempty"`
+}
+
+// Idempotent reports whether a request of the route may run more than once.
+func (r Route) Idempotent() bool {
+	return r.Kind == Safe || r.Kind == Streaming && r.Resumable
+}
+
+// Attempts returns the number of backend servers that a request may be sent to.
+func (r Route) Attempts() int { return max(1, r.MaxAttempts) }
+
+// Model is one model that the backend servers of a service can load.
+type Model struct {
+	Name      string  `json:"name"`
+	MemoryMiB float64 `json:"memory_mib"`
+	// StoreLoad, DiskLoad and MemoryLoad are the load times from the weight
+	// store, from a disk and from the memory of the backend server's host.
+	StoreLoad  time.Duration `json:"store_load"`
+	DiskLoad   time.Duration `json:"disk_load,omitempty"`
+	MemoryLoad time.Duration `json:"memory_load,omitempty"`
+	// Adapters is the number of adapters of the model.
+	Adapters int `json:"adapters,omitempty"`
+	// AdapterMiB is the memory that one adapter takes.
+	AdapterMiB float64 `json:"adapter_mib,omitempty"`
+}
+
+// Engine describes the backend servers of a service that runs models.
+type Engine struct {
+	// Slots is the number of requests that one server runs at once.
+	Slots int `json:"slots"`
+	// KVTokens is the size of a server's prompt cache.
+	KVTokens     int     `json:"kv_tokens,omitempty"`
+	MemoryMiB    float64 `json:"memory_mib"`
+	AdapterSlots int     `json:"adapter_slots"`
+	// LoadsPerSecond bounds the loads from the weight store over all servers.
+	LoadsPerSecond float64 `json:"loads_per_second"`
+	Models         []Model `json:"models"`
+}
+
+// Model returns the model with a name.
+func (e *Engine) Model(name string) (Model, bool) {
+	i := slices.IndexFunc(e.Models, func(m Model) bool { return m.Name == name })
+	if i < 0 {
+		return Model{}, false
+	}
+	return e.Models[i], true
+}
+
+// Service is a group of backend servers.
+type Service struct {
+	Name string `json:"name"`
+	// MaxConnections is the number of connections that one server accepts.
+	MaxConnections int `json:"max_connections,omitempty"`
+	// Engine is nil for a plain service.
+	Engine *Engine `json:"engine,omitempty"`
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int           `json:"header_bytes,omitempty"`
+	BodyBytes     int64         `json:"body_bytes,omitempty"`
+	HeaderTimeout time.Duration `json:"header_timeout,omitempty"`
+	IdleTimeout   time.Duration `json:"idle_timeout,omitempty"`
+}
+
+// Table is one version of the routes and services.
+type Table struct {
+	Version  uint64    `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+}
+
+// Service returns the service with a name.
+func (t *Table) Service(name string) (Service, bool) {
+	i := slices.IndexFunc(t.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return Service{}, false
+	}
+	return t.Services[i], true
+}
+
+// Index finds the route of a request.
+type Index struct {
+	table  *Table
+	byHost map[string][]Route
+}
+
+// NewIndex returns an index of t, which must not be modified afterwards.
+func NewIndex(t *Table) *Index {
+	x := &Index{table: t, byHost: map[string][]Route{}}
+	for _, r := range t.Routes {
+		host := strings.ToLower(r.Host)
+		x.byHost[host] = append(x.byHost[host], r)
+	}
+	for _, list := range x.byHost {
+		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return x
+}
+
+// Table returns the indexed table.
+func (x *Index) Table() *Table { return x.table }
+
+// Match returns the route of a host with the longest prefix that begins path.
+// A port in host is ignored.
+func (x *Index) Match(host, path string) (Route, bool) {
+	if name, _, found := strings.Cut(host, ":"); found {
+		host = name
+	}
+	for _, r := range x.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Choose returns the target for a draw in [0, 1).
+func (r Route) Choose(draw float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := int(draw * float64(total))
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,76 @@
+package route
+
+import (
+	"testing"
+	"time"
+)
+
+func valid() Table {
+	return Table{
+		Services: []Service{{Name: "a"}, {Name: "b"}},
+		Routes: []Route{
+			{Name: "short", Host: "shop.example", Prefix: "/o/", Kind: Safe, Timeout: time.Second, Targets: []Target{{"a", 1}}},
+			{Name: "long", Host: "shop.example", Prefix: "/o/x/", Kind: Unsafe, Timeout: time.Second, Targets: []Target{{"b", 90}, {"a", 10}}},
+		},
+	}
+}
+
+// Guards against a request that is sent to the service of a shorter prefix or
+// of another host.
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	table := valid()
+	x := NewIndex(&table)
+	for _, c := range []struct{ name, host, path, want string }{
+		{"short prefix", "shop.example", "/o/1", "short"},
+		{"long prefix", "shop.example", "/o/x/1", "long"},
+		{"host with port and capitals", "SHOP.example:80", "/o/x/", "long"},
+		{"prefix without its slash", "shop.example", "/o", ""},
+		{"other host", "other.example", "/o/1", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if r, _ := x.Match(c.host, c.path); r.Name != c.want {
+				t.Errorf("route %q, want %q", r.Name, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a split that favours one service or leaves the table.
+func TestChooseFollowsTheWeights(t *testing.T) {
+	r := valid().Routes[1]
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[r.Choose(float64(i)/1000)]++
+	}
+	if counts["b"] != 900 || counts["a"] != 100 {
+		t.Errorf("shares %v, want 900 and 100", counts)
+	}
+}
+
+// Guards against an invalid table that is acknowledged.
+func TestValidateNamesTheFault(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Table)
+	}{
+		{"unknown service", func(t *Table) { t.Routes[0].Targets[0].Service = "none" }},
+		{"same place", func(t *Table) { t.Routes[1].Prefix = t.Routes[0].Prefix }},
+		{"no weight", func(t *Table) { t.Routes[0].Targets[0].Weight = 0 }},
+		{"no targets", func(t *Table) { t.Routes[0].Targets = nil }},
+		{"no timeout", func(t *Table) { t.Routes[0].Timeout = 0 }},
+		{"unknown kind", func(t *Table) { t.Routes[0].Kind = "other" }},
+		{"prefix without slash", func(t *Table) { t.Routes[0].Prefix = "/o" }},
+		{"service named twice", func(t *Table) { t.Services[1].Name = "a" }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := valid()
+			if err := table.Validate(); err != nil {
+				t.Fatalf("the unchanged table: %v", err)
+			}
+			c.change(&table)
+			if table.Validate() == nil {
+				t.Error("no fault was found")
+			}
+		})
+	}
+}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -31,6 +31,7 @@
 	Trial     *Trial     `json:"trial,omitempty"`
 	Acquit    *Acquit    `json:"acquit,omitempty"`
 	Learn     *Learn     `json:"learn,omitempty"`
+	Publish   *Publish   `json:"publish,omitempty"`
 }
 
 // Configure changes the configuration if Expected is the current version.
--- /dev/null
+++ b/core/state/publish_test.go
@@ -0,0 +1,43 @@
+package state
+
+import (
+	"testing"
+
+	"github.com/pollenwheel/pollenwheel/core/route"
+)
+
+// Guards against a table that goes back, or other content under a held version.
+func TestPublishKeepsTheHighestVersion(t *testing.T) {
+	s := New()
+	for i, c := range []struct {
+		name    string
+		version uint64
+		source  string
+		want    string
+	}{
+		{"first", 3, "a", "a"},
+		{"older", 2, "b", "a"},
+		{"same version, other content", 3, "c", "a"},
+		{"newer", 9, "d", "d"},
+		{"repeated", 9, "d", "d"},
+	} {
+		res := s.Apply(uint64(i+1), Command{Publish: &Publish{Table: route.Table{Version: c.version}, Source: []byte(c.source)}})
+		if res.Err() != nil {
+			t.Errorf("%s: refused: %v", c.name, res.Err())
+		}
+		if got := string(s.Published.Source); got != c.want {
+			t.Errorf("%s: source %q, want %q", c.name, got, c.want)
+		}
+	}
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := Restore(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if restored.Published == nil || restored.Published.Table.Version != 9 {
+		t.Error("a snapshot loses the published table")
+	}
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -131,6 +131,9 @@
 	Claims     map[string]ClaimRecord   `json:"claims"`
 	Suspects   map[string]SuspectRecord `json:"suspects"`
 
+	// Published is the route table in force, if any.
+	Published *Publish `json:"published,omitempty"`
+
 	// Learned is what the last leader learned of loads and arrivals.
 	Learned json.RawMessage `json:"learned,omitempty"`
 
@@ -199,6 +202,8 @@
 		return s.acquit(*c.Acquit)
 	case c.Learn != nil:
 		s.Learned = c.Learn.Data
+	case c.Publish != nil:
+		return s.publish(*c.Publish)
 	}
 	return Result{}
 }
