--- /dev/null
+++ b/core/exchange/exchange_test.go
@@ -0,0 +1,60 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a request that runs twice, a refusal that is untrue, and an
+// answer that is replaced although it could be delivered.
+func TestWhatFollowsAnAttempt(t *testing.T) {
+	unsafe := Policy{MaxAttempts: 2, Deadline: time.Second}
+	safe := Policy{Idempotent: true, RetryFailures: true, MaxAttempts: 2, Deadline: time.Second}
+	once := Policy{MaxAttempts: 1, Deadline: time.Second}
+	for _, c := range []struct {
+		name     string
+		policy   Policy
+		budget   bool
+		outcomes []Outcome
+		want     Action
+	}{
+		{"unsafe, lost", unsafe, true, []Outcome{Lost}, FailUnknown},
+		{"unsafe, refused", unsafe, true, []Outcome{Refused}, Send},
+		{"unsafe, refused twice", unsafe, true, []Outcome{Refused, Refused}, RejectNotRun},
+		{"unsafe, refused and lost", unsafe, true, []Outcome{Refused, Lost}, FailUnknown},
+		{"unsafe, failed", unsafe, true, []Outcome{Failed}, Deliver},
+		{"unsafe, cut", unsafe, true, []Outcome{Cut}, Abort},
+		{"unsafe, not sent", once, true, []Outcome{NotSent}, Send},
+		{"unsafe, misdirected", once, true, []Outcome{Misdirected}, Send},
+		{"unsafe, misdirected without budget", once, false, []Outcome{Misdirected}, RejectNotRun},
+		{"one attempt, refused", once, true, []Outcome{Refused}, RejectNotRun},
+		{"safe, lost", safe, true, []Outcome{Lost}, Send},
+		{"safe, lost twice", safe, true, []Outcome{Lost, Lost}, FailUnknown},
+		{"safe, lost then unsent too often", safe, true, []Outcome{Lost, NotSent, NotSent, NotSent, NotSent, NotSent}, FailUnknown},
+		{"safe, lost without budget", safe, false, []Outcome{Lost}, FailUnknown},
+		{"safe, failed", safe, true, []Outcome{Failed}, Send},
+		{"safe, failed twice", safe, true, []Outcome{Failed, Failed}, Deliver},
+		{"safe, cut", safe, true, []Outcome{Cut}, Send},
+		{"safe, cut twice", safe, true, []Outcome{Cut, Cut}, Abort},
+		{"complete", safe, true, []Outcome{Complete}, Done},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := New(c.policy, func() bool { return c.budget })
+			var got Action
+			for _, o := range c.outcomes {
+				got = x.After(0, o)
+			}
+			if got != c.want {
+				t.Errorf("%v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against sends after the deadline.
+func TestNothingIsSentAfterTheDeadline(t *testing.T) {
+	x := New(Policy{Idempotent: true, MaxAttempts: 3, Deadline: time.Second}, func() bool { return true })
+	if got := x.After(2*time.Second, Refused); got != RejectNotRun {
+		t.Errorf("%v, want %v", got, RejectNotRun)
+	}
+}
--- /dev/null
+++ b/core/patience/patience_test.go
@@ -0,0 +1,34 @@
+package patience
+
+import (
+	"testing"
+	"time"
+)
+
+const s = time.Second
+
+// Guards against a request that is held until it cannot be served any more, and
+// against one that is refused although a load would serve it.
+func TestDecide(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		now     time.Duration
+		request Request
+		outlook Outlook
+		want    Decision
+	}{
+		{"the load ends in time", 0, Request{0, 20 * s}, Outlook{true, 6 * s}, Decision{Wait: true, Until: 6*s + lateness}},
+		{"the load ends too late", 0, Request{0, 4 * s}, Outlook{true, 6 * s}, Decision{ReturnAfter: 6 * s}},
+		{"nothing is known yet", 0, Request{0, 4 * s}, Outlook{}, Decision{Wait: true, Until: 400 * time.Millisecond}},
+		{"nothing became known", 400 * time.Millisecond, Request{0, 4 * s}, Outlook{}, Decision{ReturnAfter: defaultReturn}},
+		{"the load is overdue", 7 * s, Request{0, 20 * s}, Outlook{true, 6 * s}, Decision{Wait: true, Until: 6*s + lateness + maxBlind}},
+		{"the load never ends", 9 * s, Request{0, 20 * s}, Outlook{true, 6 * s}, Decision{ReturnAfter: defaultReturn}},
+		{"no time is left", 4 * s, Request{0, 4 * s}, Outlook{true, 3900 * time.Millisecond}, Decision{ReturnAfter: defaultReturn}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := Decide(c.now, c.request, c.outlook); got != c.want {
+				t.Errorf("%+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/retry/budget_test.go
@@ -0,0 +1,61 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Guards against more repeats in a sliding window than the limit allows, over
+// all hosts and whatever they see.
+func TestHostsTogetherStayWithinTheLimit(t *testing.T) {
+	limit := Limit{Ratio: 0.2, Window: 10 * time.Second, Slack: 56}
+	const hosts = 8
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		budgets := make([]*Budget, hosts)
+		for i := range budgets {
+			budgets[i] = NewBudget(limit)
+		}
+		var requests, retries []time.Duration
+		for now := time.Duration(0); now < 40*time.Second; now += 20 * time.Millisecond {
+			b := budgets[rng.IntN(hosts)]
+			// The load comes in bursts, and most requests fail in some of them.
+			if rng.IntN(100) < 60 {
+				b.Request(now)
+				requests = append(requests, now)
+			}
+			for range rng.IntN(4) {
+				if b.Retry(now, hosts) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		for _, end := range retries {
+			count := func(list []time.Duration) (n int) {
+				for _, at := range list {
+					if at > end-limit.Window && at <= end {
+						n++
+					}
+				}
+				return n
+			}
+			if got, allowed := float64(count(retries)), limit.Ratio*float64(count(requests))+limit.Slack; got > allowed {
+				t.Fatalf("seed %d: %v retries in the window that ends at %v, %v are allowed", seed, got, end, allowed)
+			}
+		}
+	}
+}
+
+// Guards against a budget that never recovers.
+func TestBudgetRecoversAfterTheWindow(t *testing.T) {
+	b := NewBudget(Limit{Ratio: 0.2, Window: 10 * time.Second, Slack: 10})
+	for b.Retry(0, 1) {
+	}
+	if b.Retry(5*time.Second, 1) {
+		t.Error("the slack came back within the window")
+	}
+	if !b.Retry(20*time.Second, 1) {
+		t.Error("the slack did not come back")
+	}
+}
