Plan residency on servers that number their orders, and stream holdings

Engines of the platform announce no adapter loads and number the orders that they accept. Each order names the expected number, so that at most one of the orders sent with it is executed; the leader streams what the servers hold to the hosts that serve callers.

--- a/core/membership/spread.go
+++ b/core/membership/spread.go
@@ -15,7 +15,7 @@
 	batch := map[string][]Beat{}
 	centres := t.heardCentres(now)
 	targets := map[string][]string{"": t.pick(t.peers(now, ""), fanout)}
-	wideEvery := max(wideBeats, uint64(len(t.servers)/serversPerBeat))
+	wideEvery := max(t.opts.WideBeats, uint64(len(t.servers)/serversPerBeat))
 	for _, k := range slices.SortedFunc(maps.Keys(t.beats), Key.compare) {
 		b := t.beat(k)
 		scope := ""
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -31,6 +31,10 @@
 	// Seeds are peer addresses to contact when no other host is known.
 	Seeds []string
 	Rand  *rand.Rand
+	// WideBeats is how many beats of a backend server there are for each that
+	// leaves its data centre. Zero means 4. It is 1 where servers announce
+	// themselves to hosts of any data centre.
+	WideBeats uint64
 
 	// off switches mechanisms off, to show that the tests see it.
 	off mechanisms
@@ -95,6 +99,9 @@
 		opts: o, rand: o.Rand, servers: map[string]*serverEntry{}, hosts: map[string]*hostEntry{},
 		byID: map[uint64]Key{}, rumors: map[Key]*rumor{}, beats: map[Key]bool{},
 	}
+	if t.opts.WideBeats == 0 {
+		t.opts.WideBeats = wideBeats
+	}
 	self := o.Self
 	self.Sequence++
 	t.putHost(HostRecord{Host: self, Revision: self.Sequence}, 0)
@@ -111,6 +118,9 @@
 	t.changeSelf(func(h *Host) { h.Ready = ready })
 }
 
+// SetSeeds replaces the addresses to contact when no other host is known.
+func (t *Table) SetSeeds(seeds []string) { t.opts.Seeds = seeds }
+
 // Leave publishes that this host is leaving.
 func (t *Table) Leave() {
 	t.changeSelf(func(h *Host) { h.Leaving = true })
--- /dev/null
+++ b/core/residency/planner.go
@@ -0,0 +1,312 @@
+package residency
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/route"
+)
+
+const (
+	// rateMemory is the time over which arrivals are averaged.
+	rateMemory = 4 * time.Second
+	// storeLoads is how many loads from the weight store run at once. The store
+	// serves no more at full speed, and more would delay the urgent ones.
+	storeLoads = 4
+	// ceilingWindow and ceilingShare bound the loads from the store that begin
+	// in a window to a share of what the store allows.
+	ceilingWindow = 5 * time.Second
+	ceilingShare  = 0.8
+	// minResidency keeps a model that was just loaded from being unloaded before
+	// it has served those who waited for it.
+	minResidency = 2 * time.Second
+	// quiet is how long an adapter must be unused before it makes way.
+	quiet = 300 * time.Millisecond
+)
+
+// Planner is the leader's view of the servers. It is not safe for concurrent
+// use.
+type Planner struct {
+	services map[string]route.Service
+	servers  map[string]*server
+	// storeStarts are the newest loads from the weight store.
+	storeStarts []time.Duration
+
+	arrivals map[string]map[Target]uint64
+	rates    map[Target]*rate
+	demand   map[Target]*total
+	lastStep time.Duration
+}
+
+// rate is the smoothed number of arrivals a second.
+type rate struct {
+	perSecond float64
+	pending   float64
+}
+
+// total is the demand for a target over all hosts.
+type total struct {
+	waiting, running int
+	runningOn        map[string]int
+}
+
+// New returns a planner that knows no server.
+func New() *Planner {
+	return &Planner{
+		services: map[string]route.Service{}, servers: map[string]*server{},
+		arrivals: map[string]map[Target]uint64{}, rates: map[Target]*rate{}, demand: map[Target]*total{},
+	}
+}
+
+// Step merges the input and returns the orders and inquiries that are due.
+func (p *Planner) Step(in Input) Output {
+	p.observe(in)
+	var out Output
+	for _, svc := range in.Services {
+		if svc.Engine == nil || in.Hold {
+			continue
+		}
+		p.adapters(in, svc, &out)
+		p.models(in, svc, &out)
+	}
+	for _, s := range p.sorted() {
+		if s.needsReport(in.Now) && p.services[s.Service].Engine != nil {
+			s.inquired, s.askedAt = true, in.Now
+			out.Inquiries = append(out.Inquiries, Inquiry{s.Name, s.Address, s.Incarnation})
+		}
+	}
+	return out
+}
+
+// Ended records the end of an order's transmission.
+func (p *Planner) Ended(now time.Duration, o Order, r Result) {
+	s := p.servers[o.Server]
+	if s == nil || s.Incarnation != o.Incarnation || s.flying == nil {
+		return
+	}
+	svc := p.services[s.Service]
+	if svc.Engine == nil {
+		s.flying = nil
+		return
+	}
+	s.ended(now, o, r, svc.Engine)
+}
+
+// Reported records the answer to an inquiry; ok is false without one.
+func (p *Planner) Reported(now time.Duration, q Inquiry, r Report, ok bool) {
+	s := p.servers[q.Server]
+	if s == nil || s.Incarnation != q.Incarnation {
+		return
+	}
+	if !ok {
+		s.inquired = false
+		return
+	}
+	s.reported(now, r)
+}
+
+// Holdings returns what each server holds, ordered by name.
+func (p *Planner) Holdings() []ServerHoldings {
+	var out []ServerHoldings
+	for _, s := range p.sorted() {
+		out = append(out, s.holdings())
+	}
+	return out
+}
+
+func (p *Planner) sorted() []*server {
+	return slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// observe merges announcements and demand.
+func (p *Planner) observe(in Input) {
+	clear(p.services)
+	for _, svc := range in.Services {
+		p.services[svc.Name] = svc
+	}
+	present := map[string]bool{}
+	for _, a := range in.Servers {
+		if p.services[a.Service].Engine == nil {
+			continue
+		}
+		present[a.Name] = true
+		s := p.servers[a.Name]
+		if s == nil || s.Incarnation != a.Incarnation {
+			s = &server{models: map[string]*holding{}}
+			p.servers[a.Name] = s
+		}
+		s.announced(in.Now, a)
+	}
+	maps.DeleteFunc(p.servers, func(name string, _ *server) bool { return !present[name] })
+	p.count(in)
+}
+
+// count sums the demand and updates the rates.
+func (p *Planner) count(in Input) {
+	clear(p.demand)
+	for _, d := range in.Demand {
+		t := p.demand[d.Target]
+		if t == nil {
+			t = &total{runningOn: map[string]int{}}
+			p.demand[d.Target] = t
+		}
+		t.waiting += d.Waiting
+		t.running += d.Running
+		for s, n := range d.RunningOn {
+			t.runningOn[s] += n
+		}
+		p.arrive(d)
+	}
+	elapsed := in.Now - p.lastStep
+	if elapsed < 50*time.Millisecond {
+		return
+	}
+	p.lastStep = in.Now
+	keep := math.Exp(-float64(elapsed) / float64(rateMemory))
+	for t, r := range p.rates {
+		r.perSecond = r.perSecond*keep + (1-keep)*r.pending/elapsed.Seconds()
+		r.pending = 0
+		if r.perSecond < 1e-4 {
+			delete(p.rates, t)
+		}
+	}
+	p.touch(in)
+}
+
+// arrive adds the arrivals since the host's earlier report. A lower count
+// comes from a new process of the host.
+func (p *Planner) arrive(d Demand) {
+	host := p.arrivals[d.Host]
+	if host == nil {
+		host = map[Target]uint64{}
+		p.arrivals[d.Host] = host
+	}
+	before, ok := host[d.Target]
+	host[d.Target] = d.Arrivals
+	if !ok || d.Arrivals < before {
+		before = 0
+	}
+	if d.Arrivals == before {
+		return
+	}
+	r := p.rates[d.Target]
+	if r == nil {
+		r = &rate{}
+		p.rates[d.Target] = r
+	}
+	r.pending += float64(d.Arrivals - before)
+}
+
+// touch notes which adapters are in use.
+func (p *Planner) touch(in Input) {
+	for t, d := range p.demand {
+		if t.Adapter == "" {
+			continue
+		}
+		for name := range d.runningOn {
+			if s := p.servers[name]; s != nil && s.models[t.Model] != nil {
+				if a := s.models[t.Model].adapters[t.Adapter]; a != nil {
+					a.used = in.Now
+				}
+			}
+		}
+	}
+}
+
+// adapters orders the adapters that are waited for.
+func (p *Planner) adapters(in Input, svc route.Service, out *Output) {
+	for _, t := range p.waitingAdapters(svc.Engine) {
+		if p.hasAdapter(svc.Name, t) {
+			continue
+		}
+		if s := p.adapterPlace(in.Now, svc, t); s != nil {
+			p.orderAdapter(in, svc.Engine, s, t, out)
+		}
+	}
+}
+
+func (p *Planner) waitingAdapters(e *route.Engine) []Target {
+	var out []Target
+	for t, d := range p.demand {
+		if _, ok := e.Model(t.Model); ok && t.Adapter != "" && d.waiting > 0 {
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, func(a, b Target) int {
+		return cmp.Or(cmp.Compare(p.demand[b].waiting, p.demand[a].waiting), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	return out
+}
+
+// hasAdapter reports whether a live server holds the adapter.
+func (p *Planner) hasAdapter(service string, t Target) bool {
+	for _, s := range p.servers {
+		if s.Service != service || s.Leaving || s.Silent {
+			continue
+		}
+		if h := s.models[t.Model]; h != nil && h.phase == Ready && h.adapters[t.Adapter] != nil {
+			return true
+		}
+		if o := s.flying; o != nil && o.Load && o.Target == t {
+			return true
+		}
+	}
+	return false
+}
+
+// adapterPlace picks the server that has the model and the most room.
+func (p *Planner) adapterPlace(now time.Duration, svc route.Service, t Target) *server {
+	var best *server
+	bestScore := math.Inf(1)
+	for _, s := range p.sorted() {
+		h := s.models[t.Model]
+		if s.Service != svc.Name || h == nil || h.phase != Ready || !s.orderable() {
+			continue
+		}
+		taken := s.adapterCount()
+		if taken >= svc.Engine.AdapterSlots && s.oldestAdapter(now) == (Target{}) {
+			continue
+		}
+		if score := float64(taken); score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	return best
+}
+
+// oldestAdapter returns the adapter that was not used for longest, if one is
+// unused.
+func (s *server) oldestAdapter(now time.Duration) Target {
+	var out Target
+	oldest := now - quiet
+	for _, name := range slices.Sorted(maps.Keys(s.models)) {
+		for a, x := range s.models[name].adapters {
+			if x.used < oldest || x.used == oldest && out.Adapter > a {
+				out, oldest = Target{name, a}, x.used
+			}
+		}
+	}
+	return out
+}
+
+// orderAdapter loads an adapter, or first unloads one that is not used.
+func (p *Planner) orderAdapter(in Input, e *route.Engine, s *server, t Target, out *Output) {
+	m, _ := e.Model(t.Model)
+	if s.adapterCount() >= e.AdapterSlots || s.used(e)+m.AdapterMiB > e.MemoryMiB {
+		if old := s.oldestAdapter(in.Now); old != (Target{}) {
+			p.send(in, s, Order{Target: old}, out)
+		}
+		return
+	}
+	p.send(in, s, Order{Load: true, Target: t}, out)
+}
+
+func (p *Planner) send(in Input, s *server, o Order, out *Output) {
+	o.Server, o.Address, o.Incarnation = s.Name, s.Address, s.Incarnation
+	o.Expected, o.Fence = s.orders, in.Fence
+	s.flying = &o
+	out.Orders = append(out.Orders, o)
+}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -206,6 +206,16 @@
 	s.epoch++
 }
 
+// Seen records an announcement that carries no load report: it shows that the
+// server process runs.
+func (r *Router) Seen(name string, incarnation, sequence uint64) {
+	s, ok := r.servers[name]
+	if !ok || s.Incarnation != incarnation || sequence <= s.sequence {
+		return
+	}
+	s.sequence, s.ended = sequence, false
+}
+
 // Count returns the number of servers for a key that are open and not stalled.
 func (r *Router) Count(k Key) int {
 	t := r.targets[k]
--- a/node/peer/errors.go
+++ b/node/peer/errors.go
@@ -21,6 +21,7 @@
 	OpStatus    Op = "status"
 	OpDrain     Op = "drain"
 	OpBurn      Op = "burn"
+	OpHoldings  Op = "holdings"
 )
 
 // Delivery says whether a call that failed may have reached the other host.
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -40,8 +40,11 @@
 	// Demand takes the report of a host and returns the predictions for what it
 	// waits for. Its error is *control.NotLeaderError if this host does not lead.
 	Demand func(DemandReport) ([]Prediction, error)
-	Drain  func()
-	Burn   func() burn.Snapshot
+	// Holdings sends what the backend servers hold until ctx ends or this host no
+	// longer leads. It is nil where the servers are not ordered about.
+	Holdings func(ctx context.Context, send func(HoldingsUpdate) error) error
+	Drain    func()
+	Burn     func() burn.Snapshot
 	// Traffic may be nil.
 	Traffic *Traffic
 }
@@ -168,6 +171,16 @@
 	return &peerpb.DemandReply{Predictions: predictionsToProto(predictions)}, statusError(err)
 }
 
+// Holdings implements the protocol.
+func (s *Server) Holdings(_ *peerpb.HoldingsRequest, stream grpc.ServerStreamingServer[peerpb.HoldingsUpdate]) error {
+	if s.handlers.Holdings == nil {
+		return statusError(errNoControl)
+	}
+	return statusError(s.handlers.Holdings(stream.Context(), func(u HoldingsUpdate) error {
+		return stream.Send(holdingsToProto(u))
+	}))
+}
+
 // Status implements the protocol.
 func (s *Server) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
 	if s.handlers.Group == nil {
