--- a/node/control/directory.go
+++ b/node/control/directory.go
@@ -133,7 +133,7 @@
 // emptied therefore cannot found a second group beside the first.
 func (g *Group) found() error {
 	d := g.directory
-	if d.joined || len(d.bootstrap) == 0 || d.bootstrap[0].Host != d.self.Host || g.now() < g.opts.ElectionTimeout {
+	if d.joined || g.opts.NoFounding || len(d.bootstrap) == 0 || d.bootstrap[0].Host != d.self.Host || g.now() < g.opts.ElectionTimeout {
 		return nil
 	}
 	voters := []consensus.Member{d.self}
--- a/node/control/group.go
+++ b/node/control/group.go
@@ -50,7 +50,6 @@
 	opts   Options
 	logger *logrus.Entry
 	store  *storage.Storage
-	start  time.Time
 	recent *recentLog
 
 	inbox     chan consensus.Message
@@ -87,7 +86,7 @@
 	}
 	self := consensus.Member{ID: content.ID, Host: o.Host, PeerAddress: o.PeerAddress}
 	g := &Group{
-		opts: o, logger: o.Logger.WithField("member", content.ID), store: store, start: time.Now(),
+		opts: o, logger: o.Logger.WithField("member", content.ID), store: store,
 		inbox:     make(chan consensus.Message, inboxMessages),
 		requests:  make(chan request),
 		snapshots: make(chan consensus.Snapshot, 1),
@@ -117,6 +116,10 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
+	if o.Now == nil {
+		start := time.Now()
+		o.Now = func() time.Duration { return time.Since(start) }
+	}
 	if o.Logger == nil {
 		o.Logger = logrus.WithField("host", o.Host)
 	}
@@ -154,7 +157,7 @@
 }
 
 // now is the group's monotonic clock.
-func (g *Group) now() time.Duration { return time.Since(g.start) }
+func (g *Group) now() time.Duration { return g.opts.Now() }
 
 // Run drives the member until ctx ends or the data folder fails, and then
 // releases the folder.
--- a/node/control/groupapi.go
+++ b/node/control/groupapi.go
@@ -34,8 +34,17 @@
 	Replica   *replica.Replica
 	Logger    *logrus.Entry
 
+	// NoFounding keeps this host from founding a group. It is set on hosts that
+	// start after the first start of the deployment: their folder may have been
+	// emptied.
+	NoFounding bool
+
 	// The settings below have defaults when zero.
 
+	// Now is a monotonic clock. One that also counts the time in which the
+	// machine is suspended keeps a lease from outliving a suspension.
+	Now func() time.Duration
+
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
 	// RepairAfter is how long a voter is unreachable before a spare replaces
--- /dev/null
+++ b/node/forward/books.go
@@ -0,0 +1,150 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/exchange"
+	"github.com/pollenwheel/pollenwheel/core/patience"
+	"github.com/pollenwheel/pollenwheel/core/residency"
+	"github.com/pollenwheel/pollenwheel/core/routing"
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/decision"
+)
+
+// suspectTimeout bounds the commit of a crash.
+const suspectTimeout = 3 * time.Second
+
+// draw returns a random number in [0, 1).
+func (g *Gate) draw() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rng.Float64()
+}
+
+// arrived counts a request for its target and for the retry budget.
+func (g *Gate) arrived(c *call) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(c.key.Service).Request(g.opts.Now())
+	if c.key.Model != "" {
+		g.target(residency.Target{Model: c.key.Model, Adapter: c.key.Adapter}).arrivals++
+	}
+}
+
+// retry asks the service's budget for one more arrival.
+func (g *Gate) retry(service string) bool {
+	hosts := g.opts.Hosts()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(service).Retry(g.opts.Now(), hosts)
+}
+
+// wait counts a request that begins or ceases to wait. The leader hears of the
+// first at once.
+func (g *Gate) wait(t residency.Target, n int) {
+	if t.Model == "" {
+		return
+	}
+	g.mu.Lock()
+	g.target(t).waiting += n
+	g.mu.Unlock()
+	if n > 0 {
+		g.opts.Demanded()
+	}
+}
+
+// pick chooses a server for a request, or returns when to look again.
+func (g *Gate) pick(c *call) (a routing.Attempt, changed <-chan struct{}, o patience.Outlook, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.opts.Now()
+	q := routing.Query{Key: c.key, Prefix: c.request.Prefix, Exclude: c.avoid}
+	if a, ok = g.router.Pick(now, q); ok {
+		return a, nil, o, true
+	}
+	if c.avoid != "" && !c.strict {
+		q.Exclude = ""
+		if a, ok = g.router.Pick(now, q); ok {
+			return a, nil, o, true
+		}
+	}
+	o.ReadyAt, o.Known = g.outlooks[c.key]
+	if !o.Known && c.key.Adapter != "" {
+		o.ReadyAt, o.Known = g.outlooks[routing.Key{Service: c.key.Service, Model: c.key.Model}]
+	}
+	return a, g.changed, o, false
+}
+
+func (g *Gate) begin(t residency.Target, server string) {
+	if t.Model == "" {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.target(t).begin(server)
+}
+
+// answered notes that a server's answer has begun.
+func (g *Gate) answered(a routing.Attempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.Answered(g.opts.Now(), a)
+}
+
+// ended records the end of an attempt. An attempt that was cancelled says
+// nothing about its server.
+func (g *Gate) ended(t residency.Target, a routing.Attempt, out result, cancelled bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.Model != "" {
+		g.target(t).end(a.Server)
+	}
+	now := g.opts.Now()
+	verdict := routing.Neutral
+	switch out.outcome {
+	case exchange.Complete:
+		verdict = routing.Success
+	case exchange.NotSent, exchange.Misdirected:
+		if !cancelled {
+			g.router.Ended(a)
+		}
+	case exchange.Lost, exchange.Cut:
+		if !cancelled {
+			verdict = routing.Failure
+		}
+	case exchange.Failed:
+		g.router.Failed(now, a)
+	}
+	g.router.Done(now, a, verdict)
+}
+
+// checkCrash finds out whether the process of an attempt that broke off has
+// ended, and records the request as a suspect if so.
+func (g *Gate) checkCrash(a routing.Attempt, fingerprint string) {
+	conn, err := net.DialTimeout("tcp", a.Address, dialTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	g.mu.Lock()
+	g.router.Ended(a)
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
+	defer cancel()
+	_, err = g.opts.Log.Propose(ctx, state.Command{
+		UnixMS:  time.Now().UnixMilli(),
+		Suspect: &state.Suspect{Server: a.Server, Incarnation: a.Incarnation, Fingerprints: []string{fingerprint}},
+	})
+	f := decision.Fields{decision.FieldServer: a.Server, decision.FieldOutcome: "recorded"}
+	if err != nil {
+		f[decision.FieldOutcome] = "not recorded: " + err.Error()
+	}
+	g.opts.Decisions.Belief(decision.EventSuspect, f)
+}
--- /dev/null
+++ b/node/forward/view.go
@@ -0,0 +1,156 @@
+package forward
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/residency"
+	"github.com/pollenwheel/pollenwheel/core/route"
+	"github.com/pollenwheel/pollenwheel/core/routing"
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/decision"
+)
+
+// Holdings is what the leader says that the backend servers hold. It is safe
+// for concurrent use.
+type Holdings struct {
+	mu      sync.Mutex
+	servers map[string]residency.ServerHoldings
+	changed chan struct{}
+}
+
+// NewHoldings returns empty holdings.
+func NewHoldings() *Holdings {
+	return &Holdings{servers: map[string]residency.ServerHoldings{}, changed: make(chan struct{})}
+}
+
+// Merge takes what the leader says. Whole replaces what was known.
+func (h *Holdings) Merge(whole bool, list []residency.ServerHoldings) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !whole && len(list) == 0 {
+		return
+	}
+	if whole {
+		clear(h.servers)
+	}
+	for _, s := range list {
+		h.servers[s.Server] = s
+	}
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change.
+func (h *Holdings) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
+
+func (h *Holdings) of(server string, incarnation uint64) ([]residency.Holding, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, ok := h.servers[server]
+	if !ok || s.Incarnation != incarnation {
+		return nil, false
+	}
+	return s.Holdings, true
+}
+
+// Refresh rebuilds what requests are decided by.
+func (g *Gate) Refresh() {
+	old := g.view.Load()
+	next := &view{index: old.index}
+	g.opts.Replica.View(func(s *state.State) {
+		next.suspects = s.Suspects
+		if s.Published == nil || next.index != nil && next.index.Table().Version == s.Published.Table.Version {
+			return
+		}
+		table := s.Published.Table
+		next.index = route.NewIndex(&table)
+		g.opts.Decisions.Belief(decision.EventTable, decision.Fields{decision.FieldVersion: table.Version})
+	})
+	next.suspects = quarantined(next.suspects)
+	g.view.Store(next)
+	if next.index != nil {
+		g.rebuild(next.index.Table())
+	}
+}
+
+// quarantined copies the records that refuse a request.
+func quarantined(all map[string]state.SuspectRecord) map[string]state.SuspectRecord {
+	out := map[string]state.SuspectRecord{}
+	for fp, rec := range all {
+		if rec.Quarantined {
+			out[fp] = rec
+		}
+	}
+	return out
+}
+
+// rebuild gives the router the servers and what they hold.
+func (g *Gate) rebuild(table *route.Table) {
+	current := newest(g.opts.Servers())
+	var servers []routing.Server
+	var replicas []routing.Replica
+	outlooks := map[routing.Key]time.Duration{}
+	for _, s := range current {
+		svc, ok := table.Service(s.Service)
+		if !ok {
+			continue
+		}
+		servers = append(servers, routing.Server{
+			Name: s.Name, Address: s.Address, DataCentre: s.DataCentre, Incarnation: s.Incarnation, Closed: s.Leaving,
+		})
+		if svc.Engine == nil {
+			replicas = append(replicas, routing.Replica{Server: s.Name, Key: routing.Key{Service: s.Service}})
+			continue
+		}
+		replicas = append(replicas, g.held(s, outlooks)...)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.Rebuild(servers, replicas)
+	for _, s := range current {
+		g.router.Seen(s.Name, s.Incarnation, s.Sequence)
+	}
+	g.outlooks = outlooks
+	g.wake()
+}
+
+// newest drops servers whose address belongs to a later process.
+func newest(all []membership.Presence) []membership.Presence {
+	latest := map[string]uint64{}
+	for _, s := range all {
+		latest[s.Address] = max(latest[s.Address], s.Incarnation)
+	}
+	return slices.DeleteFunc(all, func(s membership.Presence) bool { return s.Incarnation < latest[s.Address] })
+}
+
+// held lists what a server holds: what the leader says, else what the server
+// announced. It notes the predicted ends of loads.
+func (g *Gate) held(s membership.Presence, outlooks map[routing.Key]time.Duration) []routing.Replica {
+	var out []routing.Replica
+	holdings, ok := g.opts.Holdings.of(s.Name, s.Incarnation)
+	if !ok {
+		for _, m := range s.Models {
+			out = append(out, routing.Replica{Server: s.Name, Key: routing.Key{Service: s.Service, Model: m.Model, Adapter: m.Adapter}})
+		}
+		return out
+	}
+	for _, h := range holdings {
+		key := routing.Key{Service: s.Service, Model: h.Model, Adapter: h.Adapter}
+		switch h.Phase {
+		case residency.Ready:
+			out = append(out, routing.Replica{Server: s.Name, Key: key})
+		case residency.Loading:
+			if at, known := outlooks[key]; !s.Leaving && (!known || h.ReadyAt < at) {
+				outlooks[key] = h.ReadyAt
+			}
+		}
+	}
+	return out
+}
--- a/node/host/demand.go
+++ b/node/host/demand.go
@@ -86,6 +86,8 @@
 	demand      func() []placement.Demand
 	forward     *peer.Forwarder
 	board       *board
+	// wake asks for a report at once. It may be nil.
+	wake <-chan struct{}
 
 	waiting map[placement.Target]int
 	sentAt  time.Duration
@@ -99,8 +101,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			r.report(ctx)
+		case <-r.wake:
 		}
+		r.report(ctx)
 	}
 }
 
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -137,24 +137,31 @@
 
 func (h *Host) openGroup() error {
 	h.transport = peer.NewTransport(h.peers)
-	options := control.Options{
-		Folder: h.settings.DataFolder, Host: h.settings.Host, PeerAddress: h.peerAddress(),
-		Transport: h.transport, Replica: h.replica, Logger: h.logger,
+	g, err := openMember(h.settings, h.peerAddress(), control.Options{Transport: h.transport, Replica: h.replica, Logger: h.logger})
+	if err != nil {
+		h.transport.Close()
+		return err
 	}
-	for _, v := range h.settings.Voters {
+	h.group = g
+	return nil
+}
+
+// openMember opens this host's member of the replicated log.
+func openMember(s settings.Settings, peerAddress string, o control.Options) (group, error) {
+	o.Folder, o.Host, o.PeerAddress = s.DataFolder, s.Host, peerAddress
+	o.NoFounding, o.RepairAfter = s.NoFounding, s.RepairAfter
+	for _, v := range s.Voters {
 		address := v.Address
-		if v.Name == h.settings.Host {
-			address = h.peerAddress()
+		if v.Name == s.Host {
+			address = peerAddress
 		}
-		options.Bootstrap = append(options.Bootstrap, consensus.Member{Host: v.Name, PeerAddress: address})
+		o.Bootstrap = append(o.Bootstrap, consensus.Member{Host: v.Name, PeerAddress: address})
 	}
-	g, err := openGroup(options)
+	g, err := openGroup(o)
 	if err != nil {
-		h.transport.Close()
-		return fmt.Errorf("host: open the data folder: %w", err)
+		return nil, fmt.Errorf("host: open the data folder: %w", err)
 	}
-	h.group = g
-	return nil
+	return g, nil
 }
 
 // peerGroup is nil without the control role.
--- a/node/host/members.go
+++ b/node/host/members.go
@@ -51,11 +51,15 @@
 }
 
 func newMembers(s settings.Settings, self membership.Host, client *peer.Client, now func() time.Duration) *members {
+	options := membership.Options{
+		Self: self, Seeds: s.Seeds, Rand: rand.New(rand.NewSource(int64(self.Incarnation))),
+	}
+	if s.AnnouncedAnywhere {
+		options.WideBeats = 1
+	}
 	return &members{
 		client: client, now: now, voters: s.Voters, self: s.Host, calls: map[string]int{}, changed: make(chan struct{}),
-		table: membership.New(membership.Options{
-			Self: self, Seeds: s.Seeds, Rand: rand.New(rand.NewSource(int64(self.Incarnation))),
-		}),
+		table: membership.New(options),
 	}
 }
 
@@ -146,6 +150,10 @@
 	return m.changed
 }
 
+func (m *members) setSeeds(seeds []string) {
+	m.do(func(t *membership.Table, _ time.Duration) { t.SetSeeds(seeds) })
+}
+
 func (m *members) setReady(ready bool) {
 	m.do(func(t *membership.Table, _ time.Duration) { t.SetReady(ready) })
 }
--- /dev/null
+++ b/node/host/placer.go
@@ -0,0 +1,324 @@
+package host
+
+import (
+	"context"
+	"maps"
+	"reflect"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/residency"
+	"github.com/pollenwheel/pollenwheel/core/route"
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/control"
+	"github.com/pollenwheel/pollenwheel/node/decision"
+	"github.com/pollenwheel/pollenwheel/node/peer"
+)
+
+const (
+	// placeInterval is how often the leader plans without a cause.
+	placeInterval = 50 * time.Millisecond
+	// placePause bounds the plans a second while causes come in.
+	placePause = 2 * time.Millisecond
+	// placeOrderTimeout bounds the wait for the answer to an order. An order is
+	// answered at once; its work is done later.
+	placeOrderTimeout = 500 * time.Millisecond
+	// holdingsInterval is the longest time without an update of the holdings.
+	holdingsInterval = time.Second
+)
+
+// Engines gives orders to backend servers and asks for their reports.
+type Engines interface {
+	Order(ctx context.Context, o residency.Order) residency.Result
+	Report(ctx context.Context, q residency.Inquiry) (residency.Report, error)
+}
+
+// placer runs the residency planner while this host leads.
+type placer struct {
+	host    *Routed
+	engines Engines
+	// orderDelay is how long a new leader waits before its first order, so that
+	// two leaders never give orders within one lease.
+	orderDelay time.Duration
+
+	mu      sync.Mutex
+	term    *planTerm
+	reports map[string]peer.DemandReport
+	wake    chan struct{}
+}
+
+// planTerm is the work of one term as the leader.
+type planTerm struct {
+	planner *residency.Planner
+	fence   uint64
+	since   time.Duration
+	// published are the holdings by server; changed is closed at their change.
+	published map[string]residency.ServerHoldings
+	changed   chan struct{}
+	ended     chan struct{}
+}
+
+func newPlacer(h *Routed, e Engines, orderDelay time.Duration) *placer {
+	return &placer{host: h, engines: e, orderDelay: orderDelay, reports: map[string]peer.DemandReport{}, wake: make(chan struct{}, 1)}
+}
+
+func (p *placer) kick() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run starts a new plan each time the lease is gained.
+func (p *placer) run(ctx context.Context) error {
+	for {
+		if p.host.group.CheckLease() {
+			p.lead(ctx)
+		}
+		if !sleep(ctx, leaseInterval) {
+			return nil
+		}
+	}
+}
+
+// lead plans until the lease is lost or the term changes.
+func (p *placer) lead(ctx context.Context) {
+	h := p.host
+	t := &planTerm{
+		planner: residency.New(), fence: h.group.Status().Term, since: h.now(),
+		published: map[string]residency.ServerHoldings{}, changed: make(chan struct{}), ended: make(chan struct{}),
+	}
+	p.setTerm(t)
+	h.decisions.Belief(decision.EventLeading, decision.Fields{decision.FieldFence: t.fence, decision.FieldOutcome: "began"})
+	defer func() {
+		p.setTerm(nil)
+		close(t.ended)
+		h.decisions.Belief(decision.EventLeading, decision.Fields{decision.FieldFence: t.fence, decision.FieldOutcome: "ended"})
+	}()
+	tick := time.NewTicker(placeInterval)
+	defer tick.Stop()
+	for h.group.CheckLease() && h.group.Status().Term == t.fence {
+		changed := h.members.serversChanged()
+		p.step(ctx, t)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-p.wake:
+		case <-changed:
+		}
+		time.Sleep(placePause)
+	}
+}
+
+func (p *placer) setTerm(t *planTerm) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.term = t
+}
+
+// step plans once and sends what is due.
+func (p *placer) step(ctx context.Context, t *planTerm) {
+	h := p.host
+	in := residency.Input{Now: h.now(), Fence: t.fence, Servers: residencyServers(h.members.Servers())}
+	h.replica.View(func(s *state.State) { in.Services = servicesOf(s) })
+	in.Hold = in.Now-t.since < p.orderDelay
+	p.mu.Lock()
+	in.Demand = p.demands(in.Now)
+	out := t.planner.Step(in)
+	t.publish(t.planner.Holdings())
+	p.mu.Unlock()
+	for _, o := range out.Orders {
+		go p.order(ctx, t, o)
+	}
+	for _, q := range out.Inquiries {
+		go p.inquire(ctx, t, q)
+	}
+}
+
+// publish notes which servers' holdings have changed. The caller holds the lock.
+func (t *planTerm) publish(list []residency.ServerHoldings) {
+	next := make(map[string]residency.ServerHoldings, len(list))
+	for _, s := range list {
+		next[s.Server] = s
+	}
+	if reflect.DeepEqual(next, t.published) {
+		return
+	}
+	t.published = next
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// order sends one order. The lease is checked again right before.
+func (p *placer) order(ctx context.Context, t *planTerm, o residency.Order) {
+	ctx, cancel := context.WithTimeout(ctx, placeOrderTimeout)
+	defer cancel()
+	result := residency.NotSent
+	if p.host.group.CheckLease() {
+		result = p.engines.Order(ctx, o)
+	}
+	p.host.decisions.Belief(decision.EventOrder, decision.Fields{
+		decision.FieldServer: o.Server, decision.FieldModel: o.Model, decision.FieldAdapter: o.Adapter, decision.FieldFence: o.Fence,
+		decision.FieldAction: orderName(o), decision.FieldOrder: o.Expected, decision.FieldOutcome: result.String(),
+	})
+	p.mu.Lock()
+	t.planner.Ended(p.host.now(), o, result)
+	p.mu.Unlock()
+	p.kick()
+}
+
+func orderName(o residency.Order) string {
+	if o.Load {
+		return "load"
+	}
+	return "unload"
+}
+
+func (p *placer) inquire(ctx context.Context, t *planTerm, q residency.Inquiry) {
+	ctx, cancel := context.WithTimeout(ctx, placeOrderTimeout)
+	defer cancel()
+	report, err := p.engines.Report(ctx, q)
+	f := decision.Fields{decision.FieldServer: q.Server, decision.FieldOrder: report.Orders, decision.FieldOutcome: "received"}
+	if err != nil {
+		f[decision.FieldOutcome] = err.Error()
+	}
+	p.host.decisions.Belief(decision.EventReport, f)
+	p.mu.Lock()
+	t.planner.Reported(p.host.now(), q, report, err == nil)
+	p.mu.Unlock()
+	p.kick()
+}
+
+// demand takes the report of a host.
+func (p *placer) demand(r peer.DemandReport) ([]peer.Prediction, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.term == nil {
+		e := &control.NotLeaderError{}
+		if p.host.group != nil {
+			e.Leader = p.host.group.Status().Leader
+		}
+		return nil, e
+	}
+	r = r.At(p.host.now())
+	if r.Incarnation >= p.reports[r.Host].Incarnation {
+		p.reports[r.Host] = r
+	}
+	p.kick()
+	return nil, nil
+}
+
+// demands lists the demand of the hosts that still report. The caller holds the
+// lock.
+func (p *placer) demands(now time.Duration) []residency.Demand {
+	var out []residency.Demand
+	for _, host := range slices.Sorted(maps.Keys(p.reports)) {
+		r := p.reports[host]
+		if now-r.Now > demandExpiry {
+			delete(p.reports, host)
+			continue
+		}
+		for _, d := range r.Demand {
+			out = append(out, residency.Demand{
+				Host: host, Target: residency.Target{Model: d.Model, Adapter: d.Adapter},
+				Waiting: d.Waiting, Running: d.Running, Arrivals: d.Arrivals, RunningOn: d.RunningOn,
+			})
+		}
+	}
+	return out
+}
+
+// holdings sends what the servers hold, first all and then what changes, while
+// this host leads.
+func (p *placer) holdings(ctx context.Context, send func(peer.HoldingsUpdate) error) error {
+	sent := map[string]residency.ServerHoldings{}
+	whole := true
+	for {
+		p.mu.Lock()
+		t := p.term
+		if t == nil {
+			p.mu.Unlock()
+			return &control.NotLeaderError{}
+		}
+		current, changed := t.published, t.changed
+		p.mu.Unlock()
+		u := peer.HoldingsUpdate{Whole: whole}
+		now := p.host.now()
+		for _, name := range slices.Sorted(maps.Keys(current)) {
+			if whole || !reflect.DeepEqual(sent[name], current[name]) {
+				u.Servers = append(u.Servers, relativeHoldings(current[name], now))
+			}
+		}
+		if err := send(u); err != nil {
+			return err
+		}
+		sent, whole = current, false
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.ended:
+		case <-changed:
+		case <-time.After(holdingsInterval):
+		}
+	}
+}
+
+// relativeHoldings counts times from now, since hosts share no clock.
+func relativeHoldings(s residency.ServerHoldings, now time.Duration) residency.ServerHoldings {
+	return shiftHoldings(s, -now)
+}
+
+func shiftHoldings(s residency.ServerHoldings, by time.Duration) residency.ServerHoldings {
+	s.Holdings = slices.Clone(s.Holdings)
+	for i := range s.Holdings {
+		s.Holdings[i].ReadyAt += by
+	}
+	return s
+}
+
+// residencyServers translates the backend servers that are known.
+func residencyServers(all []membership.Presence) []residency.Server {
+	out := make([]residency.Server, 0, len(all))
+	for _, s := range all {
+		x := residency.Server{
+			Name: s.Name, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, Incarnation: s.Incarnation,
+			Sequence: s.Sequence, Leaving: s.Leaving, Silent: s.Silent,
+		}
+		for _, m := range s.Models {
+			if m.Adapter == "" {
+				x.Models = append(x.Models, residency.Held{Model: m.Model, Adapters: adaptersOf(s.Models, m.Model)})
+			}
+		}
+		for _, c := range s.Cached {
+			switch c.Tier {
+			case membership.TierMemory:
+				x.InMemory = append(x.InMemory, c.Model)
+			case membership.TierDisk:
+				x.OnDisk = append(x.OnDisk, c.Model)
+			}
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+func adaptersOf(list []membership.Report, model string) []string {
+	var out []string
+	for _, m := range list {
+		if m.Model == model && m.Adapter != "" {
+			out = append(out, m.Adapter)
+		}
+	}
+	return out
+}
+
+// servicesOf returns the services of the published table.
+func servicesOf(s *state.State) []route.Service {
+	if s.Published == nil {
+		return nil
+	}
+	return s.Published.Table.Services
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -39,6 +39,17 @@
 	// no configuration has been applied. Empty accepts none.
 	BootstrapKeySHA256 string
 	LogLevel           LogLevel
+
+	// The settings below are not part of the INI file.
+
+	// NoFounding keeps a control host from founding a consensus group.
+	NoFounding bool
+	// RepairAfter is how long a voter is unreachable before a spare replaces it.
+	// Zero stands for the default.
+	RepairAfter time.Duration
+	// AnnouncedAnywhere is set where backend servers announce themselves to hosts
+	// of any data centre.
+	AnnouncedAnywhere bool
 }
 
 // Peer is another host and its peer address.
