--- a/cmd/pollenwheel/main.go
+++ b/cmd/pollenwheel/main.go
@@ -20,6 +20,7 @@
 	app := kingpin.New("pollenwheel", "Serves rarely used models.")
 	runCmd := app.Command("run", "Run the process of one host.")
 	runFile := runCmd.Arg("settings", "INI settings file.").Required().String()
+	platformCmd := app.Command("platform", "Run the process of one host on the users' platform, with the settings file that it names.")
 	checkCmd := app.Command("check", "Check a settings file and print what it sets.")
 	checkFile := checkCmd.Arg("settings", "INI settings file.").Required().String()
 	devCmd := app.Command("dev", "Run one host with a stand-in engine on loopback.")
@@ -33,6 +34,8 @@
 	switch kingpin.MustParse(app.Parse(args)) {
 	case runCmd.FullCommand():
 		return runHost(ctx, *runFile)
+	case platformCmd.FullCommand():
+		return runPlatform(ctx)
 	case checkCmd.FullCommand():
 		return checkSettings(os.Stdout, *checkFile)
 	case devCmd.FullCommand():
--- /dev/null
+++ b/cmd/pollenwheel/platform.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/pollenwheel/pollenwheel/node/host"
+	"github.com/pollenwheel/pollenwheel/platform"
+)
+
+const (
+	// reloadInterval is how often the settings file is looked at. It may change
+	// without a signal.
+	reloadInterval = 2 * time.Second
+	// memoryShare is the part of a process's memory that the Go heap may fill
+	// before it is collected more often.
+	memoryShare = 0.6
+)
+
+var errNoSettings = errors.New("the environment variable " + platform.SettingsVariable + " is not set")
+
+// runPlatform serves a host of the users' platform until a signal arrives and
+// the host has left.
+func runPlatform(ctx context.Context) error {
+	path := os.Getenv(platform.SettingsVariable)
+	if path == "" {
+		return errNoSettings
+	}
+	s, err := platform.Load(path)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMb<<20)))
+	logger := logrus.New()
+	logger.SetOutput(os.Stdout)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	entry := logger.WithFields(logrus.Fields{"host": s.Node, "data_centre": s.Zone})
+	h, err := host.NewRouted(s.Options(entry))
+	if err != nil {
+		return err
+	}
+	go reload(ctx, path, s, h, entry)
+	return h.Run(ctx)
+}
+
+// reload takes in changes of the settings file. Only the seeds can change while
+// the process runs.
+func reload(ctx context.Context, path string, s platform.Settings, h *host.Routed, logger *logrus.Entry) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	tick := time.NewTicker(reloadInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-tick.C:
+		}
+		next, err := platform.Load(path)
+		if err != nil {
+			logger.WithError(err).Warn("the settings in force are kept")
+			continue
+		}
+		if !sameSeeds(s.SeedPeers(), next.SeedPeers()) {
+			h.SetSeeds(next.SeedPeers())
+			s = next
+		}
+	}
+}
+
+func sameSeeds(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
