--- a/core/membership/server.go
+++ b/core/membership/server.go
@@ -4,6 +4,8 @@
 package membership
 
 import (
+	"slices"
+
 	"github.com/pollenwheel/pollenwheel/core/config"
 )
 
@@ -107,3 +109,12 @@
 	Ready   bool `json:"ready,omitempty"`
 	Leaving bool `json:"leaving,omitempty"`
 }
+
+// Newest leaves out the servers whose address belongs to a later process.
+func Newest(all []Presence) []Presence {
+	latest := map[string]uint64{}
+	for _, s := range all {
+		latest[s.Address] = max(latest[s.Address], s.Incarnation)
+	}
+	return slices.DeleteFunc(all, func(s Presence) bool { return s.Incarnation < latest[s.Address] })
+}
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -69,6 +69,7 @@
 		if svc.Engine == nil || in.Hold {
 			continue
 		}
+		p.repeat(in, svc, &out)
 		p.adapters(in, svc, &out)
 		p.models(in, svc, &out)
 	}
@@ -105,7 +106,12 @@
 		s.inquired = false
 		return
 	}
-	s.reported(now, r)
+	svc := p.services[s.Service]
+	if svc.Engine == nil {
+		s.inquired = false
+		return
+	}
+	s.reported(now, r, svc.Engine)
 }
 
 // Holdings returns what each server holds, ordered by name.
@@ -216,6 +222,16 @@
 	}
 }
 
+// repeat sends the orders without an answer again. At most one of the copies is
+// executed, since all of them expect the same number of orders.
+func (p *Planner) repeat(in Input, svc route.Service, out *Output) {
+	for _, s := range p.sorted() {
+		if s.Service == svc.Name && s.uncertain != nil && s.orderable() {
+			p.send(in, s, *s.uncertain, out)
+		}
+	}
+}
+
 // adapters orders the adapters that are waited for.
 func (p *Planner) adapters(in Input, svc route.Service, out *Output) {
 	for _, t := range p.waitingAdapters(svc.Engine) {
@@ -263,7 +279,7 @@
 	bestScore := math.Inf(1)
 	for _, s := range p.sorted() {
 		h := s.models[t.Model]
-		if s.Service != svc.Name || h == nil || h.phase != Ready || !s.orderable() {
+		if s.Service != svc.Name || h == nil || h.phase != Ready || !s.orderable() || s.working() {
 			continue
 		}
 		taken := s.adapterCount()
--- a/core/residency/server.go
+++ b/core/residency/server.go
@@ -50,6 +50,11 @@
 	// orders is the number of accepted orders, if known.
 	orders uint64
 	known  bool
+	// learned is set once orders was taken from a report of an idle server.
+	learned bool
+	// unreachable is set while no connection is possible, until the server
+	// announces itself again.
+	unreachable bool
 	// uncertain is set while an order without an answer may still be executed.
 	// It is cleared by the next accepted order.
 	uncertain *Order
@@ -67,64 +72,67 @@
 	fenced bool
 }
 
-// announced merges an announcement. What it lists is there; what it does not
-// list is gone if the announcement cannot be older than the change.
+// announced merges an announcement.
 func (s *server) announced(now time.Duration, a Server) {
 	if s.Incarnation == a.Incarnation && s.Sequence >= a.Sequence && s.announcedAt > 0 {
 		s.Leaving, s.Silent = a.Leaving, a.Silent
 		return
 	}
-	s.Server, s.announcedAt = a, now
-	s.merge(now, a.Models, staleAnnouncement, nil)
+	s.Server, s.announcedAt, s.unreachable = a, now, false
+	s.mergeAnnounced(now, a.Models)
 }
 
-// merge compares a list of the server with what is believed. Changes that are
-// younger than lag may be missing in it.
-func (s *server) merge(now time.Duration, list []Held, lag time.Duration, incoming []Target) {
+// mergeAnnounced compares an announcement with what is believed. Announcements
+// may be old, so one that lacks something proves only that a report is needed,
+// except for the end of an unload: a server that is still busy with it refuses
+// other orders.
+func (s *server) mergeAnnounced(now time.Duration, list []Held) {
 	listed := map[string]Held{}
 	for _, h := range list {
 		listed[h.Model] = h
+		if s.models[h.Model] == nil {
+			s.models[h.Model] = newHolding(now, h)
+		}
 	}
 	for name, h := range s.models {
 		l, ok := listed[name]
 		switch {
 		case !ok && h.phase == Unloading:
 			delete(s.models, name)
-		case !ok && h.phase == Ready && now-h.since > lag:
-			delete(s.models, name)
+		case !ok && h.phase == Ready && now-h.since > staleAnnouncement:
+			s.known = false
 		case ok && h.phase == Loading:
 			h.phase, h.since = Ready, now
 		}
-		if ok {
-			h.mergeAdapters(now, l, lag, name, incoming)
-		}
-	}
-	for name, l := range listed {
-		if _, ok := s.models[name]; ok {
-			continue
+		if ok && h.lacksAdapter(now, l) {
+			s.known = false
 		}
-		h := &holding{phase: Ready, since: now, adapters: map[string]*adapter{}}
-		s.models[name] = h
-		h.mergeAdapters(now, l, lag, name, incoming)
 	}
 }
 
-func (h *holding) mergeAdapters(now time.Duration, l Held, lag time.Duration, model string, incoming []Target) {
-	for name, a := range h.adapters {
-		if !slices.Contains(l.Adapters, name) && now-a.since > lag {
-			delete(h.adapters, name)
-		}
+// newHolding returns a model that a server says it holds.
+func newHolding(now time.Duration, l Held) *holding {
+	h := &holding{phase: Ready, since: now, adapters: map[string]*adapter{}}
+	for _, name := range l.Adapters {
+		h.adapters[name] = &adapter{phase: Ready, since: now, used: now}
 	}
+	return h
+}
+
+// lacksAdapter adds the adapters that a server lists and reports whether one
+// that is believed to be there is missing.
+func (h *holding) lacksAdapter(now time.Duration, l Held) bool {
 	for _, name := range l.Adapters {
 		if h.adapters[name] == nil {
 			h.adapters[name] = &adapter{phase: Ready, since: now, used: now}
 		}
 	}
-	for _, t := range incoming {
-		if t.Model == model && h.adapters[t.Adapter] == nil {
-			h.adapters[t.Adapter] = &adapter{phase: Loading, since: now, used: now, readyAt: now + adapterLoad}
+	for name, a := range h.adapters {
+		if !slices.Contains(l.Adapters, name) && now-a.since > staleAnnouncement {
+			return true
 		}
 	}
+	return false
 }
 
 // working reports whether an order for a model is under way.
@@ -137,10 +145,10 @@
 	return false
 }
 
-// orderable reports whether an order may be sent now. While an order without
-// an answer may be executed, only a fresh report shows what is held.
+// orderable reports whether an order may be sent now: what the server holds
+// after the orders that it has accepted is known exactly.
 func (s *server) orderable() bool {
-	return s.known && s.flying == nil && !s.Leaving && !s.Silent && !s.fenced
+	return s.known && s.flying == nil && !s.Leaving && !s.Silent && !s.fenced && !s.unreachable
 }
 
 // used returns the memory that the server's models and adapters take, with
@@ -182,47 +190,45 @@
 		s.orders, s.uncertain = o.Expected+1, nil
 		s.apply(now, o, e)
 	case Fulfilled:
-		s.uncertain = nil
-		if o.Adapter != "" && !o.Load {
-			// An idle adapter is unloaded at once, which counts as an order.
-			s.orders = o.Expected + 1
-		}
-		s.apply(now, o, e)
-		if h := s.models[o.Model]; h != nil && o.Adapter == "" {
-			h.phase, h.since = Ready, now
-		}
-	case Conflict:
+		s.fulfilled(o)
+	case Conflict, Rejected:
 		s.known = false
 	case Fenced:
 		s.fenced = true
-	case Rejected:
-		s.known = false
+	case NotSent:
+		s.unreachable = true
 	case Unanswered:
 		s.known, s.uncertain = false, &o
 	}
 }
 
+// fulfilled applies the answer that an order changes nothing, or that an
+// adapter without requests was unloaded at once, which counts as an order.
+func (s *server) fulfilled(o Order) {
+	h := s.models[o.Model]
+	if o.Adapter == "" || o.Load || h == nil || h.adapters[o.Adapter] == nil {
+		s.known = false
+		return
+	}
+	delete(h.adapters, o.Adapter)
+	s.orders, s.uncertain = o.Expected+1, nil
+}
+
 // apply records what an accepted order changes.
 func (s *server) apply(now time.Duration, o Order, e *route.Engine) {
-	if o.Adapter != "" {
-		h := s.models[o.Model]
-		if h == nil {
-			return
-		}
-		if !o.Load {
-			delete(h.adapters, o.Adapter)
-			return
-		}
+	h := s.models[o.Model]
+	switch {
+	case o.Adapter != "" && h == nil:
+		s.known = false
+	case o.Adapter != "" && o.Load:
 		h.adapters[o.Adapter] = &adapter{phase: Ready, since: now, used: now, readyAt: now + adapterLoad}
-		return
-	}
-	if o.Load {
+	case o.Adapter != "":
+		delete(h.adapters, o.Adapter)
+	case o.Load:
 		s.models[o.Model] = &holding{
 			phase: Loading, since: now, readyAt: now + s.loadTime(e, o.Model), adapters: map[string]*adapter{},
 		}
-		return
-	}
-	if h := s.models[o.Model]; h != nil {
+	case h != nil:
 		h.phase, h.since = Unloading, now
 	}
 }
@@ -246,7 +252,7 @@
 
 // needsReport tells whether only a report can show what the server holds.
 func (s *server) needsReport(now time.Duration) bool {
-	if s.inquired || s.flying != nil || s.Silent || s.Leaving || s.fenced {
+	if s.inquired || s.flying != nil || s.Silent || s.Leaving || s.fenced || s.unreachable {
 		return false
 	}
 	if now-s.askedAt < inquiryInterval && s.askedAt > 0 {
@@ -270,31 +276,50 @@
 // unload waits for the requests that run, and is announced when it ends.
 const unloadPatience = 3 * time.Second
 
-// reported applies a report that was asked for at askedAt.
-func (s *server) reported(now time.Duration, r Report) {
+// reported applies a report. It is exact for the number of orders that it
+// names, unless an order is under way that this leader did not give.
+func (s *server) reported(now time.Duration, r Report, e *route.Engine) {
 	s.inquired = false
 	if s.flying != nil {
 		return
 	}
-	if !s.known {
-		s.orders, s.known = r.Orders, true
-		if s.uncertain != nil && r.Orders > s.uncertain.Expected {
-			// The unanswered order, or another with its number, was executed.
-			s.uncertain = nil
+	if u := s.uncertain; u != nil && r.Orders > u.Expected {
+		s.uncertain = nil
+		if r.Busy && !s.known && r.Orders == u.Expected+1 {
+			s.orders, s.known = r.Orders, true
+			s.apply(now, *u, e)
+			return
 		}
 	}
-	if !r.Busy {
-		for name, h := range s.models {
-			listed := slices.ContainsFunc(r.Models, func(x Held) bool { return x.Model == name })
-			if h.phase == Loading && !listed && now-h.since > reportLag {
-				delete(s.models, name)
-			}
-			if h.phase == Unloading && listed && now-h.since > reportLag {
-				h.phase, h.since = Ready, now
+	if r.Busy {
+		s.known = s.known || s.learned && r.Orders == s.orders
+		return
+	}
+	s.orders, s.known, s.learned = r.Orders, true, true
+	s.replace(now, r)
+}
+
+// replace takes over what an idle server reports. Times of use are kept.
+func (s *server) replace(now time.Duration, r Report) {
+	old := s.models
+	s.models = map[string]*holding{}
+	for _, l := range r.Models {
+		h := newHolding(now, l)
+		if before := old[l.Model]; before != nil && before.phase == Ready {
+			h.since = before.since
+			for name, a := range h.adapters {
+				if b := before.adapters[name]; b != nil {
+					*a = *b
+				}
 			}
 		}
+		s.models[l.Model] = h
+	}
+	for _, t := range r.Incoming {
+		if h := s.models[t.Model]; h != nil && h.adapters[t.Adapter] == nil {
+			h.adapters[t.Adapter] = &adapter{phase: Ready, since: now, used: now, readyAt: now + adapterLoad}
+		}
 	}
-	s.merge(now, r.Models, reportLag, r.Incoming)
 }
 
 func (s *server) holdings() ServerHoldings {
--- a/node/forward/view.go
+++ b/node/forward/view.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -93,7 +92,7 @@
 
 // rebuild gives the router the servers and what they hold.
 func (g *Gate) rebuild(table *route.Table) {
-	current := newest(g.opts.Servers())
+	current := membership.Newest(g.opts.Servers())
 	var servers []routing.Server
 	var replicas []routing.Replica
 	outlooks := map[routing.Key]time.Duration{}
@@ -121,15 +120,6 @@
 	g.wake()
 }
 
-// newest drops servers whose address belongs to a later process.
-func newest(all []membership.Presence) []membership.Presence {
-	latest := map[string]uint64{}
-	for _, s := range all {
-		latest[s.Address] = max(latest[s.Address], s.Incarnation)
-	}
-	return slices.DeleteFunc(all, func(s membership.Presence) bool { return s.Incarnation < latest[s.Address] })
-}
-
 // held lists what a server holds: what the leader says, else what the server
 // announced. It notes the predicted ends of loads.
 func (g *Gate) held(s membership.Presence, outlooks map[routing.Key]time.Duration) []routing.Replica {
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -122,7 +122,7 @@
 // step plans once and sends what is due.
 func (p *placer) step(ctx context.Context, t *planTerm) {
 	h := p.host
-	in := residency.Input{Now: h.now(), Fence: t.fence, Servers: residencyServers(h.members.Servers())}
+	in := residency.Input{Now: h.now(), Fence: t.fence, Servers: residencyServers(membership.Newest(h.members.Servers()))}
 	h.replica.View(func(s *state.State) { in.Services = servicesOf(s) })
 	in.Hold = in.Now-t.since < p.orderDelay
 	p.mu.Lock()
