--- a/core/patience/patience.go
+++ b/core/patience/patience.go
@@ -14,11 +14,14 @@
 	// minService is the least such time.
 	minService = 100 * time.Millisecond
 	// blindShare is the part of its time that a request waits while nothing is
-	// known of a load; the leader answers a new demand much sooner.
-	blindShare = 0.1
-	// minBlind and maxBlind bound that wait.
-	minBlind = 150 * time.Millisecond
-	maxBlind = 1500 * time.Millisecond
+	// known of a load. Servers that could load may still be at work for others; a
+	// caller that comes back would find the same.
+	blindShare = 0.9
+	// patienceMargin is the part of a caller's patience that is left for the
+	// beginning of the answer.
+	patienceMargin = 20
+	// overdueWait is how long a request waits for a load that is overdue.
+	overdueWait = 1500 * time.Millisecond
 	// lateness is how far beyond its prediction a load may end.
 	lateness = 400 * time.Millisecond
 	// defaultReturn is when a caller is told to come back if nothing is known.
@@ -28,6 +31,19 @@
 // Request is a request that waits.
 type Request struct {
 	Arrived, Deadline time.Duration
+	// Patience is how long the caller waits for the answer to begin. Zero means
+	// until the deadline.
+	Patience time.Duration
+}
+
+// latest is when the request must be sent at the latest.
+func (r Request) latest() time.Duration {
+	total := r.Deadline - r.Arrived
+	latest := r.Deadline - max(minService, time.Duration(serviceShare*float64(total)))
+	if r.Patience > 0 {
+		latest = min(latest, r.Arrived+r.Patience-minService-r.Patience/patienceMargin)
+	}
+	return latest
 }
 
 // Outlook is what is known of the time at which a server can take the request.
@@ -49,9 +65,7 @@
 
 // Decide decides for a request at now.
 func Decide(now time.Duration, r Request, o Outlook) Decision {
-	total := r.Deadline - r.Arrived
-	service := max(minService, time.Duration(serviceShare*float64(total)))
-	latest := r.Deadline - service
+	latest := r.latest()
 	if o.Known {
 		expected := max(o.ReadyAt, now)
 		if expected <= latest && now < o.ReadyAt+lateness {
@@ -61,10 +75,10 @@
 			return Decision{ReturnAfter: max(defaultReturn, expected-now)}
 		}
 	}
-	blind := r.Arrived + min(maxBlind, max(minBlind, time.Duration(blindShare*float64(total))))
+	blind := r.Arrived + time.Duration(blindShare*float64(latest-r.Arrived))
 	if o.Known {
 		// The load is overdue; its next report is due soon.
-		blind = max(blind, o.ReadyAt+lateness+maxBlind)
+		blind = max(blind, o.ReadyAt+lateness+overdueWait)
 	}
 	if until := min(blind, latest); now < until {
 		return Decision{Wait: true, Until: until}
--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -18,14 +18,24 @@
 	idleWorth = 0.06
 	// spareShare is the part of a model's rate that a second copy is worth, for
 	// the loss of the first.
-	spareShare = 0.03
+	spareShare = 0.004
 	// crowdedShare is the same for a copy that is needed for the load, and
 	// adapterShare for one that is needed for the adapters.
 	crowdedShare = 0.3
-	adapterShare = 0.05
+	adapterShare = 0.004
 	// crowded is the share of a server's slots above which a model should have
 	// another copy.
 	crowded = 0.35
+	// runningCost is what each running request adds to the loss of a model: the
+	// unload waits for it.
+	runningCost = 0.4
+	// waitingFactor and preloadFactor are how many times the loss a load must
+	// gain, for models that are waited for and for others. They keep models of
+	// about the same worth from taking turns.
+	waitingFactor = 2
+	preloadFactor = 5
+	// slowness is the part of a load's gain that each second of it costs.
+	slowness = 0.6
 	// reservationTime is how long a server may make room for a model.
 	reservationTime = 6 * time.Second
 	// storeCost is what a load from the weight store must gain, and copyCost
@@ -73,7 +83,7 @@
 			continue
 		}
 		place := p.reservation(in.Now, svc.Name, m.Name)
-		gain := p.worth(svc, m, copies)
+		gain := p.worth(in.Now, svc, m, copies)
 		for _, s := range p.sorted() {
 			if s.Service != svc.Name || !s.orderable() || s.working() || s.models[m.Name] != nil || s.uncertain != nil {
 				continue
@@ -139,8 +149,8 @@
 }
 
 // worth is the value of one more copy beyond the given number.
-func (p *Planner) worth(svc route.Service, m route.Model, copies int) float64 {
-	rate, running, waiting, adapters := p.load(m.Name)
+func (p *Planner) worth(now time.Duration, svc route.Service, m route.Model, copies int) float64 {
+	rate, running, waiting, adapters := p.load(now, m.Name)
 	if copies == 0 {
 		w := rate + idleWorth
 		if waiting > 0 {
@@ -162,10 +172,10 @@
 }
 
 // load sums the demand for a model and its adapters.
-func (p *Planner) load(model string) (rate float64, running, waiting, adapters int) {
+func (p *Planner) load(now time.Duration, model string) (rate float64, running, waiting, adapters int) {
 	for t, r := range p.rates {
 		if t.Model == model {
-			rate += r.perSecond
+			rate += r.at(now)
 			if t.Adapter != "" {
 				adapters++
 			}
@@ -200,13 +210,16 @@
 	if c.server.fromStore(c.model.Name) {
 		cost = storeCost
 	}
-	// Twice the loss keeps two models of about the same worth from taking turns.
-	if c.gain < 2*loss+cost {
+	factor := float64(preloadFactor)
+	if c.gain > waitingWorth {
+		factor = waitingFactor
+	}
+	if c.gain < factor*loss+cost {
 		return false
 	}
 	load := c.server.loadTime(e, c.model.Name).Seconds()
 	leftover := (free - c.model.MemoryMiB) / e.MemoryMiB
-	c.score = (c.gain-loss)/(1+0.2*load) + 0.01*(1-leftover)
+	c.score = (c.gain-loss)/(1+slowness*load) + 0.01*(1-leftover)
 	return true
 }
 
@@ -226,9 +239,9 @@
 			continue
 		}
 		copies, _ := p.copies(svc.Name, name)
-		cost := p.worth(svc, m, copies-1)
+		cost := p.worth(now, svc, m, copies-1)
 		if d := p.demand[Target{Model: name}]; d != nil && d.runningOn[s.Name] > 0 {
-			cost += 0.01 * float64(d.runningOn[s.Name])
+			cost += runningCost * float64(d.runningOn[s.Name])
 		}
 		options = append(options, option{name, cost})
 	}
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -12,7 +12,10 @@
 
 const (
 	// rateMemory is the time over which arrivals are averaged.
-	rateMemory = 4 * time.Second
+	rateMemory = 8 * time.Second
+	// silenceFactor bounds a rate by the time since the last arrival: a target
+	// with a higher rate would have been asked for with a probability of 95%.
+	silenceFactor = 3
 	// storeLoads is how many loads from the weight store run at once. The store
 	// serves no more at full speed, and more would delay the urgent ones.
 	storeLoads = 4
@@ -45,6 +48,12 @@
 type rate struct {
 	perSecond float64
 	pending   float64
+	last      time.Duration
+}
+
+// at returns the rate at now. It falls at once when a busy target falls silent.
+func (r *rate) at(now time.Duration) float64 {
+	return min(r.perSecond, silenceFactor/max(0.05, (now-r.last).Seconds()))
 }
 
 // total is the demand for a target over all hosts.
@@ -164,7 +173,7 @@
 		for s, n := range d.RunningOn {
 			t.runningOn[s] += n
 		}
-		p.arrive(d)
+		p.arrive(in.Now, d)
 	}
 	elapsed := in.Now - p.lastStep
 	if elapsed < 50*time.Millisecond {
@@ -184,7 +193,7 @@
 
 // arrive adds the arrivals since the host's earlier report. A lower count
 // comes from a new process of the host.
-func (p *Planner) arrive(d Demand) {
+func (p *Planner) arrive(now time.Duration, d Demand) {
 	host := p.arrivals[d.Host]
 	if host == nil {
 		host = map[Target]uint64{}
@@ -204,6 +213,7 @@
 		p.rates[d.Target] = r
 	}
 	r.pending += float64(d.Arrivals - before)
+	r.last = now
 }
 
 // touch notes which adapters are in use.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -44,6 +44,9 @@
 	// stream, is on time. MaxPause is the same for the pauses of a stream.
 	Objective time.Duration `json:"objective,omitempty"`
 	MaxPause  time.Duration `json:"max_pause,omitempty"`
+	// Patience is how long callers wait for an answer or the next event before
+	// they leave. Zero means until their deadline.
+	Patience time.Duration `json:"patience,omitempty"`
 	// Priority is the rank among the routes; 0 is the most urgent.
 	Priority int `json:"priority,omitempty"`
 	// MaxAttempts is the number of backend servers that one request may be sent to.
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -29,6 +29,9 @@
 	FieldAttempt = "attempt"
 	FieldLeftMS  = "left_ms"
 	FieldTookMS  = "took_ms"
+	FieldFirstMS = "first_ms"
+	FieldPauseMS = "pause_ms"
+	FieldWaitMS  = "wait_ms"
 	FieldVersion = "version"
 	FieldFence   = "fence"
 	FieldOrder   = "order"
@@ -39,6 +42,7 @@
 const (
 	EventAttempt  = "attempt"
 	EventAnswered = "answered"
+	EventLate     = "late"
 	EventRefused  = "refused"
 	EventFailed   = "failed"
 	EventAborted  = "aborted"
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -52,6 +52,10 @@
 	begun  bool
 	lastID string
 	events int
+	// firstAt and eventAt are when the first and the last event were passed on;
+	// pause is the longest time between two events, and waited the time without a
+	// server.
+	firstAt, eventAt, pause, waited time.Duration
 }
 
 // ServeHTTP serves one request: it is admitted, waits for a backend server that
@@ -212,7 +216,7 @@
 			return a, true
 		}
 		now := g.opts.Now()
-		d := patience.Decide(now, patience.Request{Arrived: c.arrived, Deadline: c.deadline}, outlook)
+		d := patience.Decide(now, c.waits(), outlook)
 		if !d.Wait {
 			c.expire(d.ReturnAfter, "no backend server holds the target in time")
 			return a, false
@@ -221,6 +225,7 @@
 			waiting = true
 			g.wait(target, 1)
 		}
+		began := now
 		timer := time.NewTimer(d.Until - now)
 		select {
 		case <-changed:
@@ -228,6 +233,7 @@
 		case <-c.ctx.Done():
 		}
 		timer.Stop()
+		c.waited += g.opts.Now() - began
 		if c.in.Context().Err() != nil {
 			c.log(decision.EventLeft, decision.Fields{decision.FieldReason: "while waiting"})
 			panic(http.ErrAbortHandler)
@@ -235,6 +241,16 @@
 	}
 }
 
+// waits describes the request to core/patience. A stream that was begun has its
+// patience from the last event.
+func (c *call) waits() patience.Request {
+	out := patience.Request{Arrived: c.arrived, Deadline: c.deadline, Patience: c.route.Patience}
+	if c.begun {
+		out.Arrived = c.eventAt
+	}
+	return out
+}
+
 // expire ends a request for which no server was found.
 func (c *call) expire(after time.Duration, why string) {
 	if c.begun {
@@ -254,7 +270,7 @@
 		if out.answer != nil {
 			c.deliver(out)
 		}
-		c.log(decision.EventAnswered, decision.Fields{decision.FieldServer: a.Server, decision.FieldEvents: c.events})
+		c.logAnswer(a)
 	case exchange.Deliver:
 		c.deliver(out)
 		c.log(decision.EventFailed, decision.Fields{decision.FieldServer: a.Server, decision.FieldStatus: out.answer.StatusCode})
@@ -267,6 +283,24 @@
 	}
 }
 
+// logAnswer logs a complete answer, and whether it was late by the route's
+// objective.
+func (c *call) logAnswer(a routing.Attempt) {
+	now := c.gate.opts.Now()
+	if c.firstAt == 0 {
+		c.firstAt = now
+	}
+	event := decision.EventAnswered
+	late := c.route.Objective > 0 && c.firstAt-c.arrived > c.route.Objective
+	if late || c.route.MaxPause > 0 && c.pause > c.route.MaxPause {
+		event = decision.EventLate
+	}
+	c.log(event, decision.Fields{
+		decision.FieldServer: a.Server, decision.FieldEvents: c.events, decision.FieldWaitMS: c.waited.Milliseconds(),
+		decision.FieldFirstMS: (c.firstAt - c.arrived).Milliseconds(), decision.FieldPauseMS: c.pause.Milliseconds(),
+	})
+}
+
 // deliver passes on a whole answer.
 func (c *call) deliver(out result) {
 	c.copyHeaders(out.answer.Header)
--- a/node/forward/stream.go
+++ b/node/forward/stream.go
@@ -32,13 +32,25 @@
 		if err := http.NewResponseController(c.w).Flush(); err != nil {
 			return c.streamCut(ctx, err)
 		}
-		c.events++
+		c.passed()
 		if e.id != "" {
 			c.lastID = e.id
 		}
 	}
 }
 
+// passed keeps the times of the events.
+func (c *call) passed() {
+	now := c.gate.opts.Now()
+	if c.events == 0 {
+		c.firstAt = now
+	} else {
+		c.pause = max(c.pause, now-c.eventAt)
+	}
+	c.events++
+	c.eventAt = now
+}
+
 // begin passes on the headers of a stream once.
 func (c *call) begin(resp *http.Response) {
 	if c.begun {
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -54,6 +54,9 @@
 	planner *residency.Planner
 	fence   uint64
 	since   time.Duration
+	// first is set if nothing was published before this term. Then no earlier
+	// leader can have given an order.
+	first bool
 	// published are the holdings by server; changed is closed at their change.
 	published map[string]residency.ServerHoldings
 	changed   chan struct{}
@@ -90,6 +93,7 @@
 		planner: residency.New(), fence: h.group.Status().Term, since: h.now(),
 		published: map[string]residency.ServerHoldings{}, changed: make(chan struct{}), ended: make(chan struct{}),
 	}
+	h.replica.View(func(s *state.State) { t.first = s.Published == nil })
 	p.setTerm(t)
 	h.decisions.Belief(decision.EventLeading, decision.Fields{decision.FieldFence: t.fence, decision.FieldOutcome: "began"})
 	defer func() {
@@ -124,7 +128,7 @@
 	h := p.host
 	in := residency.Input{Now: h.now(), Fence: t.fence, Servers: residencyServers(membership.Newest(h.members.Servers()))}
 	h.replica.View(func(s *state.State) { in.Services = servicesOf(s) })
-	in.Hold = in.Now-t.since < p.orderDelay
+	in.Hold = !t.first && in.Now-t.since < p.orderDelay
 	p.mu.Lock()
 	in.Demand = p.demands(in.Now)
 	out := t.planner.Step(in)
