--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -13,22 +13,29 @@
 const (
 	// waitingWorth is added to the first copy of a model that is waited for.
 	waitingWorth = 5
+	// waiterWorth is added for each request that waits.
+	waiterWorth = 0.2
 	// idleWorth is that of a first copy of a model nobody asked for yet: the
 	// first request would wait for the weight store.
 	idleWorth = 0.06
 	// spareShare is the part of a model's rate that a second copy is worth, for
 	// the loss of the first.
 	spareShare = 0.004
-	// crowdedShare is the same for a copy that is needed for the load, and
-	// adapterShare for one that is needed for the adapters.
-	crowdedShare = 0.3
+	// adapterShare is the same for a copy that is needed for the adapters.
 	adapterShare = 0.004
-	// crowded is the share of a server's slots above which a model should have
-	// another copy.
-	crowded = 0.35
+	// serverRate is the number of requests a second above which the prompts that
+	// a server reads delay the streams that it runs. With 47 a second on one
+	// server, most streams paused for longer than their routes allow.
+	serverRate = 16
+	// crowdedShare is the worth of one request a second that a further copy takes
+	// from a crowded server: it would be late there, not lost.
+	crowdedShare = 0.4
 	// runningCost is what each running request adds to the loss of a model: the
 	// unload waits for it.
 	runningCost = 0.4
+	// drainTime is how long before a waiting caller gives up a load may wait for
+	// the requests of another model.
+	drainTime = 4500 * time.Millisecond
 	// waitingFactor and preloadFactor are how many times the loss a load must
 	// gain, for models that are waited for and for others. They keep models of
 	// about the same worth from taking turns.
@@ -49,8 +56,14 @@
 	model   route.Model
 	server  *server
 	victims []string
-	gain    float64
-	score   float64
+	// copies is the number of other copies, and waiting is set if requests wait
+	// for the first.
+	copies  int
+	waiting bool
+	// drain allows victims with running requests.
+	drain bool
+	gain  float64
+	score float64
 }
 
 // models orders loads, best first, and the unloads that make room for them.
@@ -95,7 +108,8 @@
 			if fromStore && !store {
 				continue
 			}
-			c := choice{model: m, server: s, gain: gain}
+			c := choice{model: m, server: s, gain: gain, copies: copies}
+			c.waiting, c.drain = p.urgency(in.Now, m.Name, copies)
 			if !p.makeRoom(in.Now, svc, &c) {
 				continue
 			}
@@ -150,11 +164,11 @@
 
 // worth is the value of one more copy beyond the given number.
 func (p *Planner) worth(now time.Duration, svc route.Service, m route.Model, copies int) float64 {
-	rate, running, waiting, adapters := p.load(now, m.Name)
-	if copies == 0 {
+	rate, waiting, adapters := p.load(now, m.Name)
+	if copies <= 0 {
 		w := rate + idleWorth
 		if waiting > 0 {
-			w += waitingWorth
+			w += waitingWorth + waiterWorth*float64(waiting)
 		}
 		return w
 	}
@@ -162,8 +176,8 @@
 	if copies == 1 {
 		w = spareShare * rate
 	}
-	if float64(running) > crowded*float64(svc.Engine.Slots*copies) {
-		w += crowdedShare * rate
+	if over := rate - serverRate*float64(copies); over > 0 {
+		w += crowdedShare * over / float64(copies)
 	}
 	if adapters > svc.Engine.AdapterSlots*copies {
 		w += adapterShare * rate
@@ -172,7 +186,7 @@
 }
 
 // load sums the demand for a model and its adapters.
-func (p *Planner) load(now time.Duration, model string) (rate float64, running, waiting, adapters int) {
+func (p *Planner) load(now time.Duration, model string) (rate float64, waiting, adapters int) {
 	for t, r := range p.rates {
 		if t.Model == model {
 			rate += r.at(now)
@@ -183,11 +197,28 @@
 	}
 	for t, d := range p.demand {
 		if t.Model == model {
-			running += d.running
 			waiting += d.waiting
 		}
 	}
-	return rate, running, waiting, adapters
+	return rate, waiting, adapters
+}
+
+// urgency reports whether requests wait for the first copy of a model, and
+// whether that or the lack of a further copy warrants to wait for the running
+// requests of another model. A swap with an idle model takes less than the
+// objective of a patient request, and both models are then served in time; one
+// that waits for running requests keeps two models from being served.
+func (p *Planner) urgency(now time.Duration, model string, copies int) (waiting, drain bool) {
+	if copies > 0 {
+		return false, true
+	}
+	for t, d := range p.demand {
+		if t.Model == model && d.waiting > 0 {
+			waiting = true
+			drain = drain || d.leaves-now < drainTime
+		}
+	}
+	return waiting, drain
 }
 
 // makeRoom picks the models that must go for a load and scores the load. It
@@ -197,8 +228,9 @@
 	free := e.MemoryMiB - c.server.used(e)
 	loss := 0.0
 	for free < c.model.MemoryMiB {
-		victim, cost, ok := p.cheapest(now, svc, c.server, c.victims)
-		if !ok {
+		// Before the first request nothing is known that warrants an unload.
+		victim, cost, ok := p.cheapest(now, svc, c)
+		if !ok || !p.asked {
 			return false
 		}
 		m, _ := e.Model(victim)
@@ -211,27 +243,45 @@
 		cost = storeCost
 	}
 	factor := float64(preloadFactor)
-	if c.gain > waitingWorth {
+	if c.waiting || c.copies > 0 {
 		factor = waitingFactor
 	}
 	if c.gain < factor*loss+cost {
 		return false
 	}
+	rate, _, _ := p.load(now, c.model.Name)
+	crowd := max(0, p.serverLoad(now, svc, c)+rate/float64(c.copies+1)-serverRate)
 	load := c.server.loadTime(e, c.model.Name).Seconds()
 	leftover := (free - c.model.MemoryMiB) / e.MemoryMiB
-	c.score = (c.gain-loss)/(1+slowness*load) + 0.01*(1-leftover)
+	c.score = (c.gain-loss-crowdedShare*crowd)/(1+slowness*load) + 0.01*(1-leftover)
 	return true
 }
 
+// serverLoad is the number of requests a second that a server gets for the
+// models that it keeps.
+func (p *Planner) serverLoad(now time.Duration, svc route.Service, c *choice) float64 {
+	total := 0.0
+	for name, h := range c.server.models {
+		if h.phase == Unloading || slices.Contains(c.victims, name) {
+			continue
+		}
+		rate, _, _ := p.load(now, name)
+		copies, _ := p.copies(svc.Name, name)
+		total += rate / float64(max(1, copies))
+	}
+	return total
+}
+
 // cheapest returns the model whose loss on a server costs least.
-func (p *Planner) cheapest(now time.Duration, svc route.Service, s *server, chosen []string) (string, float64, bool) {
+func (p *Planner) cheapest(now time.Duration, svc route.Service, c *choice) (string, float64, bool) {
+	s := c.server
 	type option struct {
 		name string
 		cost float64
 	}
 	var options []option
 	for name, h := range s.models {
-		if h.phase != Ready || now-h.since < minResidency || slices.Contains(chosen, name) {
+		if h.phase != Ready || now-h.since < minResidency || slices.Contains(c.victims, name) {
 			continue
 		}
 		m, ok := svc.Engine.Model(name)
@@ -240,9 +290,11 @@
 		}
 		copies, _ := p.copies(svc.Name, name)
 		cost := p.worth(now, svc, m, copies-1)
-		if d := p.demand[Target{Model: name}]; d != nil && d.runningOn[s.Name] > 0 {
-			cost += runningCost * float64(d.runningOn[s.Name])
+		running := p.runningOn(name, s.Name)
+		if running > 0 && !c.drain {
+			continue
 		}
+		cost += runningCost * float64(running)
 		options = append(options, option{name, cost})
 	}
 	if len(options) == 0 {
@@ -252,6 +304,17 @@
 	return options[0].name, options[0].cost, true
 }
 
+// runningOn returns the requests for a model and its adapters on a server.
+func (p *Planner) runningOn(model, server string) int {
+	n := 0
+	for t, d := range p.demand {
+		if t.Model == model {
+			n += d.runningOn[server]
+		}
+	}
+	return n
+}
+
 // storeFree reports whether another load from the weight store may begin.
 func (p *Planner) storeFree(now time.Duration, svc route.Service) bool {
 	p.storeStarts = slices.DeleteFunc(p.storeStarts, func(at time.Duration) bool { return now-at > ceilingWindow })
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// rateMemory is the time over which arrivals are averaged.
-	rateMemory = 8 * time.Second
+	// slowMemory and fastMemory are the times over which arrivals are averaged.
+	// The higher average counts: a model whose demand rises is seen at once, and
+	// chance does not hide one that is asked for now and then.
+	slowMemory = 8 * time.Second
+	fastMemory = 1500 * time.Millisecond
 	// silenceFactor bounds a rate by the time since the last arrival: a target
 	// with a higher rate would have been asked for with a probability of 95%.
 	silenceFactor = 3
@@ -42,24 +45,38 @@
 	rates    map[Target]*rate
 	demand   map[Target]*total
 	lastStep time.Duration
+	// asked is set once any request was seen.
+	asked bool
 }
 
 // rate is the smoothed number of arrivals a second.
 type rate struct {
-	perSecond float64
-	pending   float64
-	last      time.Duration
+	slow, fast float64
+	pending    float64
+	last       time.Duration
 }
 
 // at returns the rate at now. It falls at once when a busy target falls silent.
 func (r *rate) at(now time.Duration) float64 {
-	return min(r.perSecond, silenceFactor/max(0.05, (now-r.last).Seconds()))
+	return min(max(r.slow, r.fast), silenceFactor/max(0.05, (now-r.last).Seconds()))
+}
+
+// advance averages in the arrivals of the time that has passed.
+func (r *rate) advance(elapsed time.Duration) {
+	now := r.pending / elapsed.Seconds()
+	r.pending = 0
+	keep := math.Exp(-float64(elapsed) / float64(slowMemory))
+	r.slow = r.slow*keep + (1-keep)*now
+	keep = math.Exp(-float64(elapsed) / float64(fastMemory))
+	r.fast = r.fast*keep + (1-keep)*now
 }
 
 // total is the demand for a target over all hosts.
 type total struct {
 	waiting, running int
-	runningOn        map[string]int
+	// leaves is when the first of the waiting callers gives up.
+	leaves    time.Duration
+	runningOn map[string]int
 }
 
 // New returns a planner that knows no server.
@@ -168,6 +185,9 @@
 			t = &total{runningOn: map[string]int{}}
 			p.demand[d.Target] = t
 		}
+		if d.Waiting > 0 && (t.waiting == 0 || d.Leaves < t.leaves) {
+			t.leaves = d.Leaves
+		}
 		t.waiting += d.Waiting
 		t.running += d.Running
 		for s, n := range d.RunningOn {
@@ -180,11 +200,9 @@
 		return
 	}
 	p.lastStep = in.Now
-	keep := math.Exp(-float64(elapsed) / float64(rateMemory))
 	for t, r := range p.rates {
-		r.perSecond = r.perSecond*keep + (1-keep)*r.pending/elapsed.Seconds()
-		r.pending = 0
-		if r.perSecond < 1e-4 {
+		r.advance(elapsed)
+		if r.slow < 1e-4 {
 			delete(p.rates, t)
 		}
 	}
@@ -212,6 +230,7 @@
 		r = &rate{}
 		p.rates[d.Target] = r
 	}
+	p.asked = true
 	r.pending += float64(d.Arrivals - before)
 	r.last = now
 }
--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -48,6 +48,8 @@
 	Target
 	Waiting, Running int
 	Arrivals         uint64
+	// Leaves is when the first of the waiting callers gives up.
+	Leaves time.Duration
 	// RunningOn counts the running requests by server.
 	RunningOn map[string]int
 }
--- a/node/forward/books.go
+++ b/node/forward/books.go
@@ -43,18 +43,33 @@
 	return g.budget(service).Retry(g.opts.Now(), hosts)
 }
 
-// wait counts a request that begins or ceases to wait. The leader hears of the
-// first at once.
-func (g *Gate) wait(t residency.Target, n int) {
+// beginWait counts a request that waits. The leader hears of it at once.
+func (g *Gate) beginWait(t residency.Target, c *call) {
 	if t.Model == "" {
 		return
 	}
+	leaves := c.deadline
+	if r := c.waits(); r.Patience > 0 {
+		leaves = min(leaves, r.Arrived+r.Patience)
+	}
 	g.mu.Lock()
-	g.target(t).waiting += n
+	d := g.target(t)
+	d.waiting++
+	d.leaves[c] = leaves
 	g.mu.Unlock()
-	if n > 0 {
-		g.opts.Demanded()
+	g.opts.Demanded()
+}
+
+// endWait counts a request that has ceased to wait.
+func (g *Gate) endWait(t residency.Target, c *call) {
+	if t.Model == "" {
+		return
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := g.target(t)
+	d.waiting--
+	delete(d.leaves, c)
 }
 
 // pick chooses a server for a request, or returns when to look again.
--- a/node/forward/demand.go
+++ b/node/forward/demand.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"time"
+
 	"github.com/pollenwheel/pollenwheel/core/residency"
 )
 
@@ -9,6 +11,8 @@
 	waiting, running int
 	arrivals         uint64
 	runningOn        map[string]int
+	// leaves holds when each waiting caller gives up.
+	leaves map[*call]time.Duration
 }
 
 // Demand returns what callers ask for. The host's name is left to the caller.
@@ -19,6 +23,7 @@
 	for t, d := range g.demand {
 		x := residency.Demand{
 			Target: t, Waiting: d.waiting, Running: d.running, Arrivals: d.arrivals, RunningOn: map[string]int{},
+			Leaves: d.firstLeave(),
 		}
 		for s, n := range d.runningOn {
 			x.RunningOn[s] = n
@@ -32,12 +37,23 @@
 func (g *Gate) target(t residency.Target) *demand {
 	d := g.demand[t]
 	if d == nil {
-		d = &demand{runningOn: map[string]int{}}
+		d = &demand{runningOn: map[string]int{}, leaves: map[*call]time.Duration{}}
 		g.demand[t] = d
 	}
 	return d
 }
 
+// firstLeave is when the first of the waiting callers gives up.
+func (d *demand) firstLeave() time.Duration {
+	first := time.Duration(0)
+	for _, at := range d.leaves {
+		if first == 0 || at < first {
+			first = at
+		}
+	}
+	return first
+}
+
 func (d *demand) begin(server string) {
 	d.running++
 	d.runningOn[server]++
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -207,7 +207,7 @@
 	waiting := false
 	defer func() {
 		if waiting {
-			g.wait(target, -1)
+			g.endWait(target, c)
 		}
 	}()
 	for {
@@ -223,7 +223,7 @@
 		}
 		if !waiting {
 			waiting = true
-			g.wait(target, 1)
+			g.beginWait(target, c)
 		}
 		began := now
 		timer := time.NewTimer(d.Until - now)
--- a/node/host/demand.go
+++ b/node/host/demand.go
@@ -88,6 +88,8 @@
 	board       *board
 	// wake asks for a report at once. It may be nil.
 	wake <-chan struct{}
+	// refresh is how often an unchanged report is repeated.
+	refresh time.Duration
 
 	waiting map[placement.Target]int
 	sentAt  time.Duration
@@ -115,7 +117,7 @@
 			waiting[placement.Target{Model: d.Model, Adapter: d.Adapter}] = d.Waiting
 		}
 	}
-	repeat := len(demand) > 0 && r.now()-r.sentAt >= demandRefresh
+	repeat := len(demand) > 0 && r.now()-r.sentAt >= r.refresh
 	if !repeat && maps.Equal(waiting, r.waiting) {
 		return
 	}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -222,7 +222,7 @@
 	}
 	actor((&reporter{
 		host: h.settings.Host, incarnation: h.sender.Incarnation, now: h.now,
-		demand: h.entry.Demand, forward: h.forward, board: h.board,
+		demand: h.entry.Demand, forward: h.forward, board: h.board, refresh: demandRefresh,
 	}).run)
 	h.servePeers(&g)
 	h.serveCallers(&g)
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -229,6 +229,7 @@
 			out = append(out, residency.Demand{
 				Host: host, Target: residency.Target{Model: d.Model, Adapter: d.Adapter},
 				Waiting: d.Waiting, Running: d.Running, Arrivals: d.Arrivals, RunningOn: d.RunningOn,
+				Leaves: d.Earliest,
 			})
 		}
 	}
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -211,11 +211,16 @@
 	return err
 }
 
+// targetsRefresh is how often the leader hears what runs where. A model without
+// running requests can make way at once, so this is shorter than most requests.
+const targetsRefresh = 300 * time.Millisecond
+
 // reporter tells the leader what callers ask for.
 func (h *Routed) reporter() *reporter {
 	return &reporter{
 		host: h.opts.Settings.Host, incarnation: h.sender.Incarnation, now: h.now, demand: h.targets,
 		forward: h.forward, board: newBoard(h.now), wake: h.demanded,
+		refresh: targetsRefresh,
 	}
 }
 
@@ -224,6 +229,7 @@
 	for _, d := range h.gate.Demand() {
 		out = append(out, placement.Demand{
 			Model: d.Model, Adapter: d.Adapter, Waiting: d.Waiting, Running: d.Running, Arrivals: d.Arrivals, RunningOn: d.RunningOn,
+			Earliest: d.Leaves,
 		})
 	}
 	return out
