--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -2,7 +2,8 @@
 // backend servers, answered, repeated or resumed where that is allowed, and
 // ended. It knows no protocol, performs no I/O and reads no clock.
 //
-// Invariants: a request that is not idempotent is sent again only after proof
+// Invariants: an answer that was begun ends as complete or is broken off; a
+// request that is not idempotent is sent again only after proof
 // that it did not run; an ending that promises "not run" is chosen only with
 // that proof for every attempt.
 package exchange
@@ -87,6 +88,9 @@
 	unsent  int
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun bool
+	// begun is set once events were passed on. No other ending than the rest of
+	// the stream may follow them.
+	begun bool
 }
 
 // New returns an exchange that was not sent yet.
@@ -123,17 +127,20 @@
 		if x.policy.Idempotent && x.again(now) {
 			return Send
 		}
-		return FailUnknown
+		return x.giveUp()
 	case Failed:
 		x.reached++
 		x.mayHaveRun = true
 		if x.policy.Idempotent && x.policy.RetryFailures && x.again(now) {
 			return Send
 		}
+		if x.begun {
+			return Abort
+		}
 		return Deliver
 	case Cut:
 		x.reached++
-		x.mayHaveRun = true
+		x.mayHaveRun, x.begun = true, true
 		if x.policy.Idempotent && x.again(now) {
 			return Send
 		}
@@ -146,7 +153,10 @@
 func (x *Exchange) Expired() Action { return x.giveUp() }
 
 func (x *Exchange) giveUp() Action {
-	if x.mayHaveRun {
+	switch {
+	case x.begun:
+		return Abort
+	case x.mayHaveRun:
 		return FailUnknown
 	}
 	return RejectNotRun
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -36,6 +36,10 @@
 		{"safe, failed twice", safe, true, []Outcome{Failed, Failed}, Deliver},
 		{"safe, cut", safe, true, []Outcome{Cut}, Send},
 		{"safe, cut twice", safe, true, []Outcome{Cut, Cut}, Abort},
+		{"cut, then lost", safe, true, []Outcome{Cut, Lost}, Abort},
+		{"cut, then refused", safe, true, []Outcome{Cut, Refused}, Abort},
+		{"cut, then a failure", safe, true, []Outcome{Cut, Failed}, Abort},
+		{"cut, then unsent too often", safe, true, []Outcome{Cut, NotSent, NotSent, NotSent, NotSent, NotSent}, Abort},
 		{"complete", safe, true, []Outcome{Complete}, Done},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -58,3 +62,12 @@
 		t.Errorf("%v, want %v", got, RejectNotRun)
 	}
 }
+
+// Guards against an answer that was begun and then ends as if it were complete.
+func TestABegunAnswerIsBrokenOffWhenItExpires(t *testing.T) {
+	x := New(Policy{Idempotent: true, MaxAttempts: 2, Deadline: time.Second}, func() bool { return true })
+	x.After(0, Cut)
+	if got := x.Expired(); got != Abort {
+		t.Errorf("%v, want %v", got, Abort)
+	}
+}
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -253,14 +253,14 @@
 
 // expire ends a request for which no server was found.
 func (c *call) expire(after time.Duration, why string) {
-	if c.begun {
-		c.abort(why)
-	}
-	if c.exchange.Expired() == exchange.RejectNotRun {
+	switch c.exchange.Expired() {
+	case exchange.RejectNotRun:
 		c.refuse(http.StatusServiceUnavailable, after, why)
-		return
+	case exchange.Abort:
+		c.abort(why)
+	default:
+		c.fail(why)
 	}
-	c.fail(why)
 }
 
 // end carries out the last action of an exchange.
