--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -173,9 +173,28 @@
 		s.announced(in.Now, a)
 	}
 	maps.DeleteFunc(p.servers, func(name string, _ *server) bool { return !present[name] })
+	if !p.asked {
+		p.presume(in.Now)
+	}
 	p.count(in)
 }
 
+// presume takes the models that are on several servers before the first request
+// for busy ones, until the requests show more.
+func (p *Planner) presume(now time.Duration) {
+	copies := map[string]int{}
+	for _, s := range p.servers {
+		for name := range s.models {
+			copies[name]++
+		}
+	}
+	for name, n := range copies {
+		if n > 1 {
+			p.rates[Target{Model: name}] = &rate{slow: serverRate * float64(n) / 2, last: now}
+		}
+	}
+}
+
 // count sums the demand and updates the rates.
 func (p *Planner) count(in Input) {
 	clear(p.demand)
