--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"time"
 )
 
@@ -139,6 +140,9 @@
 	Commit     uint64
 	Last       uint64
 	Membership Membership
+	// Answering are the members that answered this leader within the election
+	// timeout.
+	Answering []uint64
 }
 
 // Status returns the current view. Membership is the newest, which may not be
@@ -146,10 +150,25 @@
 func (n *Node) Status() Status {
 	return Status{
 		Role: n.role, Term: n.term, Leader: n.leader, Commit: n.log.commit, Last: n.log.last(),
-		Membership: n.log.membership().membership,
+		Membership: n.log.membership().membership, Answering: n.answering(),
 	}
 }
 
+// answering returns the members that answer this leader.
+func (n *Node) answering() []uint64 {
+	if n.role != Leader {
+		return nil
+	}
+	var out []uint64
+	for id, pr := range n.progress {
+		if n.answers(pr) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Tick advances time: elections, heartbeats, the quorum check and repair.
 func (n *Node) Tick(now time.Duration) {
 	n.now = max(n.now, now)
--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -35,7 +35,15 @@
 	runningCost = 0.4
 	// drainTime is how long before a waiting caller gives up a load may wait for
 	// the requests of another model.
-	drainTime = 4500 * time.Millisecond
+	drainTime = 2500 * time.Millisecond
+	// maxDrained is the number of running requests that an unload may wait for. A
+	// server that unloads takes no other order meanwhile.
+	maxDrained = 2
+	// maxCrowdDrained is the same for a further copy of a crowded model.
+	maxCrowdDrained = 6
+	// storeAfter is how long before a waiting caller gives up its model is loaded
+	// from the store although a server has the weights at hand.
+	storeAfter = 6 * time.Second
 	// waitingFactor and preloadFactor are how many times the loss a load must
 	// gain, for models that are waited for and for others. They keep models of
 	// about the same worth from taking turns.
@@ -104,8 +112,7 @@
 			if place != nil && s != place || s.reservedFor(in.Now) != "" && s.reserved != m.Name {
 				continue
 			}
-			fromStore := s.fromStore(m.Name)
-			if fromStore && !store {
+			if s.fromStore(m.Name) && (!store || copies == 0 && !p.storeWorth(in.Now, svc.Name, m.Name)) {
 				continue
 			}
 			c := choice{model: m, server: s, gain: gain, copies: copies}
@@ -221,6 +228,25 @@
 	return waiting, drain
 }
 
+// storeWorth reports whether the first copy of a model should come from the
+// weight store. While a server has the weights at hand, that one usually has
+// room for them sooner than the store has delivered them elsewhere.
+func (p *Planner) storeWorth(now time.Duration, service, model string) bool {
+	atHand := false
+	for _, s := range p.servers {
+		atHand = atHand || s.Service == service && !s.Leaving && !s.Silent && !s.unreachable && !s.fromStore(model)
+	}
+	if !atHand {
+		return true
+	}
+	for t, d := range p.demand {
+		if t.Model == model && d.waiting > 0 && d.leaves-now < storeAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // makeRoom picks the models that must go for a load and scores the load. It
 // reports whether the load is possible and worth it.
 func (p *Planner) makeRoom(now time.Duration, svc route.Service, c *choice) bool {
@@ -291,7 +317,11 @@
 		copies, _ := p.copies(svc.Name, name)
 		cost := p.worth(now, svc, m, copies-1)
 		running := p.runningOn(name, s.Name)
-		if running > 0 && !c.drain {
+		most := maxDrained
+		if c.copies > 0 {
+			most = maxCrowdDrained
+		}
+		if running > most || running > 0 && !c.drain {
 			continue
 		}
 		cost += runningCost * float64(running)
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -186,11 +186,15 @@
 	Nonce uint64 `json:"nonce,omitempty"`
 }
 
-// Suspect marks the requests that were in flight on a server that died.
+// Suspect marks the requests that were in flight on a server that died. There
+// may be none.
 type Suspect struct {
 	Server       string   `json:"server"`
 	Incarnation  uint64   `json:"incarnation"`
 	Fingerprints []string `json:"fingerprints"`
+	// Sequence is the newest announcement that the proposer knew. A later one
+	// shows that the process runs after all.
+	Sequence uint64 `json:"sequence,omitempty"`
 }
 
 // Trial reserves the lone rerun of a suspect on one server.
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -130,6 +130,8 @@
 	Placements map[PlaceKey]Placement   `json:"placements"`
 	Claims     map[string]ClaimRecord   `json:"claims"`
 	Suspects   map[string]SuspectRecord `json:"suspects"`
+	// Ended are the server processes that were found to have ended, by server.
+	Ended map[string]Ended `json:"ended,omitempty"`
 
 	// Published is the route table in force, if any.
 	Published *Publish `json:"published,omitempty"`
@@ -153,6 +155,7 @@
 		Placements: map[PlaceKey]Placement{},
 		Claims:     map[string]ClaimRecord{},
 		Suspects:   map[string]SuspectRecord{},
+		Ended:      map[string]Ended{},
 	}
 }
 
@@ -239,6 +242,7 @@
 	c.Servers = maps.Clone(s.Servers)
 	c.Placements = maps.Clone(s.Placements)
 	c.Suspects = maps.Clone(s.Suspects)
+	c.Ended = maps.Clone(s.Ended)
 	return &c
 }
 
--- a/core/state/suspect.go
+++ b/core/state/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -12,6 +13,9 @@
 // suspect marks every request that was in flight on a dead server. The crash
 // of a lone trial, or the second crash, quarantines the request.
 func (s *State) suspect(c Suspect) Result {
+	if c.Sequence > 0 {
+		s.end(c)
+	}
 	crash := fmt.Sprintf("%s/%d", c.Server, c.Incarnation)
 	for _, fp := range c.Fingerprints {
 		rec := s.Suspects[fp]
@@ -26,6 +30,40 @@
 	return Result{}
 }
 
+// Ended is a server process that was found to have ended.
+type Ended struct {
+	Incarnation uint64 `json:"incarnation"`
+	// Sequence is the newest announcement known then.
+	Sequence uint64 `json:"sequence"`
+}
+
+// maxEnded bounds the processes that are remembered. Older ones are silent.
+const maxEnded = 1024
+
+func (s *State) end(c Suspect) {
+	if old := s.Ended[c.Server]; old.Incarnation > c.Incarnation {
+		return
+	}
+	s.Ended[c.Server] = Ended{Incarnation: c.Incarnation, Sequence: c.Sequence}
+	if len(s.Ended) <= maxEnded {
+		return
+	}
+	oldest := c.Server
+	for _, name := range slices.Sorted(maps.Keys(s.Ended)) {
+		if s.Ended[name].Incarnation < s.Ended[oldest].Incarnation {
+			oldest = name
+		}
+	}
+	delete(s.Ended, oldest)
+}
+
+// HasEnded reports whether a server process has ended: it was found so, and has
+// not announced itself since.
+func (s *State) HasEnded(server string, incarnation, sequence uint64) bool {
+	e, ok := s.Ended[server]
+	return ok && e.Incarnation == incarnation && sequence <= e.Sequence
+}
+
 // trial grants the lone rerun of a suspect, one at a time per fingerprint and
 // per server.
 func (s *State) trial(t Trial) Result {
--- a/node/control/group.go
+++ b/node/control/group.go
@@ -379,6 +379,11 @@
 	if m, ok := g.directory.lookup(n.Leader, n.Membership); ok {
 		s.Leader = m.Host
 	}
+	for _, id := range n.Answering {
+		if m, ok := g.directory.lookup(id, n.Membership); ok {
+			s.Answering = append(s.Answering, m.Host)
+		}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s.StorageErr = g.status.StorageErr
--- a/node/control/groupapi.go
+++ b/node/control/groupapi.go
@@ -79,6 +79,8 @@
 	LeaseValid bool
 	// Leading is set while this host leads, with or without a valid lease.
 	Leading bool
+	// Answering are the hosts that answer this leader.
+	Answering []string
 	// Self is this host's member id.
 	Self    uint64
 	Members []MemberStatus
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -87,6 +87,8 @@
 	reason string
 	// broken is set if the connection failed, so that the server may have ended.
 	broken bool
+	// refused is set if nothing listens at the server's address.
+	refused bool
 }
 
 func lost(reason string) result { return result{outcome: exchange.Lost, reason: reason} }
@@ -101,7 +103,7 @@
 	resp, err := c.gate.transport.RoundTrip(c.outgoing(trace, a))
 	if err != nil {
 		if !connected {
-			return result{outcome: exchange.NotSent, reason: dialReason(err), broken: true}
+			return result{outcome: exchange.NotSent, reason: dialReason(err), refused: errors.Is(err, syscall.ECONNREFUSED)}
 		}
 		return result{outcome: exchange.Lost, reason: "no answer: " + reason(err), broken: ctx.Err() == nil}
 	}
--- a/node/forward/books.go
+++ b/node/forward/books.go
@@ -137,6 +137,24 @@
 	g.router.Done(now, a, verdict)
 }
 
+// toldEnded returns the newest announcement of a process, and whether its end
+// was told before. The caller holds the lock.
+func (g *Gate) toldEnded(a routing.Attempt) (sequence uint64, told bool) {
+	sequence = max(1, g.sequences[a.Server])
+	told = g.told[a.Server] == endOf{a.Incarnation, sequence}
+	if len(g.told) > maxTold {
+		clear(g.told)
+	}
+	g.told[a.Server] = endOf{a.Incarnation, sequence}
+	return sequence, told
+}
+
+// maxTold bounds the ends that are remembered.
+const maxTold = 1024
+
+// endOf is the end of a process after an announcement.
+type endOf struct{ incarnation, sequence uint64 }
+
 // checkCrash finds out whether the process of an attempt that broke off has
 // ended, and records the request as a suspect if so.
 func (g *Gate) checkCrash(a routing.Attempt, fingerprint string) {
@@ -145,17 +163,26 @@
 		_ = conn.Close()
 		return
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.processEnded(a, fingerprint)
 	}
+}
+
+// processEnded tells all hosts that a server process has ended, with a request
+// that was in flight on it. It is told once for each process and request.
+func (g *Gate) processEnded(a routing.Attempt, fingerprints ...string) {
 	g.mu.Lock()
 	g.router.Ended(a)
+	sequence, told := g.toldEnded(a)
 	g.mu.Unlock()
+	if told && len(fingerprints) == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
 	defer cancel()
-	_, err = g.opts.Log.Propose(ctx, state.Command{
+	_, err := g.opts.Log.Propose(ctx, state.Command{
 		UnixMS:  time.Now().UnixMilli(),
-		Suspect: &state.Suspect{Server: a.Server, Incarnation: a.Incarnation, Fingerprints: []string{fingerprint}},
+		Suspect: &state.Suspect{Server: a.Server, Incarnation: a.Incarnation, Sequence: sequence, Fingerprints: fingerprints},
 	})
 	f := decision.Fields{decision.FieldServer: a.Server, decision.FieldOutcome: "recorded"}
 	if err != nil {
--- a/node/forward/gate.go
+++ b/node/forward/gate.go
@@ -58,6 +58,10 @@
 	demand   map[residency.Target]*demand
 	changed  chan struct{}
 	outlooks map[routing.Key]time.Duration
+	// sequences are the newest announcements of the servers, and told the ends of
+	// processes that were told to the other hosts.
+	sequences map[string]uint64
+	told      map[string]endOf
 
 	running  sync.WaitGroup
 	leaving  atomic.Bool
@@ -91,6 +95,7 @@
 		}, rand.New(rand.NewPCG(seed, 1))),
 		budgets: map[string]*retry.Budget{}, demand: map[residency.Target]*demand{},
 		changed: make(chan struct{}), outlooks: map[routing.Key]time.Duration{},
+		sequences: map[string]uint64{}, told: map[string]endOf{},
 	}
 	g.view.Store(&view{})
 	return g
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -194,7 +194,10 @@
 	g.begin(target, a.Server)
 	out := c.send(c.ctx, a)
 	g.ended(target, a, out, c.ctx.Err() != nil)
-	if out.broken && out.outcome != exchange.NotSent {
+	switch {
+	case out.refused:
+		go g.processEnded(a)
+	case out.broken && out.outcome != exchange.NotSent:
 		go g.checkCrash(a, c.fingerprint)
 	}
 	return out
--- a/node/forward/view.go
+++ b/node/forward/view.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -90,9 +91,20 @@
 	return out
 }
 
+// servers returns the servers whose processes are not known to have ended.
+func (g *Gate) servers() []membership.Presence {
+	current := membership.Newest(g.opts.Servers())
+	g.opts.Replica.View(func(s *state.State) {
+		current = slices.DeleteFunc(current, func(p membership.Presence) bool {
+			return s.HasEnded(p.Name, p.Incarnation, p.Sequence)
+		})
+	})
+	return current
+}
+
 // rebuild gives the router the servers and what they hold.
 func (g *Gate) rebuild(table *route.Table) {
-	current := membership.Newest(g.opts.Servers())
+	current := g.servers()
 	var servers []routing.Server
 	var replicas []routing.Replica
 	outlooks := map[routing.Key]time.Duration{}
@@ -113,7 +125,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.router.Rebuild(servers, replicas)
+	clear(g.sequences)
 	for _, s := range current {
+		g.sequences[s.Name] = s.Sequence
 		g.router.Seen(s.Name, s.Incarnation, s.Sequence)
 	}
 	g.outlooks = outlooks
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -25,6 +25,8 @@
 	// placeOrderTimeout bounds the wait for the answer to an order. An order is
 	// answered at once; its work is done later.
 	placeOrderTimeout = 500 * time.Millisecond
+	// releaseDelay is how long a new leader waits to hear from the earlier one.
+	releaseDelay = 200 * time.Millisecond
 	// holdingsInterval is the longest time without an update of the holdings.
 	holdingsInterval = time.Second
 )
@@ -43,6 +45,9 @@
 	// two leaders never give orders within one lease.
 	orderDelay time.Duration
 
+	// before is the host that was last known to lead. It belongs to run.
+	before string
+
 	mu      sync.Mutex
 	term    *planTerm
 	reports map[string]peer.DemandReport
@@ -57,6 +62,10 @@
 	// first is set if nothing was published before this term. Then no earlier
 	// leader can have given an order.
 	first bool
+	// before is the host that led before, if known, and released is set once
+	// orders may be given.
+	before   string
+	released bool
 	// published are the holdings by server; changed is closed at their change.
 	published map[string]residency.ServerHoldings
 	changed   chan struct{}
@@ -79,6 +88,8 @@
 	for {
 		if p.host.group.CheckLease() {
 			p.lead(ctx)
+		} else if leader := p.host.group.Status().Leader; leader != "" {
+			p.before = leader
 		}
 		if !sleep(ctx, leaseInterval) {
 			return nil
@@ -94,6 +105,8 @@
 		published: map[string]residency.ServerHoldings{}, changed: make(chan struct{}), ended: make(chan struct{}),
 	}
 	h.replica.View(func(s *state.State) { t.first = s.Published == nil })
+	t.before = p.before
+	p.before = h.opts.Settings.Host
 	p.setTerm(t)
 	h.decisions.Belief(decision.EventLeading, decision.Fields{decision.FieldFence: t.fence, decision.FieldOutcome: "began"})
 	defer func() {
@@ -126,9 +139,15 @@
 // step plans once and sends what is due.
 func (p *placer) step(ctx context.Context, t *planTerm) {
 	h := p.host
-	in := residency.Input{Now: h.now(), Fence: t.fence, Servers: residencyServers(membership.Newest(h.members.Servers()))}
-	h.replica.View(func(s *state.State) { in.Services = servicesOf(s) })
-	in.Hold = !t.first && in.Now-t.since < p.orderDelay
+	in := residency.Input{Now: h.now(), Fence: t.fence, Hold: p.holds(t)}
+	servers := membership.Newest(h.members.Servers())
+	h.replica.View(func(s *state.State) {
+		in.Services = servicesOf(s)
+		servers = slices.DeleteFunc(servers, func(x membership.Presence) bool {
+			return s.HasEnded(x.Name, x.Incarnation, x.Sequence)
+		})
+	})
+	in.Servers = residencyServers(servers)
 	p.mu.Lock()
 	in.Demand = p.demands(in.Now)
 	out := t.planner.Step(in)
@@ -142,6 +161,22 @@
 	}
 }
 
+// holds reports whether this leader must not give orders yet, because an earlier
+// one that is still connected may have given some within the lease. One that
+// does not answer was cut off, frozen or stopped; servers refuse its fencing
+// number from this leader's first order on.
+func (p *placer) holds(t *planTerm) bool {
+	h := p.host
+	if t.released || t.first {
+		return false
+	}
+	status := h.group.Status()
+	// A leader that does not know who led before waits for the whole delay.
+	answers := t.before == "" || t.before != h.opts.Settings.Host && slices.Contains(status.Answering, t.before)
+	t.released = !answers && h.now()-t.since >= releaseDelay || h.now()-t.since >= p.orderDelay
+	return !t.released
+}
+
 // publish notes which servers' holdings have changed. The caller holds the lock.
 func (t *planTerm) publish(list []residency.ServerHoldings) {
 	next := make(map[string]residency.ServerHoldings, len(list))
--- a/node/host/routed_life.go
+++ b/node/host/routed_life.go
@@ -20,8 +20,10 @@
 			return nil
 		}
 	}
-	if h.follower.WaitCurrent(ctx) != nil {
-		return nil
+	if err := h.follower.WaitCurrent(ctx); err != nil {
+		// It fails only when ctx ends.
+		h.logger.WithError(err).Debug("the host ends before it has caught up")
+		return nil //nolint:nilerr // the end of ctx is no failure of the host
 	}
 	h.ready.Store(true)
 	for !h.Ready() {
@@ -172,7 +174,7 @@
 func (h *Routed) Farewell(name string) {
 	for _, s := range h.members.Servers() {
 		if s.Name == name {
-			s.Server.Leaving, s.Server.Sequence = true, lastAnnouncement
+			s.Leaving, s.Sequence = true, lastAnnouncement
 			h.Announce(s.Server)
 		}
 	}
