Wait for weights at hand unless their server is locked, and rescue slow loads

Cause: models that were asked for again came from the store, 6 s, although a server had their weights on its disk and would have had room within a second or two; meanwhile their requests were refused or late.

--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -39,11 +39,15 @@
 	// maxDrained is the number of running requests that an unload may wait for. A
 	// server that unloads takes no other order meanwhile.
 	maxDrained = 2
-	// maxCrowdDrained is the same for a further copy of a crowded model.
+	// maxCrowdDrained is the same for a load that gains more than crowdGain, as
+	// for a busy model.
 	maxCrowdDrained = 6
-	// storeAfter is how long before a waiting caller gives up its model is loaded
-	// from the store although a server has the weights at hand.
-	storeAfter = 6 * time.Second
+	crowdGain       = 8
+	// usualUnload is how long an unload usually waits for running requests.
+	usualUnload = 1500 * time.Millisecond
+	// storeMargin is how much earlier a server with the weights at hand must have
+	// them ready to be preferred to the store.
+	storeMargin = 1500 * time.Millisecond
 	// waitingFactor and preloadFactor are how many times the loss a load must
 	// gain, for models that are waited for and for others. They keep models of
 	// about the same worth from taking turns.
@@ -100,8 +104,12 @@
 	var best choice
 	for _, m := range svc.Engine.Models {
 		copies, pending := p.copies(svc.Name, m.Name)
+		rescue := false
 		if pending {
-			continue
+			if rescue = p.rescues(in.Now, svc.Name, m.Name); !rescue {
+				continue
+			}
+			copies = 0
 		}
 		place := p.reservation(in.Now, svc.Name, m.Name)
 		gain := p.worth(in.Now, svc, m, copies)
@@ -112,7 +120,7 @@
 			if place != nil && s != place || s.reservedFor(in.Now) != "" && s.reserved != m.Name {
 				continue
 			}
-			if s.fromStore(m.Name) && (!store || copies == 0 && !p.storeWorth(in.Now, svc.Name, m.Name)) {
+			if s.fromStore(m.Name) && (!store || rescue || copies == 0 && !p.storeWorth(in.Now, svc, m)) {
 				continue
 			}
 			c := choice{model: m, server: s, gain: gain, copies: copies}
@@ -152,7 +160,7 @@
 // emptied for it.
 func (p *Planner) copies(service, model string) (n int, pending bool) {
 	for _, s := range p.servers {
-		if s.Service != service || s.Leaving || s.Silent {
+		if s.Service != service || s.Leaving || s.Silent || s.unreachable {
 			continue
 		}
 		if o := s.flying; o != nil && o.Adapter == "" && o.Model == model {
@@ -229,22 +237,53 @@
 }
 
 // storeWorth reports whether the first copy of a model should come from the
-// weight store. While a server has the weights at hand, that one usually has
-// room for them sooner than the store has delivered them elsewhere.
-func (p *Planner) storeWorth(now time.Duration, service, model string) bool {
-	atHand := false
+// weight store. A server that has the weights at hand, and can make room for
+// them soon, has them ready earlier.
+func (p *Planner) storeWorth(now time.Duration, svc route.Service, m route.Model) bool {
 	for _, s := range p.servers {
-		atHand = atHand || s.Service == service && !s.Leaving && !s.Silent && !s.unreachable && !s.fromStore(model)
+		if s.Service != svc.Name || s.Leaving || s.Silent || s.unreachable || s.fenced || s.fromStore(m.Name) {
+			continue
+		}
+		if s.freeAt(now)+s.loadTime(svc.Engine, m.Name) < now+m.StoreLoad-storeMargin {
+			return false
+		}
 	}
-	if !atHand {
-		return true
+	return true
+}
+
+// freeAt is when a server can take an order for a model.
+func (s *server) freeAt(now time.Duration) time.Duration {
+	at := now
+	for _, h := range s.models {
+		switch h.phase {
+		case Loading:
+			at = max(at, h.readyAt)
+		case Unloading:
+			at = max(at, h.since+usualUnload)
+		}
 	}
-	for t, d := range p.demand {
-		if t.Model == model && d.waiting > 0 && d.leaves-now < storeAfter {
-			return true
+	return at
+}
+
+// rescues reports whether requests wait for a model whose only copy is loaded
+// so slowly that a server with the weights at hand would have it ready earlier.
+func (p *Planner) rescues(now time.Duration, service, model string) bool {
+	waiting, _ := p.urgency(now, model, 0)
+	if !waiting {
+		return false
+	}
+	for _, s := range p.servers {
+		if s.Service != service || s.Leaving || s.Silent || s.unreachable {
+			continue
+		}
+		if o := s.flying; o != nil && o.Model == model || s.uncertain != nil && s.uncertain.Model == model {
+			return false
+		}
+		if h := s.models[model]; h != nil && (h.phase == Ready || h.phase == Loading && h.readyAt < now+storeMargin) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // makeRoom picks the models that must go for a load and scores the load. It
@@ -318,7 +357,7 @@
 		cost := p.worth(now, svc, m, copies-1)
 		running := p.runningOn(name, s.Name)
 		most := maxDrained
-		if c.copies > 0 {
+		if c.gain > crowdGain {
 			most = maxCrowdDrained
 		}
 		if running > most || running > 0 && !c.drain {
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -308,7 +308,7 @@
 // hasAdapter reports whether a live server holds the adapter.
 func (p *Planner) hasAdapter(service string, t Target) bool {
 	for _, s := range p.servers {
-		if s.Service != service || s.Leaving || s.Silent {
+		if s.Service != service || s.Leaving || s.Silent || s.unreachable {
 			continue
 		}
 		if h := s.models[t.Model]; h != nil && h.phase == Ready && h.adapters[t.Adapter] != nil {
