Refuse at once where only the refusing server holds the target; test the gate

Without another server a refused request waited for most of its time, found by the new tests of node/forward against scripted servers on loopback.

--- a/node/forward/books.go
+++ b/node/forward/books.go
@@ -72,7 +72,8 @@
 	delete(d.leaves, c)
 }
 
-// pick chooses a server for a request, or returns when to look again.
+// pick chooses a server for a request, or returns when to look again. Without a
+// channel, waiting is in vain.
 func (g *Gate) pick(c *call) (a routing.Attempt, changed <-chan struct{}, o patience.Outlook, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -87,6 +88,10 @@
 			return a, nil, o, true
 		}
 	}
+	if c.strict && g.router.Count(c.key) > 0 {
+		// Only the server that has just refused the request holds the target.
+		return a, nil, o, false
+	}
 	o.ReadyAt, o.Known = g.outlooks[c.key]
 	if !o.Known && c.key.Adapter != "" {
 		o.ReadyAt, o.Known = g.outlooks[routing.Key{Service: c.key.Service, Model: c.key.Model}]
--- /dev/null
+++ b/node/forward/gate_test.go
@@ -0,0 +1,402 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/retry"
+	"github.com/pollenwheel/pollenwheel/core/route"
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/replica"
+)
+
+// testProtocol uses header names of its own.
+type testProtocol struct{}
+
+func (testProtocol) Request(h http.Header) (Request, error) {
+	ms, err := strconv.Atoi(h.Get("T-Deadline"))
+	if h.Get("T-Deadline") == "" {
+		err = nil
+	}
+	return Request{ID: h.Get("T-Id"), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: h.Get("T-After")}, err
+}
+
+func (testProtocol) Forward(h http.Header, a Attempt) {
+	h.Set("T-Server", a.Server)
+	if a.ResumeAfter != "" {
+		h.Set("T-After", a.ResumeAfter)
+	}
+}
+
+func (testProtocol) Answer(h http.Header) Answer {
+	return Answer{ID: h.Get("T-Id"), Signed: h.Get("T-Signed") != "", NotRun: h.Get("T-Not-Run") != "", Server: h.Get("T-Server")}
+}
+
+type noLog struct{}
+
+func (noLog) Propose(context.Context, state.Command) (state.Result, error) {
+	return state.Result{}, errors.New("no log")
+}
+
+// fakeBackend is a backend server that answers with a script: one step for each
+// request that it gets.
+type fakeBackend struct {
+	t      *testing.T
+	name   string
+	server *httptest.Server
+
+	mu       sync.Mutex
+	script   []http.HandlerFunc
+	requests []*http.Request
+	bodies   []string
+}
+
+func (b *fakeBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	b.mu.Lock()
+	b.requests = append(b.requests, r)
+	b.bodies = append(b.bodies, string(body))
+	step := signed(http.StatusOK, "ok")
+	if len(b.script) > 0 {
+		step, b.script = b.script[0], b.script[1:]
+	}
+	b.mu.Unlock()
+	w.Header().Set("T-Id", r.Header.Get("T-Id"))
+	step(w, r)
+}
+
+func (b *fakeBackend) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.requests)
+}
+
+func signed(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Signed", "yes")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// events sends whole events from one id to another, then text, and ends the
+// stream or breaks it off.
+func events(from, to int, text string, whole bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Signed", "yes")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := from; i <= to; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
+		}
+		_, _ = io.WriteString(w, text)
+		_ = http.NewResponseController(w).Flush()
+		if !whole {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("T-Not-Run", "yes")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func breakOff(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func otherID(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("T-Id", "another")
+	signed(http.StatusOK, "not yours")(w, r)
+}
+
+func encoded(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Encoding", "br")
+	signed(http.StatusOK, "x")(w, r)
+}
+
+func unsigned(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "forged") }
+
+func short(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("T-Signed", "yes")
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "begin")
+}
+
+// setup starts a gate before two backend servers.
+func setup(t *testing.T, scripts ...[]http.HandlerFunc) (string, *Gate, []*fakeBackend) {
+	t.Helper()
+	var backends []*fakeBackend
+	var servers []membership.Presence
+	for i, script := range scripts {
+		b := &fakeBackend{t: t, name: fmt.Sprint("server-", i), script: script}
+		b.server = httptest.NewServer(b)
+		b.server.Config.ErrorLog = nil
+		t.Cleanup(b.server.Close)
+		backends = append(backends, b)
+		servers = append(servers, membership.Presence{Server: membership.Server{
+			Name: b.name, Service: "plain", Address: b.server.Listener.Addr().String(), Incarnation: 1, Sequence: 1,
+		}})
+	}
+	rep := replica.New(state.New())
+	targets := []route.Target{{Service: "plain", Weight: 1}}
+	table := route.Table{Version: 1, Services: []route.Service{{Name: "plain"}}, Limits: route.Limits{BodyBytes: 1000}, Routes: []route.Route{
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: route.Safe, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
+		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: route.Unsafe, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Streaming, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
+		{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: route.Streaming, Resumable: true, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
+	}}
+	rep.Apply(1, state.Command{Publish: &state.Publish{Table: table}})
+	start := time.Now()
+	g := New(Options{
+		Protocol: testProtocol{}, Replica: rep, Log: noLog{}, Holdings: NewHoldings(),
+		Servers: func() []membership.Presence { return append([]membership.Presence(nil), servers...) }, Hosts: func() int { return 1 },
+		Now: func() time.Duration { return time.Since(start) + time.Second }, Ready: func() bool { return true },
+		Budget: retry.Limit{Ratio: 0.2, Window: 10 * time.Second, Slack: 100}, Demanded: func() {},
+	})
+	g.Refresh()
+	front := httptest.NewServer(g)
+	t.Cleanup(front.Close)
+	return front.URL, g, backends
+}
+
+func post(t *testing.T, url, path, body string, headers ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("T-Id", "id-1")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+// Guards against a request that is changed on its way.
+func TestRequestsArriveUnchanged(t *testing.T) {
+	url, _, backends := setup(t, nil)
+	resp, body, err := post(t, url, "/safe/a%2Fb//c?x=1&y=%20", "the body", "X-Own", "kept", "Connection", "X-Hop", "X-Hop", "dropped")
+	if err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
+		t.Fatalf("status %d, body %q, error %v", resp.StatusCode, body, err)
+	}
+	got := backends[0].requests[0]
+	for _, c := range []struct{ what, got, want string }{
+		{"method", got.Method, http.MethodPost},
+		{"target", got.RequestURI, "/safe/a%2Fb//c?x=1&y=%20"},
+		{"host", got.Host, "h"},
+		{"body", backends[0].bodies[0], "the body"},
+		{"own header", got.Header.Get("X-Own"), "kept"},
+		{"header of the connection", got.Header.Get("X-Hop"), ""},
+		{"id", got.Header.Get("T-Id"), "id-1"},
+		{"server that is meant", got.Header.Get("T-Server"), "server-0"},
+	} {
+		if c.got != c.want {
+			t.Errorf("%s: %q, want %q", c.what, c.got, c.want)
+		}
+	}
+}
+
+// Guards against answers of others, spoiled answers that are passed on, requests
+// that run twice and refusals that are untrue.
+func TestEndingsOfAttempts(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		script     []http.HandlerFunc
+		status     int
+		body       string
+		sent       int
+	}{
+		{"safe, broken off", "/safe/", []http.HandlerFunc{breakOff}, 200, "ok", 2},
+		{"safe, broken off twice", "/safe/", []http.HandlerFunc{breakOff, breakOff}, 502, "", 2},
+		{"safe, another's answer", "/safe/", []http.HandlerFunc{otherID}, 200, "ok", 2},
+		{"safe, failed", "/safe/", []http.HandlerFunc{signed(500, "bad")}, 200, "ok", 2},
+		{"safe, failed twice", "/safe/", []http.HandlerFunc{signed(500, "bad"), signed(500, "worse")}, 500, "worse", 2},
+		{"safe, refused by the only server", "/safe/", []http.HandlerFunc{notRun}, 503, "", 1},
+		{"unsafe, broken off", "/unsafe/", []http.HandlerFunc{breakOff}, 502, "", 1},
+		{"unsafe, another's answer", "/unsafe/", []http.HandlerFunc{otherID}, 502, "", 1},
+		{"unsafe, encoded", "/unsafe/", []http.HandlerFunc{encoded}, 502, "", 1},
+		{"unsafe, unsigned", "/unsafe/", []http.HandlerFunc{unsigned}, 502, "", 1},
+		{"unsafe, short", "/unsafe/", []http.HandlerFunc{short}, 502, "", 1},
+		{"unsafe, failed", "/unsafe/", []http.HandlerFunc{signed(500, "bad")}, 500, "bad", 1},
+		{"unsafe, refused by the only server", "/unsafe/", []http.HandlerFunc{notRun}, 503, "", 1},
+		{"stream before its first event", "/stream/", []http.HandlerFunc{breakOff}, 502, "", 1},
+		{"resumable before its first event", "/resumable/", []http.HandlerFunc{breakOff, events(1, 2, "", true)}, 200, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			url, _, backends := setup(t, c.script)
+			resp, body, err := post(t, url, c.path, "")
+			if err != nil || resp.StatusCode != c.status || body != c.body {
+				t.Errorf("status %d, body %q, error %v", resp.StatusCode, body, err)
+			}
+			if got := backends[0].count(); got != c.sent {
+				t.Errorf("sent %d times, want %d", got, c.sent)
+			}
+			if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "" {
+				t.Error("the refusal does not say when to come back")
+			}
+		})
+	}
+}
+
+// Guards against a request that is refused although another server could run it.
+func TestARefusedRequestGoesToAnotherServer(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		other        http.HandlerFunc
+		status, sent int
+	}{
+		{"which runs it", signed(200, "ok"), 200, 2},
+		{"which refuses it too", notRun, 503, 2},
+		{"which breaks off", breakOff, 502, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			// Whichever server is first refuses; both take the step of the other next.
+			var once sync.Once
+			step := func(w http.ResponseWriter, r *http.Request) {
+				refused := false
+				once.Do(func() { refused = true })
+				if refused {
+					notRun(w, r)
+					return
+				}
+				c.other(w, r)
+			}
+			url, _, backends := setup(t, []http.HandlerFunc{step}, []http.HandlerFunc{step})
+			resp, _, _ := post(t, url, "/unsafe/", "")
+			if sent := backends[0].count() + backends[1].count(); resp.StatusCode != c.status || sent != c.sent {
+				t.Errorf("status %d, sent %d times", resp.StatusCode, sent)
+			}
+		})
+	}
+}
+
+// Guards against pieces that are missing, come twice or are parts of an event,
+// and against a stream that ends as complete although it is not.
+func TestStreams(t *testing.T) {
+	const first, second = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", "id: 3\ndata: e3\n\n"
+	for _, c := range []struct {
+		name, path string
+		script     []http.HandlerFunc
+		body       string
+		complete   bool
+		resumedAt  string
+	}{
+		{"whole", "/stream/", []http.HandlerFunc{events(1, 2, "", true)}, first, true, ""},
+		{"cut between events", "/resumable/", []http.HandlerFunc{events(1, 2, "", false), events(3, 3, "", true)}, first + second, true, "2"},
+		{"cut within an event", "/resumable/", []http.HandlerFunc{events(1, 2, "id: 3\nda", false), events(3, 3, "", true)}, first + second, true, "2"},
+		{"ends within an event", "/resumable/", []http.HandlerFunc{events(1, 2, "id: 3\nda", true), events(3, 3, "", true)}, first + second, true, "2"},
+		{"cut twice", "/resumable/", []http.HandlerFunc{events(1, 2, "", false), breakOff}, first, false, "2"},
+		{"cut, then refused", "/resumable/", []http.HandlerFunc{events(1, 2, "", false), notRun}, first, false, "2"},
+		{"cut, then a failure", "/resumable/", []http.HandlerFunc{events(1, 2, "", false), signed(500, "bad")}, first, false, "2"},
+		{"cut, not resumable", "/stream/", []http.HandlerFunc{events(1, 2, "", false)}, first, false, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			url, _, backends := setup(t, c.script)
+			resp, body, err := post(t, url, c.path, "")
+			if resp.StatusCode != http.StatusOK || body != c.body || (err == nil) != c.complete {
+				t.Errorf("status %d, body %q, error %v", resp.StatusCode, body, err)
+			}
+			resumed := ""
+			if backends[0].count() > 1 {
+				resumed = backends[0].requests[1].Header.Get("T-After")
+			}
+			if resumed != c.resumedAt {
+				t.Errorf("resumed after %q, want %q", resumed, c.resumedAt)
+			}
+		})
+	}
+}
+
+// Guards against refusals with the wrong promise.
+func TestRefusalsBeforeTheRequestIsSent(t *testing.T) {
+	url, g, backends := setup(t, nil)
+	for _, c := range []struct {
+		name, path, body string
+		headers          []string
+		status           int
+	}{
+		{"no route", "/none/", "", nil, 404},
+		{"body too large", "/safe/", strings.Repeat("x", 1001), nil, 413},
+		{"deadline that cannot be read", "/safe/", "", []string{"T-Deadline", "soon"}, 400},
+	} {
+		if resp, _, _ := post(t, url, c.path, c.body, c.headers...); resp.StatusCode != c.status {
+			t.Errorf("%s: status %d, want %d", c.name, resp.StatusCode, c.status)
+		}
+	}
+	g.Close()
+	if resp, _, _ := post(t, url, "/none/", ""); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("a closed gate: status %d, want 503", resp.StatusCode)
+	}
+	if got := backends[0].count(); got != 0 {
+		t.Errorf("sent %d times", got)
+	}
+}
+
+// Guards against a server that goes on with the work of a caller who has left.
+func TestALeavingCallerEndsTheAttempt(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan struct{})
+	url, _, _ := setup(t, []http.HandlerFunc{func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(ended)
+	}})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(conn, "GET /stream/ HTTP/1.1\r\nHost: h\r\nT-Id: id-1\r\n\r\n")
+	<-began
+	_ = conn.Close()
+	<-ended
+}
+
+// Guards against a dead address that costs an attempt or a caller an answer.
+func TestADeadServerIsPassedOver(t *testing.T) {
+	url, _, backends := setup(t, nil, nil)
+	backends[0].server.Close()
+	for range 8 {
+		if resp, body, err := post(t, url, "/unsafe/", ""); err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
+			t.Fatalf("status %d, body %q, error %v", resp.StatusCode, body, err)
+		}
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: x\n\nid: 2\n\n")
+	f.Add("\n\n\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := &eventReader{r: bufio.NewReaderSize(strings.NewReader(text), 16)}
+		passed := ""
+		for {
+			e, err := r.next()
+			if err != nil {
+				break
+			}
+			passed += string(e.bytes)
+		}
+		if !strings.HasPrefix(text, passed) {
+			t.Errorf("events %q are no beginning of %q", passed, text)
+		}
+	})
+}
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -218,6 +218,10 @@
 		if ok {
 			return a, true
 		}
+		if changed == nil {
+			c.expire(comeBack, "no other backend server holds the target")
+			return a, false
+		}
 		now := g.opts.Now()
 		d := patience.Decide(now, c.waits(), outlook)
 		if !d.Wait {
