--- a/core/state/command.go
+++ b/core/state/command.go
@@ -32,6 +32,7 @@
 	Acquit    *Acquit    `json:"acquit,omitempty"`
 	Learn     *Learn     `json:"learn,omitempty"`
 	Publish   *Publish   `json:"publish,omitempty"`
+	Lead      *Lead      `json:"lead,omitempty"`
 }
 
 // Configure changes the configuration if Expected is the current version.
@@ -216,6 +217,13 @@
 	Fingerprint string `json:"fingerprint"`
 }
 
+// Lead records the process that begins to give orders as the leader. The result
+// names the one before, so that a new leader knows whose orders may still be
+// fresh.
+type Lead struct {
+	Sender Sender `json:"sender"`
+}
+
 // Learn keeps what the leader has learned of loads and arrivals for its
 // successors. The state does not look into it.
 type Learn struct {
--- a/core/state/publish_test.go
+++ b/core/state/publish_test.go
@@ -41,3 +41,15 @@
 		t.Error("a snapshot loses the published table")
 	}
 }
+
+// Guards against a leader that does not know whose orders may still be fresh.
+func TestLeadNamesTheLeaderBefore(t *testing.T) {
+	s := New()
+	a, b := Sender{Host: "a", Incarnation: 1}, Sender{Host: "b", Incarnation: 2}
+	if res := s.Apply(1, Command{Lead: &Lead{Sender: a}}); *res.Before != (Sender{}) {
+		t.Errorf("before the first: %v", *res.Before)
+	}
+	if res := s.Apply(2, Command{Lead: &Lead{Sender: b}}); *res.Before != a {
+		t.Errorf("before the second: %v", *res.Before)
+	}
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -107,8 +107,10 @@
 type Result struct {
 	Index uint64 `json:"index"`
 	// Version is the configuration version after a Configure.
-	Version   uint64     `json:"version,omitempty"`
-	Outcome   *Outcome   `json:"outcome,omitempty"`
+	Version uint64   `json:"version,omitempty"`
+	Outcome *Outcome `json:"outcome,omitempty"`
+	// Before is the leader before a Lead.
+	Before    *Sender    `json:"before,omitempty"`
 	Rejection *Rejection `json:"rejection,omitempty"`
 }
 
@@ -133,6 +135,9 @@
 	// Ended are the server processes that were found to have ended, by server.
 	Ended map[string]Ended `json:"ended,omitempty"`
 
+	// Leader is the process that last began to give orders.
+	Leader Sender `json:"leader,omitzero"`
+
 	// Published is the route table in force, if any.
 	Published *Publish `json:"published,omitempty"`
 
@@ -205,6 +210,10 @@
 		return s.acquit(*c.Acquit)
 	case c.Learn != nil:
 		s.Learned = c.Learn.Data
+	case c.Lead != nil:
+		before := s.Leader
+		s.Leader = c.Lead.Sender
+		return Result{Before: &before}
 	case c.Publish != nil:
 		return s.publish(*c.Publish)
 	}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -149,7 +149,7 @@
 // openMember opens this host's member of the replicated log.
 func openMember(s settings.Settings, peerAddress string, o control.Options) (group, error) {
 	o.Folder, o.Host, o.PeerAddress = s.DataFolder, s.Host, peerAddress
-	o.NoFounding, o.RepairAfter = s.NoFounding, s.RepairAfter
+	o.NoFounding, o.RepairAfter, o.ElectionTimeout = s.NoFounding, s.RepairAfter, s.ElectionTimeout
 	for _, v := range s.Voters {
 		address := v.Address
 		if v.Name == s.Host {
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -25,6 +25,8 @@
 	// placeOrderTimeout bounds the wait for the answer to an order. An order is
 	// answered at once; its work is done later.
 	placeOrderTimeout = 500 * time.Millisecond
+	// beginTimeout bounds the record of the beginning of the lead.
+	beginTimeout = 2 * time.Second
 	// releaseDelay is how long a new leader waits to hear from the earlier one.
 	releaseDelay = 200 * time.Millisecond
 	// holdingsInterval is the longest time without an update of the holdings.
@@ -45,9 +47,6 @@
 	// two leaders never give orders within one lease.
 	orderDelay time.Duration
 
-	// before is the host that was last known to lead. It belongs to run.
-	before string
-
 	mu      sync.Mutex
 	term    *planTerm
 	reports map[string]peer.DemandReport
@@ -59,12 +58,9 @@
 	planner *residency.Planner
 	fence   uint64
 	since   time.Duration
-	// first is set if nothing was published before this term. Then no earlier
-	// leader can have given an order.
-	first bool
-	// before is the host that led before, if known, and released is set once
-	// orders may be given.
-	before   string
+	// before is the process that led before, and released is set once orders may
+	// be given.
+	before   state.Sender
 	released bool
 	// published are the holdings by server; changed is closed at their change.
 	published map[string]residency.ServerHoldings
@@ -88,8 +84,6 @@
 	for {
 		if p.host.group.CheckLease() {
 			p.lead(ctx)
-		} else if leader := p.host.group.Status().Leader; leader != "" {
-			p.before = leader
 		}
 		if !sleep(ctx, leaseInterval) {
 			return nil
@@ -100,13 +94,16 @@
 // lead plans until the lease is lost or the term changes.
 func (p *placer) lead(ctx context.Context) {
 	h := p.host
+	before, err := p.begin(ctx)
+	if err != nil {
+		h.logger.WithError(err).Info("the beginning of the lead was not recorded")
+		return
+	}
 	t := &planTerm{
+		before:  before,
 		planner: residency.New(), fence: h.group.Status().Term, since: h.now(),
 		published: map[string]residency.ServerHoldings{}, changed: make(chan struct{}), ended: make(chan struct{}),
 	}
-	h.replica.View(func(s *state.State) { t.first = s.Published == nil })
-	t.before = p.before
-	p.before = h.opts.Settings.Host
 	p.setTerm(t)
 	h.decisions.Belief(decision.EventLeading, decision.Fields{decision.FieldFence: t.fence, decision.FieldOutcome: "began"})
 	defer func() {
@@ -161,22 +158,43 @@
 	}
 }
 
+// begin records that this process leads, and returns the one before.
+func (p *placer) begin(ctx context.Context) (state.Sender, error) {
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	res, err := p.host.group.Propose(ctx, state.Command{Lead: &state.Lead{Sender: p.host.sender}})
+	if err != nil {
+		return state.Sender{}, err
+	}
+	return *res.Before, nil
+}
+
 // holds reports whether this leader must not give orders yet, because an earlier
-// one that is still connected may have given some within the lease. One that
-// does not answer was cut off, frozen or stopped; servers refuse its fencing
-// number from this leader's first order on.
+// one that still runs and is connected may have given some within the lease. One
+// that does not answer was cut off, frozen or stopped; servers refuse its
+// fencing number from this leader's first order on.
 func (p *placer) holds(t *planTerm) bool {
-	h := p.host
-	if t.released || t.first {
+	if t.released {
 		return false
 	}
-	status := h.group.Status()
-	// A leader that does not know who led before waits for the whole delay.
-	answers := t.before == "" || t.before != h.opts.Settings.Host && slices.Contains(status.Answering, t.before)
-	t.released = !answers && h.now()-t.since >= releaseDelay || h.now()-t.since >= p.orderDelay
+	since := p.host.now() - t.since
+	t.released = since >= p.orderDelay || since >= releaseDelay && !p.runs(t.before)
+	if t.before.Host == "" || t.before == p.host.sender {
+		t.released = true
+	}
 	return !t.released
 }
 
+// runs reports whether a process of another control host answers this leader.
+func (p *placer) runs(x state.Sender) bool {
+	if !slices.Contains(p.host.group.Status().Answering, x.Host) {
+		return false
+	}
+	return !slices.ContainsFunc(p.host.members.hosts(), func(h membership.HostPresence) bool {
+		return h.Name == x.Host && h.Incarnation != x.Incarnation
+	})
+}
+
 // publish notes which servers' holdings have changed. The caller holds the lock.
 func (t *planTerm) publish(list []residency.ServerHoldings) {
 	next := make(map[string]residency.ServerHoldings, len(list))
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -47,6 +47,9 @@
 	// RepairAfter is how long a voter is unreachable before a spare replaces it.
 	// Zero stands for the default.
 	RepairAfter time.Duration
+	// ElectionTimeout is how long a control host waits for the leader. Zero
+	// stands for the default.
+	ElectionTimeout time.Duration
 	// AnnouncedAnywhere is set where backend servers announce themselves to hosts
 	// of any data centre.
 	AnnouncedAnywhere bool
