--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -29,7 +29,7 @@
 	serverRate = 16
 	// crowdedShare is the worth of one request a second that a further copy takes
 	// from a crowded server: it would be late there, not lost.
-	crowdedShare = 0.4
+	crowdedShare = 1.0
 	// runningCost is what each running request adds to the loss of a model: the
 	// unload waits for it.
 	runningCost = 0.4
