Take no earlier counts for arrivals of now, and bound what callers may name

Cause, found by reading: a new leader took the counts that hosts had gathered since their start for requests of the last 50 ms, so for seconds every model looked busy. Targets of models that no service offers are refused at once and no longer counted; targets without requests are forgotten after a minute.

--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -41,7 +41,7 @@
 	// storeStarts are the newest loads from the weight store.
 	storeStarts []time.Duration
 
-	arrivals map[string]map[Target]uint64
+	arrivals map[string]*hostArrivals
 	rates    map[Target]*rate
 	demand   map[Target]*total
 	lastStep time.Duration
@@ -83,7 +83,7 @@
 func New() *Planner {
 	return &Planner{
 		services: map[string]route.Service{}, servers: map[string]*server{},
-		arrivals: map[string]map[Target]uint64{}, rates: map[Target]*rate{}, demand: map[Target]*total{},
+		arrivals: map[string]*hostArrivals{}, rates: map[Target]*rate{}, demand: map[Target]*total{},
 	}
 }
 
@@ -198,7 +198,11 @@
 // count sums the demand and updates the rates.
 func (p *Planner) count(in Input) {
 	clear(p.demand)
+	p.hosts(in.Demand)
 	for _, d := range in.Demand {
+		if !p.offered(d.Model) {
+			continue
+		}
 		t := p.demand[d.Target]
 		if t == nil {
 			t = &total{runningOn: map[string]int{}}
@@ -228,20 +232,40 @@
 	p.touch(in)
 }
 
+// hostArrivals are the counts that a host has reported.
+type hostArrivals struct {
+	counts map[Target]uint64
+	// fresh is set during the first report: its counts began before this leader
+	// and are no arrivals of now.
+	fresh bool
+}
+
+// hosts prepares the counts of the hosts that report, and forgets the others.
+func (p *Planner) hosts(demand []Demand) {
+	reports := map[string]*hostArrivals{}
+	for _, d := range demand {
+		if reports[d.Host] != nil {
+			continue
+		}
+		reports[d.Host] = &hostArrivals{counts: map[Target]uint64{}, fresh: true}
+		if known := p.arrivals[d.Host]; known != nil {
+			known.fresh = false
+			reports[d.Host] = known
+		}
+	}
+	p.arrivals = reports
+}
+
 // arrive adds the arrivals since the host's earlier report. A lower count
 // comes from a new process of the host.
 func (p *Planner) arrive(now time.Duration, d Demand) {
 	host := p.arrivals[d.Host]
-	if host == nil {
-		host = map[Target]uint64{}
-		p.arrivals[d.Host] = host
-	}
-	before, ok := host[d.Target]
-	host[d.Target] = d.Arrivals
-	if !ok || d.Arrivals < before {
+	before := host.counts[d.Target]
+	host.counts[d.Target] = d.Arrivals
+	if d.Arrivals < before {
 		before = 0
 	}
-	if d.Arrivals == before {
+	if host.fresh || d.Arrivals == before {
 		return
 	}
 	r := p.rates[d.Target]
@@ -254,6 +278,19 @@
 	r.last = now
 }
 
+// offered reports whether a service has a model. Callers may name any.
+func (p *Planner) offered(model string) bool {
+	for _, svc := range p.services {
+		if svc.Engine == nil {
+			continue
+		}
+		if _, ok := svc.Engine.Model(model); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // touch notes which adapters are in use.
 func (p *Planner) touch(in Input) {
 	for t, d := range p.demand {
--- a/node/forward/books.go
+++ b/node/forward/books.go
@@ -31,7 +31,9 @@
 	defer g.mu.Unlock()
 	g.budget(c.key.Service).Request(g.opts.Now())
 	if c.key.Model != "" {
-		g.target(residency.Target{Model: c.key.Model, Adapter: c.key.Adapter}).arrivals++
+		d := g.target(residency.Target{Model: c.key.Model, Adapter: c.key.Adapter})
+		d.arrivals++
+		d.last = g.opts.Now()
 	}
 }
 
--- a/node/forward/demand.go
+++ b/node/forward/demand.go
@@ -10,17 +10,28 @@
 type demand struct {
 	waiting, running int
 	arrivals         uint64
-	runningOn        map[string]int
+	// last is when the newest request arrived.
+	last      time.Duration
+	runningOn map[string]int
 	// leaves holds when each waiting caller gives up.
 	leaves map[*call]time.Duration
 }
 
+// forgetDemand is how long a target without requests is kept. Callers may name
+// any adapter.
+const forgetDemand = time.Minute
+
 // Demand returns what callers ask for. The host's name is left to the caller.
 func (g *Gate) Demand() []residency.Demand {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []residency.Demand
+	now := g.opts.Now()
 	for t, d := range g.demand {
+		if d.waiting == 0 && d.running == 0 && now-d.last > forgetDemand {
+			delete(g.demand, t)
+			continue
+		}
 		x := residency.Demand{
 			Target: t, Waiting: d.waiting, Running: d.running, Arrivals: d.arrivals, RunningOn: map[string]int{},
 			Leaves: d.firstLeave(),
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -109,8 +109,11 @@
 	}
 	c.lastID = c.request.ResumeAfter
 	c.key = routing.Key{Service: c.route.Choose(g.draw()), Model: c.request.Model, Adapter: c.request.Adapter}
-	if svc, ok := v.index.Table().Service(c.key.Service); !ok || svc.Engine == nil {
+	svc, _ := v.index.Table().Service(c.key.Service)
+	if svc.Engine == nil {
 		c.key.Model, c.key.Adapter = "", ""
+	} else if _, ok := svc.Engine.Model(c.key.Model); !ok {
+		return c.refuse(http.StatusNotFound, 0, "no such model")
 	}
 	c.exchange = exchange.New(exchange.Policy{
 		Idempotent: c.route.Idempotent(), RetryFailures: c.route.Kind == route.Safe,
