--- a/node/host/host.go
+++ b/node/host/host.go
@@ -21,6 +21,7 @@
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/admin"
 	"github.com/pollenwheel/pollenwheel/node/backend"
+	"github.com/pollenwheel/pollenwheel/node/bootclock"
 	"github.com/pollenwheel/pollenwheel/node/control"
 	"github.com/pollenwheel/pollenwheel/node/entry"
 	"github.com/pollenwheel/pollenwheel/node/peer"
@@ -43,8 +44,9 @@
 type Host struct {
 	settings settings.Settings
 	logger   *logrus.Entry
-	start    time.Time
-	sender   state.Sender
+	// now is a clock that also counts the time in which the machine is suspended.
+	now    func() time.Duration
+	sender state.Sender
 
 	callerListener, peerListener net.Listener
 
@@ -74,10 +76,10 @@
 // New opens the host's listeners and, with the control role, its data folder.
 func New(s settings.Settings, logger *logrus.Entry) (*Host, error) {
 	h := &Host{
-		settings: s, logger: logger, start: time.Now(), leave: make(chan struct{}),
+		settings: s, logger: logger, now: bootclock.New(), leave: make(chan struct{}),
 		replica: replica.New(state.New()), traffic: &peer.Traffic{}, backend: backend.NewClient(),
 	}
-	h.sender = state.Sender{Host: s.Host, Incarnation: uint64(h.start.UnixNano())}
+	h.sender = state.Sender{Host: s.Host, Incarnation: uint64(time.Now().UnixNano())}
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
@@ -137,7 +139,9 @@
 
 func (h *Host) openGroup() error {
 	h.transport = peer.NewTransport(h.peers)
-	g, err := openMember(h.settings, h.peerAddress(), control.Options{Transport: h.transport, Replica: h.replica, Logger: h.logger})
+	g, err := openMember(h.settings, h.peerAddress(), control.Options{
+		Transport: h.transport, Replica: h.replica, Logger: h.logger, Now: h.now,
+	})
 	if err != nil {
 		h.transport.Close()
 		return err
@@ -191,8 +195,6 @@
 	return res, nil
 }
 
-func (h *Host) now() time.Duration { return time.Since(h.start) }
-
 // predict returns when a model or adapter will be ready, as far as the leader
 // has told.
 func (h *Host) predict(model, adapter string) (time.Duration, bool) {
