--- a/cmd/pollenwheel/platform.go
+++ b/cmd/pollenwheel/platform.go
@@ -40,7 +40,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMb<<20)))
 	logger := logrus.New()
 	logger.SetOutput(os.Stdout)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	entry := logger.WithFields(logrus.Fields{"host": s.Node, "data_centre": s.Zone})
 	h, err := host.NewRouted(s.Options(entry))
 	if err != nil {
--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -236,56 +236,6 @@
 	return waiting, drain
 }
 
-// storeWorth reports whether the first copy of a model should come from the
-// weight store. A server that has the weights at hand, and can make room for
-// them soon, has them ready earlier.
-func (p *Planner) storeWorth(now time.Duration, svc route.Service, m route.Model) bool {
-	for _, s := range p.servers {
-		if s.Service != svc.Name || s.Leaving || s.Silent || s.unreachable || s.fenced || s.fromStore(m.Name) {
-			continue
-		}
-		if s.freeAt(now)+s.loadTime(svc.Engine, m.Name) < now+m.StoreLoad-storeMargin {
-			return false
-		}
-	}
-	return true
-}
-
-// freeAt is when a server can take an order for a model.
-func (s *server) freeAt(now time.Duration) time.Duration {
-	at := now
-	for _, h := range s.models {
-		switch h.phase {
-		case Loading:
-			at = max(at, h.readyAt)
-		case Unloading:
-			at = max(at, h.since+usualUnload)
-		}
-	}
-	return at
-}
-
-// rescues reports whether requests wait for a model whose only copy is loaded
-// so slowly that a server with the weights at hand would have it ready earlier.
-func (p *Planner) rescues(now time.Duration, service, model string) bool {
-	waiting, _ := p.urgency(now, model, 0)
-	if !waiting {
-		return false
-	}
-	for _, s := range p.servers {
-		if s.Service != service || s.Leaving || s.Silent || s.unreachable {
-			continue
-		}
-		if o := s.flying; o != nil && o.Model == model || s.uncertain != nil && s.uncertain.Model == model {
-			return false
-		}
-		if h := s.models[model]; h != nil && (h.phase == Ready || h.phase == Loading && h.readyAt < now+storeMargin) {
-			return false
-		}
-	}
-	return true
-}
-
 // makeRoom picks the models that must go for a load and scores the load. It
 // reports whether the load is possible and worth it.
 func (p *Planner) makeRoom(now time.Duration, svc route.Service, c *choice) bool {
@@ -383,23 +333,3 @@
 	}
 	return n
 }
-
-// storeFree reports whether another load from the weight store may begin.
-func (p *Planner) storeFree(now time.Duration, svc route.Service) bool {
-	p.storeStarts = slices.DeleteFunc(p.storeStarts, func(at time.Duration) bool { return now-at > ceilingWindow })
-	if float64(len(p.storeStarts)+1) > ceilingShare*svc.Engine.LoadsPerSecond*ceilingWindow.Seconds() {
-		return false
-	}
-	loading := 0
-	for _, s := range p.servers {
-		for name, h := range s.models {
-			if h.phase == Loading && s.fromStore(name) {
-				loading++
-			}
-		}
-		if o := s.flying; o != nil && o.Load && o.Adapter == "" && s.fromStore(o.Model) {
-			loading++
-		}
-	}
-	return loading < storeLoads
-}
--- a/node/forward/gate_test.go
+++ b/node/forward/gate_test.go
@@ -173,7 +173,13 @@
 	return front.URL, g, backends
 }
 
-func post(t *testing.T, url, path, body string, headers ...string) (*http.Response, string, error) {
+// reply is what a caller gets.
+type reply struct {
+	status int
+	header http.Header
+}
+
+func post(t *testing.T, url, path, body string, headers ...string) (reply, string, error) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader(body))
 	if err != nil {
@@ -190,15 +196,15 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
-	return resp, string(data), err
+	return reply{resp.StatusCode, resp.Header}, string(data), err
 }
 
 // Guards against a request that is changed on its way.
 func TestRequestsArriveUnchanged(t *testing.T) {
 	url, _, backends := setup(t, nil)
 	resp, body, err := post(t, url, "/safe/a%2Fb//c?x=1&y=%20", "the body", "X-Own", "kept", "Connection", "X-Hop", "X-Hop", "dropped")
-	if err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
-		t.Fatalf("status %d, body %q, error %v", resp.StatusCode, body, err)
+	if err != nil || resp.status != http.StatusOK || body != "ok" {
+		t.Fatalf("status %d, body %q, error %v", resp.status, body, err)
 	}
 	got := backends[0].requests[0]
 	for _, c := range []struct{ what, got, want string }{
@@ -246,13 +252,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			url, _, backends := setup(t, c.script)
 			resp, body, err := post(t, url, c.path, "")
-			if err != nil || resp.StatusCode != c.status || body != c.body {
-				t.Errorf("status %d, body %q, error %v", resp.StatusCode, body, err)
+			if err != nil || resp.status != c.status || body != c.body {
+				t.Errorf("status %d, body %q, error %v", resp.status, body, err)
 			}
 			if got := backends[0].count(); got != c.sent {
 				t.Errorf("sent %d times, want %d", got, c.sent)
 			}
-			if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "" {
+			if resp.status == http.StatusServiceUnavailable && resp.header.Get("Retry-After") == "" {
 				t.Error("the refusal does not say when to come back")
 			}
 		})
@@ -284,8 +290,8 @@
 			}
 			url, _, backends := setup(t, []http.HandlerFunc{step}, []http.HandlerFunc{step})
 			resp, _, _ := post(t, url, "/unsafe/", "")
-			if sent := backends[0].count() + backends[1].count(); resp.StatusCode != c.status || sent != c.sent {
-				t.Errorf("status %d, sent %d times", resp.StatusCode, sent)
+			if sent := backends[0].count() + backends[1].count(); resp.status != c.status || sent != c.sent {
+				t.Errorf("status %d, sent %d times", resp.status, sent)
 			}
 		})
 	}
@@ -314,8 +320,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			url, _, backends := setup(t, c.script)
 			resp, body, err := post(t, url, c.path, "")
-			if resp.StatusCode != http.StatusOK || body != c.body || (err == nil) != c.complete {
-				t.Errorf("status %d, body %q, error %v", resp.StatusCode, body, err)
+			if resp.status != http.StatusOK || body != c.body || (err == nil) != c.complete {
+				t.Errorf("status %d, body %q, error %v", resp.status, body, err)
 			}
 			resumed := ""
 			if backends[0].count() > 1 {
@@ -340,13 +346,13 @@
 		{"body too large", "/safe/", strings.Repeat("x", 1001), nil, 413},
 		{"deadline that cannot be read", "/safe/", "", []string{"T-Deadline", "soon"}, 400},
 	} {
-		if resp, _, _ := post(t, url, c.path, c.body, c.headers...); resp.StatusCode != c.status {
-			t.Errorf("%s: status %d, want %d", c.name, resp.StatusCode, c.status)
+		if resp, _, _ := post(t, url, c.path, c.body, c.headers...); resp.status != c.status {
+			t.Errorf("%s: status %d, want %d", c.name, resp.status, c.status)
 		}
 	}
 	g.Close()
-	if resp, _, _ := post(t, url, "/none/", ""); resp.StatusCode != http.StatusServiceUnavailable {
-		t.Errorf("a closed gate: status %d, want 503", resp.StatusCode)
+	if resp, _, _ := post(t, url, "/none/", ""); resp.status != http.StatusServiceUnavailable {
+		t.Errorf("a closed gate: status %d, want 503", resp.status)
 	}
 	if got := backends[0].count(); got != 0 {
 		t.Errorf("sent %d times", got)
@@ -376,8 +382,8 @@
 	url, _, backends := setup(t, nil, nil)
 	backends[0].server.Close()
 	for range 8 {
-		if resp, body, err := post(t, url, "/unsafe/", ""); err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
-			t.Fatalf("status %d, body %q, error %v", resp.StatusCode, body, err)
+		if resp, body, err := post(t, url, "/unsafe/", ""); err != nil || resp.status != http.StatusOK || body != "ok" {
+			t.Fatalf("status %d, body %q, error %v", resp.status, body, err)
 		}
 	}
 }
--- a/node/host/lifecycle.go
+++ b/node/host/lifecycle.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/pollenwheel/pollenwheel/node/peer"
 )
 
 const (
@@ -16,18 +20,18 @@
 // caughtUp blocks until the membership table was compared with those of the
 // other hosts and the replica is as new as a majority's. It returns false if ctx
 // ended before.
-func (h *Host) caughtUp(ctx context.Context) bool {
-	for !h.members.synced() {
+func caughtUp(ctx context.Context, m *members, f *peer.Follower) bool {
+	for !m.synced() {
 		if !sleep(ctx, syncInterval) {
 			return false
 		}
 	}
-	return h.follower.WaitCurrent(ctx) == nil
+	return f.WaitCurrent(ctx) == nil
 }
 
 // becomeReady publishes this host once it has caught up.
 func (h *Host) becomeReady(ctx context.Context) error {
-	if !h.caughtUp(ctx) {
+	if !caughtUp(ctx, h.members, h.follower) {
 		return nil
 	}
 	h.entry.Refresh()
@@ -68,13 +72,20 @@
 
 // transfer hands over leadership, if this host leads.
 func (h *Host) transfer(ctx context.Context) {
-	if h.group == nil || h.group.Status().Leader != h.settings.Host {
+	if h.group != nil {
+		transferLeader(ctx, h.group, h.settings.Host, transferTimeout, h.logger)
+	}
+}
+
+// transferLeader hands over leadership, if the host named self leads.
+func transferLeader(ctx context.Context, g group, self string, timeout time.Duration, logger *logrus.Entry) {
+	if g.Status().Leader != self {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if err := h.group.TransferLeader(ctx); err != nil {
-		h.logger.WithError(err).Warn("leadership was not handed over")
+	if err := g.TransferLeader(ctx); err != nil {
+		logger.WithError(err).Warn("leadership was not handed over")
 	}
 }
 
--- a/node/host/routed_life.go
+++ b/node/host/routed_life.go
@@ -15,27 +15,12 @@
 
 // becomeReady publishes this host once it has caught up.
 func (h *Routed) becomeReady(ctx context.Context) error {
-	for !h.members.synced() {
-		if !sleep(ctx, syncInterval) {
-			return nil
-		}
-	}
-	if err := h.follower.WaitCurrent(ctx); err != nil {
-		// It fails only when ctx ends.
-		h.logger.WithError(err).Debug("the host ends before it has caught up")
-		return nil //nolint:nilerr // the end of ctx is no failure of the host
+	if !caughtUp(ctx, h.members, h.follower) {
+		return nil
 	}
 	h.ready.Store(true)
-	for !h.Ready() {
-		changed := h.replica.Changed()
-		if h.Ready() {
-			break
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-changed:
-		}
+	if !h.waitPublished(ctx) {
+		return nil
 	}
 	h.gate.Refresh()
 	if h.opts.Front != "" {
@@ -46,6 +31,22 @@
 	return nil
 }
 
+// waitPublished blocks until a route table is known. It returns false if ctx
+// ended before.
+func (h *Routed) waitPublished(ctx context.Context) bool {
+	for {
+		changed := h.replica.Changed()
+		if h.Ready() {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
 // Ready reports whether this host serves callers.
 func (h *Routed) Ready() bool {
 	published := false
@@ -74,7 +75,9 @@
 	h.members.leave()
 	h.gate.Leave()
 	h.decisions.Belief(decision.EventSettings, decision.Fields{decision.FieldOutcome: "leaving"})
-	h.transfer(running)
+	if h.group != nil {
+		transferLeader(running, h.group, h.opts.Settings.Host, routedTransferTimeout, h.logger)
+	}
 	if len(callers) == 0 {
 		sleep(running, controlFarewell)
 		return nil
@@ -95,21 +98,12 @@
 	return nil
 }
 
+// routedTransferTimeout bounds a transfer of leadership within the grace period.
+const routedTransferTimeout = time.Second
+
 // controlFarewell lets the messages about a control host's departure leave.
 const controlFarewell = 300 * time.Millisecond
 
-// transfer hands over leadership, if this host leads.
-func (h *Routed) transfer(ctx context.Context) {
-	if h.group == nil || h.group.Status().Leader != h.opts.Settings.Host {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	if err := h.group.TransferLeader(ctx); err != nil {
-		h.logger.WithError(err).Warn("leadership was not handed over")
-	}
-}
-
 // SetSeeds replaces the peer addresses to contact when no other host is known.
 func (h *Routed) SetSeeds(seeds []string) {
 	h.members.setSeeds(seeds)
