--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -100,10 +100,11 @@
 
 // best returns the load with the highest net gain that is worth it.
 func (p *Planner) best(in Input, svc route.Service) (choice, bool) {
+	p.tally(svc.Name)
 	store := p.storeFree(in.Now, svc)
 	var best choice
 	for _, m := range svc.Engine.Models {
-		copies, pending := p.copies(svc.Name, m.Name)
+		copies, pending := p.copies(m.Name)
 		rescue := false
 		if pending {
 			if rescue = p.rescues(in.Now, svc.Name, m.Name); !rescue {
@@ -112,7 +113,7 @@
 			copies = 0
 		}
 		place := p.reservation(in.Now, svc.Name, m.Name)
-		gain := p.worth(in.Now, svc, m, copies)
+		gain := p.worth(svc, m, copies)
 		for _, s := range p.sorted() {
 			if s.Service != svc.Name || !s.orderable() || s.working() || s.models[m.Name] != nil || s.uncertain != nil {
 				continue
@@ -155,31 +156,9 @@
 	return s.reserved
 }
 
-// copies counts the live copies of a model that are held or being loaded.
-// Pending reports an order for the model on its way or a server that is being
-// emptied for it.
-func (p *Planner) copies(service, model string) (n int, pending bool) {
-	for _, s := range p.servers {
-		if s.Service != service || s.Leaving || s.Silent || s.unreachable {
-			continue
-		}
-		if o := s.flying; o != nil && o.Adapter == "" && o.Model == model {
-			pending = true
-		}
-		if o := s.uncertain; o != nil && o.Adapter == "" && o.Model == model {
-			pending = true
-		}
-		if h := s.models[model]; h != nil && h.phase != Unloading {
-			n++
-			pending = pending || h.phase == Loading
-		}
-	}
-	return n, pending
-}
-
 // worth is the value of one more copy beyond the given number.
-func (p *Planner) worth(now time.Duration, svc route.Service, m route.Model, copies int) float64 {
-	rate, waiting, adapters := p.load(now, m.Name)
+func (p *Planner) worth(svc route.Service, m route.Model, copies int) float64 {
+	rate, waiting, adapters := p.load(m.Name)
 	if copies <= 0 {
 		w := rate + idleWorth
 		if waiting > 0 {
@@ -200,24 +179,6 @@
 	return w
 }
 
-// load sums the demand for a model and its adapters.
-func (p *Planner) load(now time.Duration, model string) (rate float64, waiting, adapters int) {
-	for t, r := range p.rates {
-		if t.Model == model {
-			rate += r.at(now)
-			if t.Adapter != "" {
-				adapters++
-			}
-		}
-	}
-	for t, d := range p.demand {
-		if t.Model == model {
-			waiting += d.waiting
-		}
-	}
-	return rate, waiting, adapters
-}
-
 // urgency reports whether requests wait for the first copy of a model, and
 // whether that or the lack of a further copy warrants to wait for the running
 // requests of another model. A swap with an idle model takes less than the
@@ -227,13 +188,11 @@
 	if copies > 0 {
 		return false, true
 	}
-	for t, d := range p.demand {
-		if t.Model == model && d.waiting > 0 {
-			waiting = true
-			drain = drain || d.leaves-now < drainTime
-		}
+	l := p.loads[model]
+	if l == nil || l.waiting == 0 {
+		return false, false
 	}
-	return waiting, drain
+	return true, l.leaves-now < drainTime
 }
 
 // makeRoom picks the models that must go for a load and scores the load. It
@@ -264,8 +223,8 @@
 	if c.gain < factor*loss+cost {
 		return false
 	}
-	rate, _, _ := p.load(now, c.model.Name)
-	crowd := max(0, p.serverLoad(now, svc, c)+rate/float64(c.copies+1)-serverRate)
+	rate, _, _ := p.load(c.model.Name)
+	crowd := max(0, p.serverLoad(svc, c)+rate/float64(c.copies+1)-serverRate)
 	load := c.server.loadTime(e, c.model.Name).Seconds()
 	leftover := (free - c.model.MemoryMiB) / e.MemoryMiB
 	c.score = (c.gain-loss-crowdedShare*crowd)/(1+slowness*load) + 0.01*(1-leftover)
@@ -274,14 +233,14 @@
 
 // serverLoad is the number of requests a second that a server gets for the
 // models that it keeps.
-func (p *Planner) serverLoad(now time.Duration, svc route.Service, c *choice) float64 {
+func (p *Planner) serverLoad(svc route.Service, c *choice) float64 {
 	total := 0.0
 	for name, h := range c.server.models {
 		if h.phase == Unloading || slices.Contains(c.victims, name) {
 			continue
 		}
-		rate, _, _ := p.load(now, name)
-		copies, _ := p.copies(svc.Name, name)
+		rate, _, _ := p.load(name)
+		copies, _ := p.copies(name)
 		total += rate / float64(max(1, copies))
 	}
 	return total
@@ -303,8 +262,8 @@
 		if !ok {
 			continue
 		}
-		copies, _ := p.copies(svc.Name, name)
-		cost := p.worth(now, svc, m, copies-1)
+		copies, _ := p.copies(name)
+		cost := p.worth(svc, m, copies-1)
 		running := p.runningOn(name, s.Name)
 		most := maxDrained
 		if c.gain > crowdGain {
@@ -322,14 +281,3 @@
 	slices.SortFunc(options, func(a, b option) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name)) })
 	return options[0].name, options[0].cost, true
 }
-
-// runningOn returns the requests for a model and its adapters on a server.
-func (p *Planner) runningOn(model, server string) int {
-	n := 0
-	for t, d := range p.demand {
-		if t.Model == model {
-			n += d.runningOn[server]
-		}
-	}
-	return n
-}
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -24,6 +24,9 @@
 	arrivals map[string]*hostArrivals
 	rates    map[Target]*rate
 	demand   map[Target]*total
+	// loads and copied sum up demand and copies by model.
+	loads    map[string]*modelLoad
+	copied   map[string]modelCopies
 	lastStep time.Duration
 	// asked is set once any request was seen.
 	asked bool
@@ -135,6 +138,7 @@
 		p.presume(in.Now)
 	}
 	p.count(in)
+	p.sum(in.Now)
 }
 
 // presume takes the models that are on several servers before the first request
--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -52,14 +52,14 @@
 	for range 20 {
 		p.step(100*time.Millisecond, d)
 	}
-	if rate, _, _ := p.planner.load(p.in.Now, "a"); rate != 0 {
+	if rate, _, _ := p.planner.load("a"); rate != 0 {
 		t.Errorf("rate %v, want 0", rate)
 	}
 	for range 20 {
 		d.Arrivals++
 		p.step(100*time.Millisecond, d)
 	}
-	if rate, _, _ := p.planner.load(p.in.Now, "a"); rate < 1 || rate > 20 {
+	if rate, _, _ := p.planner.load("a"); rate < 1 || rate > 20 {
 		t.Errorf("rate %v, want about 10", rate)
 	}
 }
