--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -224,7 +224,7 @@
 		return false
 	}
 	rate, _, _ := p.load(c.model.Name)
-	crowd := max(0, p.serverLoad(svc, c)+rate/float64(c.copies+1)-serverRate)
+	crowd := max(0, p.serverLoad(c)+rate/float64(c.copies+1)-serverRate)
 	load := c.server.loadTime(e, c.model.Name).Seconds()
 	leftover := (free - c.model.MemoryMiB) / e.MemoryMiB
 	c.score = (c.gain-loss-crowdedShare*crowd)/(1+slowness*load) + 0.01*(1-leftover)
@@ -233,7 +233,7 @@
 
 // serverLoad is the number of requests a second that a server gets for the
 // models that it keeps.
-func (p *Planner) serverLoad(svc route.Service, c *choice) float64 {
+func (p *Planner) serverLoad(c *choice) float64 {
 	total := 0.0
 	for name, h := range c.server.models {
 		if h.phase == Unloading || slices.Contains(c.victims, name) {
