Refuse at once what no load can serve in time

Cause: on the grown deployment a model that only the weight store has takes 13 s to load, and callers leave after 8 s without an event.

The outlook of a request now holds the shortest load that any server can begin now: from memory, from a disk or from the store. A request that even this load is too late for is refused at once with the time of the load as Retry-After. Its caller counts as waiting until it is due back, so that the load is still done.

--- a/core/patience/patience.go
+++ b/core/patience/patience.go
@@ -51,6 +51,9 @@
 	Known bool
 	// ReadyAt is the predicted time, if known.
 	ReadyAt time.Duration
+	// Soonest is the time that a load takes which begins now, on the server that
+	// is fastest with it.
+	Soonest time.Duration
 }
 
 // Decision says what to do with a request.
@@ -76,9 +79,16 @@
 		}
 	}
 	blind := r.Arrived + time.Duration(blindShare*float64(latest-r.Arrived))
+	// From lastStart on, a load ends too late even if it begins at once.
+	lastStart := latest - o.Soonest
+	if !o.Known && now >= lastStart {
+		return Decision{ReturnAfter: max(defaultReturn, o.Soonest+lateness)}
+	}
 	if o.Known {
 		// The load is overdue; its next report is due soon.
 		blind = max(blind, o.ReadyAt+lateness+overdueWait)
+	} else {
+		blind = min(blind, lastStart)
 	}
 	if until := min(blind, latest); now < until {
 		return Decision{Wait: true, Until: until}
--- a/node/forward/books.go
+++ b/node/forward/books.go
@@ -74,6 +74,20 @@
 	delete(d.leaves, c)
 }
 
+// refused notes that the callers of a target that no server holds were told to
+// come back after a time.
+func (g *Gate) refused(t residency.Target, after time.Duration) {
+	if t.Model == "" {
+		return
+	}
+	g.mu.Lock()
+	if d := g.target(t); len(d.returns) < maxReturns {
+		d.returns = append(d.returns, g.opts.Now()+after)
+	}
+	g.mu.Unlock()
+	g.opts.Demanded()
+}
+
 // pick chooses a server for a request, or returns when to look again. Without a
 // channel, waiting is in vain.
 func (g *Gate) pick(c *call) (a routing.Attempt, changed <-chan struct{}, o patience.Outlook, ok bool) {
@@ -94,11 +108,7 @@
 		// Only the server that has just refused the request holds the target.
 		return a, nil, o, false
 	}
-	o.ReadyAt, o.Known = g.outlooks[c.key]
-	if !o.Known && c.key.Adapter != "" {
-		o.ReadyAt, o.Known = g.outlooks[routing.Key{Service: c.key.Service, Model: c.key.Model}]
-	}
-	return a, g.changed, o, false
+	return a, g.changed, g.outlooks.of(c.key), false
 }
 
 func (g *Gate) begin(t residency.Target, server string) {
--- a/node/forward/demand.go
+++ b/node/forward/demand.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/residency"
@@ -15,8 +16,14 @@
 	runningOn map[string]int
 	// leaves holds when each waiting caller gives up.
 	leaves map[*call]time.Duration
+	// returns holds when the refused callers were told to come back. They are
+	// waited for: a load that was worth it for them still is.
+	returns []time.Duration
 }
 
+// maxReturns bounds the refused callers of a target that are remembered.
+const maxReturns = 256
+
 // forgetDemand is how long a target without requests is kept. Callers may name
 // any adapter.
 const forgetDemand = time.Minute
@@ -28,12 +35,13 @@
 	var out []residency.Demand
 	now := g.opts.Now()
 	for t, d := range g.demand {
+		d.returns = slices.DeleteFunc(d.returns, func(at time.Duration) bool { return at <= now })
 		if d.waiting == 0 && d.running == 0 && now-d.last > forgetDemand {
 			delete(g.demand, t)
 			continue
 		}
 		x := residency.Demand{
-			Target: t, Waiting: d.waiting, Running: d.running, Arrivals: d.arrivals, RunningOn: map[string]int{},
+			Target: t, Waiting: d.waiting + len(d.returns), Running: d.running, Arrivals: d.arrivals, RunningOn: map[string]int{},
 			Leaves: d.firstLeave(),
 		}
 		for s, n := range d.runningOn {
@@ -54,7 +62,8 @@
 	return d
 }
 
-// firstLeave is when the first of the waiting callers gives up.
+// firstLeave is when the first of the waiting callers gives up, or one that was
+// refused comes back.
 func (d *demand) firstLeave() time.Duration {
 	first := time.Duration(0)
 	for _, at := range d.leaves {
@@ -62,6 +71,11 @@
 			first = at
 		}
 	}
+	for _, at := range d.returns {
+		if first == 0 || at < first {
+			first = at
+		}
+	}
 	return first
 }
 
--- a/node/forward/gate.go
+++ b/node/forward/gate.go
@@ -57,7 +57,7 @@
 	budgets  map[string]*retry.Budget
 	demand   map[residency.Target]*demand
 	changed  chan struct{}
-	outlooks map[routing.Key]time.Duration
+	outlooks *outlooks
 	// sequences are the newest announcements of the servers, and told the ends of
 	// processes that were told to the other hosts.
 	sequences map[string]uint64
@@ -94,7 +94,7 @@
 			DataCentre: o.DataCentre, Spill: spillLoad, BreakerFailures: openFailures,
 		}, rand.New(rand.NewPCG(seed, 1))),
 		budgets: map[string]*retry.Budget{}, demand: map[residency.Target]*demand{},
-		changed: make(chan struct{}), outlooks: map[routing.Key]time.Duration{},
+		changed: make(chan struct{}), outlooks: newOutlooks(),
 		sequences: map[string]uint64{}, told: map[string]endOf{},
 	}
 	g.view.Store(&view{})
--- a/node/forward/gate_test.go
+++ b/node/forward/gate_test.go
@@ -30,7 +30,10 @@
 	if h.Get("T-Deadline") == "" {
 		err = nil
 	}
-	return Request{ID: h.Get("T-Id"), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: h.Get("T-After")}, err
+	return Request{
+		ID: h.Get("T-Id"), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: h.Get("T-After"),
+		Model: h.Get("T-Model"), Adapter: h.Get("T-Adapter"),
+	}, err
 }
 
 func (testProtocol) Forward(h http.Header, a Attempt) {
@@ -151,13 +154,24 @@
 			Name: b.name, Service: "plain", Address: b.server.Listener.Addr().String(), Incarnation: 1, Sequence: 1,
 		}})
 	}
+	// This server is never connected to: it holds nothing.
+	servers = append(servers, membership.Presence{Server: membership.Server{
+		Name: "engine", Service: "models", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1,
+	}})
 	rep := replica.New(state.New())
 	targets := []route.Target{{Service: "plain", Weight: 1}}
-	table := route.Table{Version: 1, Services: []route.Service{{Name: "plain"}}, Limits: route.Limits{BodyBytes: 1000}, Routes: []route.Route{
+	engine := &route.Engine{Slots: 8, MemoryMiB: 100, Models: []route.Model{
+		{Name: "large", MemoryMiB: 10, StoreLoad: 13 * time.Second, DiskLoad: 500 * time.Millisecond},
+	}}
+	table := route.Table{Version: 1, Services: []route.Service{{Name: "plain"}, {Name: "models", Engine: engine}}, Limits: route.Limits{BodyBytes: 1000}, Routes: []route.Route{
 		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: route.Safe, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
 		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: route.Unsafe, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Streaming, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
 		{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: route.Streaming, Resumable: true, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
+		{
+			Name: "model", Host: "h", Prefix: "/model/", Kind: route.Streaming, Timeout: time.Minute, MaxAttempts: 1,
+			Patience: 8 * time.Second, Targets: []route.Target{{Service: "models", Weight: 1}},
+		},
 	}}
 	rep.Apply(1, state.Command{Publish: &state.Publish{Table: table}})
 	start := time.Now()
--- /dev/null
+++ b/node/forward/outlook_test.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/patience"
+	"github.com/pollenwheel/pollenwheel/core/residency"
+	"github.com/pollenwheel/pollenwheel/core/route"
+	"github.com/pollenwheel/pollenwheel/core/routing"
+)
+
+// Guards against callers that are held although no load can serve them in time,
+// and against loads that nobody asks for once they were refused.
+func TestACallerThatNoLoadServesInTimeIsToldWhenToComeBack(t *testing.T) {
+	url, g, _ := setup(t, nil)
+	resp, _, err := post(t, url, "/model/x", "the body", "T-Model", "large")
+	if err != nil || resp.status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d, error %v", resp.status, err)
+	}
+	after, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
+	if err != nil || after < 13 {
+		t.Errorf("told to come back after %v s (%v), the load takes 13 s", after, err)
+	}
+	demand := g.Demand()
+	if len(demand) != 1 || demand[0].Waiting != 1 || demand[0].Model != "large" {
+		t.Errorf("demand %+v, want the refused caller", demand)
+	}
+}
+
+func TestOutlooks(t *testing.T) {
+	engine := &route.Engine{Models: []route.Model{
+		{Name: "m", StoreLoad: 13 * time.Second, DiskLoad: 600 * time.Millisecond, MemoryLoad: 300 * time.Millisecond},
+	}}
+	key := routing.Key{Service: "s", Model: "m"}
+	withAdapter := routing.Key{Service: "s", Model: "m", Adapter: "a"}
+	target := residency.Target{Model: "m"}
+	type server struct {
+		leaving  bool
+		cached   []membership.Checkpoint
+		holdings []residency.Holding
+	}
+	disk := server{cached: []membership.Checkpoint{{Model: "m", Tier: membership.TierDisk}}}
+	memory := server{cached: []membership.Checkpoint{{Model: "m", Tier: membership.TierMemory}}}
+	for _, c := range []struct {
+		name    string
+		servers []server
+		key     routing.Key
+		want    patience.Outlook
+	}{
+		{"no server is known", nil, key, patience.Outlook{}},
+		{"only the store has the weights", []server{{}}, key, patience.Outlook{Soonest: 13 * time.Second}},
+		{"a disk has the weights", []server{{}, disk}, key, patience.Outlook{Soonest: 600 * time.Millisecond}},
+		{"memory is faster than a disk", []server{memory, disk}, key, patience.Outlook{Soonest: 300 * time.Millisecond}},
+		{
+			"the server with the weights leaves", []server{{}, {leaving: true, cached: disk.cached}}, key,
+			patience.Outlook{Soonest: 13 * time.Second},
+		},
+		{
+			"the model is held, its adapter is not", []server{{holdings: []residency.Holding{{Target: target, Phase: residency.Ready}}}},
+			withAdapter, patience.Outlook{},
+		},
+		{
+			"the earlier of two loads counts", []server{
+				{holdings: []residency.Holding{{Target: target, Phase: residency.Loading, ReadyAt: 9 * time.Second}}},
+				{holdings: []residency.Holding{{Target: target, Phase: residency.Loading, ReadyAt: 7 * time.Second}}},
+			}, withAdapter, patience.Outlook{Known: true, ReadyAt: 7 * time.Second},
+		},
+		{
+			"what a server unloads does not count", []server{{holdings: []residency.Holding{{Target: target, Phase: residency.Unloading}}}},
+			key, patience.Outlook{Soonest: 13 * time.Second},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o := newOutlooks()
+			for _, s := range c.servers {
+				o.add(membership.Presence{Server: membership.Server{Service: "s", Leaving: s.leaving, Cached: s.cached}}, engine, s.holdings)
+			}
+			if got := o.of(c.key); got != c.want {
+				t.Errorf("%+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -228,6 +228,7 @@
 		now := g.opts.Now()
 		d := patience.Decide(now, c.waits(), outlook)
 		if !d.Wait {
+			g.refused(target, d.ReturnAfter)
 			c.expire(d.ReturnAfter, "no backend server holds the target in time")
 			return a, false
 		}
--- a/node/forward/view.go
+++ b/node/forward/view.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/residency"
@@ -107,7 +106,7 @@
 	current := g.servers()
 	var servers []routing.Server
 	var replicas []routing.Replica
-	outlooks := map[routing.Key]time.Duration{}
+	outlooks := newOutlooks()
 	for _, s := range current {
 		svc, ok := table.Service(s.Service)
 		if !ok {
@@ -120,7 +119,9 @@
 			replicas = append(replicas, routing.Replica{Server: s.Name, Key: routing.Key{Service: s.Service}})
 			continue
 		}
-		replicas = append(replicas, g.held(s, outlooks)...)
+		holdings := g.held(s)
+		replicas = append(replicas, replicasOf(s, holdings)...)
+		outlooks.add(s, svc.Engine, holdings)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -135,25 +136,25 @@
 }
 
 // held lists what a server holds: what the leader says, else what the server
-// announced. It notes the predicted ends of loads.
-func (g *Gate) held(s membership.Presence, outlooks map[routing.Key]time.Duration) []routing.Replica {
-	var out []routing.Replica
-	holdings, ok := g.opts.Holdings.of(s.Name, s.Incarnation)
-	if !ok {
-		for _, m := range s.Models {
-			out = append(out, routing.Replica{Server: s.Name, Key: routing.Key{Service: s.Service, Model: m.Model, Adapter: m.Adapter}})
-		}
-		return out
+// announced.
+func (g *Gate) held(s membership.Presence) []residency.Holding {
+	if holdings, ok := g.opts.Holdings.of(s.Name, s.Incarnation); ok {
+		return holdings
 	}
+	var out []residency.Holding
+	for _, m := range s.Models {
+		out = append(out, residency.Holding{Target: residency.Target{Model: m.Model, Adapter: m.Adapter}, Phase: residency.Ready})
+	}
+	return out
+}
+
+// replicasOf lists the targets that a server is ready for.
+func replicasOf(s membership.Presence, holdings []residency.Holding) []routing.Replica {
+	var out []routing.Replica
 	for _, h := range holdings {
-		key := routing.Key{Service: s.Service, Model: h.Model, Adapter: h.Adapter}
-		switch h.Phase {
-		case residency.Ready:
+		if h.Phase == residency.Ready {
+			key := routing.Key{Service: s.Service, Model: h.Model, Adapter: h.Adapter}
 			out = append(out, routing.Replica{Server: s.Name, Key: key})
-		case residency.Loading:
-			if at, known := outlooks[key]; !s.Leaving && (!known || h.ReadyAt < at) {
-				outlooks[key] = h.ReadyAt
-			}
 		}
 	}
 	return out
