Count a server as full by the slots that its streams take; log why orders are given

Cause: the planner called a server crowded from 16 requests a second on, the rate at which prompts delay streams.

The share of a server that a model fills is now the larger of its prompts and of its running requests, averaged over 2 s, against 70% of the slots. A model gets further copies, and a server further models, by that share.

Ruled out: queues at the hosts (late streams had waited 0 ms there).

The lines of orders for models tell what they are for, what was weighed and where the weights are; the end of a load has a line with its time and the predicted one. They change no decision.

--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -73,9 +73,16 @@
 	copies  int
 	waiting bool
 	// drain allows victims with running requests.
-	drain bool
-	gain  float64
-	score float64
+	drain      bool
+	gain, loss float64
+	score      float64
+}
+
+// why explains the orders of a choice.
+func (c *choice) why(waiting int) Why {
+	return Why{
+		For: c.model.Name, Source: c.server.source(c.model.Name), Gain: c.gain, Loss: c.loss, Copies: c.copies, Waiting: waiting,
+	}
 }
 
 // models orders loads, best first, and the unloads that make room for them.
@@ -86,15 +93,17 @@
 			return
 		}
 		c.server.reserved, c.server.reservedAt = c.model.Name, in.Now
+		_, waiting, _ := p.load(c.model.Name)
+		why := c.why(waiting)
 		if len(c.victims) > 0 {
-			p.send(in, c.server, Order{Target: Target{Model: c.victims[0]}}, out)
+			p.send(in, c.server, Order{Target: Target{Model: c.victims[0]}, Why: why}, out)
 			continue
 		}
 		if c.server.fromStore(c.model.Name) {
 			p.storeStarts = append(p.storeStarts, in.Now)
 		}
 		c.server.reserved = ""
-		p.send(in, c.server, Order{Load: true, Target: Target{Model: c.model.Name}}, out)
+		p.send(in, c.server, Order{Load: true, Target: Target{Model: c.model.Name}, Why: why}, out)
 	}
 }
 
@@ -170,8 +179,9 @@
 	if copies == 1 {
 		w = spareShare * rate
 	}
-	if over := rate - serverRate*float64(copies); over > 0 {
-		w += crowdedShare * over / float64(copies)
+	share := p.share(svc, m.Name)
+	if over := share - float64(copies); over > 0 {
+		w += crowdedShare * rate * over / share / float64(copies)
 	}
 	if adapters > svc.Engine.AdapterSlots*copies {
 		w += adapterShare * rate
@@ -223,25 +233,25 @@
 	if c.gain < factor*loss+cost {
 		return false
 	}
-	rate, _, _ := p.load(c.model.Name)
-	crowd := max(0, p.serverLoad(c)+rate/float64(c.copies+1)-serverRate)
+	filled := p.filled(svc, c) + p.share(svc, c.model.Name)/float64(c.copies+1)
+	crowd := serverRate * max(0, filled-1)
 	load := c.server.loadTime(e, c.model.Name).Seconds()
+	c.loss = loss
 	leftover := (free - c.model.MemoryMiB) / e.MemoryMiB
 	c.score = (c.gain-loss-crowdedShare*crowd)/(1+slowness*load) + 0.01*(1-leftover)
 	return true
 }
 
-// serverLoad is the number of requests a second that a server gets for the
-// models that it keeps.
-func (p *Planner) serverLoad(c *choice) float64 {
+// filled is the part of a server that the requests for the models that it keeps
+// fill.
+func (p *Planner) filled(svc route.Service, c *choice) float64 {
 	total := 0.0
 	for name, h := range c.server.models {
 		if h.phase == Unloading || slices.Contains(c.victims, name) {
 			continue
 		}
-		rate, _, _ := p.load(name)
 		copies, _ := p.copies(name)
-		total += rate / float64(max(1, copies))
+		total += p.share(svc, name) / float64(max(1, copies))
 	}
 	return total
 }
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -24,6 +24,8 @@
 	arrivals map[string]*hostArrivals
 	rates    map[Target]*rate
 	demand   map[Target]*total
+	// running is the average number of running requests by model.
+	running map[string]float64
 	// loads and copied sum up demand and copies by model.
 	loads    map[string]*modelLoad
 	copied   map[string]modelCopies
@@ -45,6 +47,7 @@
 	return &Planner{
 		services: map[string]route.Service{}, servers: map[string]*server{},
 		arrivals: map[string]*hostArrivals{}, rates: map[Target]*rate{}, demand: map[Target]*total{},
+		running: map[string]float64{},
 	}
 }
 
@@ -61,6 +64,8 @@
 		p.models(in, svc, &out)
 	}
 	for _, s := range p.sorted() {
+		out.Ends = append(out.Ends, s.ends...)
+		s.ends = nil
 		if s.needsReport(in.Now) && p.services[s.Service].Engine != nil {
 			s.inquired, s.askedAt = true, in.Now
 			out.Inquiries = append(out.Inquiries, Inquiry{s.Name, s.Address, s.Incarnation})
--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -117,6 +117,25 @@
 	}
 }
 
+// Guards against streams that wait for a slot on one server while others have
+// free ones: few requests a second fill a server with few slots.
+func TestAModelThatFillsTheSlotsGetsAnotherCopy(t *testing.T) {
+	e := engine()
+	e.Slots = 12
+	p := newPlan(&e, map[string][]Held{"s": {{Model: "a"}}, "full": {{Model: "b"}, {Model: "c"}}, "free": nil})
+	d := Demand{Host: "h", Target: Target{Model: "a"}, Running: 16, RunningOn: map[string]int{"s": 16}}
+	loaded := false
+	for range 30 {
+		d.Arrivals++
+		for _, o := range p.step(100*time.Millisecond, d) {
+			loaded = loaded || o.Load && o.Model == "a" && o.Server == "free"
+		}
+	}
+	if !loaded {
+		t.Error("16 running requests on 12 slots brought no second copy")
+	}
+}
+
 // Guards against the copies of a crashed server that keep its models unloaded.
 func TestTheModelsOfAnEndedServerAreLoadedElsewhere(t *testing.T) {
 	e := engine()
--- a/core/residency/rates.go
+++ b/core/residency/rates.go
@@ -66,6 +66,7 @@
 		return
 	}
 	p.lastStep = in.Now
+	p.averageRunning(elapsed)
 	for t, r := range p.rates {
 		r.advance(elapsed)
 		if r.slow < 1e-4 {
--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -75,6 +75,27 @@
 	// Expected is the number of orders that the server must have accepted.
 	Expected uint64
 	Fence    uint64
+	// Why is set for models.
+	Why Why
+}
+
+// Why is what decided an order for a model. An unload that makes room carries
+// that of the load.
+type Why struct {
+	// For is the model that the order is for.
+	For string
+	// Source is where the server has the weights: memory, disk or store.
+	Source string
+	// Gain and Loss are in requests a second that are served in time.
+	Gain, Loss float64
+	// Copies is the number of other copies.
+	Copies, Waiting int
+}
+
+// LoadEnd tells that a load has ended.
+type LoadEnd struct {
+	Server, Model  string
+	Took, Expected time.Duration
 }
 
 // Result is how the transmission of an order ended.
@@ -123,6 +144,8 @@
 type Output struct {
 	Orders    []Order
 	Inquiries []Inquiry
+	// Ends are the loads that have ended since the step before.
+	Ends []LoadEnd
 }
 
 // Phase is the state of a holding.
--- a/core/residency/server.go
+++ b/core/residency/server.go
@@ -70,6 +70,8 @@
 	askedAt  time.Duration
 	// fenced is set once the server has taken orders of a later leader.
 	fenced bool
+	// ends are the loads that have ended since the last step.
+	ends []LoadEnd
 }
 
 // announced merges an announcement.
@@ -102,6 +104,7 @@
 		case !ok && h.phase == Ready && now-h.since > staleAnnouncement:
 			s.known = false
 		case ok && h.phase == Loading:
+			s.ends = append(s.ends, LoadEnd{Server: s.Name, Model: name, Took: now - h.since, Expected: h.readyAt - h.since})
 			h.phase, h.since = Ready, now
 		}
 		if ok && h.lacksAdapter(now, l) {
@@ -245,6 +248,17 @@
 	return m.StoreLoad
 }
 
+// source names where the server has the weights of a model.
+func (s *server) source(model string) string {
+	switch {
+	case slices.Contains(s.InMemory, model):
+		return "memory"
+	case slices.Contains(s.OnDisk, model):
+		return "disk"
+	}
+	return "store"
+}
+
 // fromStore reports whether a load of the model uses the weight store.
 func (s *server) fromStore(model string) bool {
 	return !slices.Contains(s.InMemory, model) && !slices.Contains(s.OnDisk, model)
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -36,6 +36,18 @@
 	FieldFence   = "fence"
 	FieldOrder   = "order"
 	FieldDropped = "dropped"
+	// FieldReturnMS is when a refused caller was told to come back.
+	FieldReturnMS = "return_ms"
+	// FieldExpectedMS is the time that a load was predicted to take.
+	FieldExpectedMS = "expected_ms"
+	// The following explain an order for a model: the model it is for, where the
+	// server has the weights, what was weighed, and the demand.
+	FieldFor     = "for"
+	FieldSource  = "source"
+	FieldGain    = "gain"
+	FieldLoss    = "loss"
+	FieldCopies  = "copies"
+	FieldWaiting = "waiting"
 )
 
 // Events of a request. EventAnswered is sampled; the others are always kept.
@@ -56,6 +68,7 @@
 	EventSuspect  = "suspect"
 	EventOrder    = "order"
 	EventReport   = "report"
+	EventLoaded   = "loaded"
 	EventLeading  = "leading"
 	EventAnnounce = "announcement"
 	EventPublish  = "publication"
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -335,7 +335,9 @@
 	if after > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
-	c.log(decision.EventRefused, decision.Fields{decision.FieldStatus: status, decision.FieldReason: why})
+	c.log(decision.EventRefused, decision.Fields{
+		decision.FieldStatus: status, decision.FieldReason: why, decision.FieldReturnMS: after.Milliseconds(),
+	})
 	c.answer(status)
 	return false
 }
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -150,6 +150,12 @@
 	out := t.planner.Step(in)
 	t.publish(t.planner.Holdings())
 	p.mu.Unlock()
+	for _, e := range out.Ends {
+		h.decisions.Belief(decision.EventLoaded, decision.Fields{
+			decision.FieldServer: e.Server, decision.FieldModel: e.Model, decision.FieldTookMS: e.Took.Milliseconds(),
+			decision.FieldExpectedMS: e.Expected.Milliseconds(),
+		})
+	}
 	for _, o := range out.Orders {
 		go p.order(ctx, t, o)
 	}
@@ -217,16 +223,26 @@
 	if p.host.group.CheckLease() {
 		result = p.engines.Order(ctx, o)
 	}
-	p.host.decisions.Belief(decision.EventOrder, decision.Fields{
-		decision.FieldServer: o.Server, decision.FieldModel: o.Model, decision.FieldAdapter: o.Adapter, decision.FieldFence: o.Fence,
-		decision.FieldAction: orderName(o), decision.FieldOrder: o.Expected, decision.FieldOutcome: result.String(),
-	})
+	p.host.decisions.Belief(decision.EventOrder, orderFields(o, result))
 	p.mu.Lock()
 	t.planner.Ended(p.host.now(), o, result)
 	p.mu.Unlock()
 	p.kick()
 }
 
+func orderFields(o residency.Order, result residency.Result) decision.Fields {
+	f := decision.Fields{
+		decision.FieldServer: o.Server, decision.FieldModel: o.Model, decision.FieldAdapter: o.Adapter, decision.FieldFence: o.Fence,
+		decision.FieldAction: orderName(o), decision.FieldOrder: o.Expected, decision.FieldOutcome: result.String(),
+	}
+	if w := o.Why; w.For != "" {
+		f[decision.FieldFor], f[decision.FieldSource] = w.For, w.Source
+		f[decision.FieldGain], f[decision.FieldLoss] = w.Gain, w.Loss
+		f[decision.FieldCopies], f[decision.FieldWaiting] = w.Copies, w.Waiting
+	}
+	return f
+}
+
 func orderName(o residency.Order) string {
 	if o.Load {
 		return "load"
