Make room only for loads that the weight store can serve

The places at the store were counted without the servers that make room. Models that nobody asks for took places too, 13 s each.

A server that makes room holds a place at the store; models without requests get two of the four places once requests come in.

--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -110,7 +110,8 @@
 // best returns the load with the highest net gain that is worth it.
 func (p *Planner) best(in Input, svc route.Service) (choice, bool) {
 	p.tally(svc.Name)
-	store := p.storeFree(in.Now, svc)
+	store := p.storeAllows(in.Now, svc)
+	loading := p.storeLoading(in.Now)
 	var best choice
 	for _, m := range svc.Engine.Models {
 		copies, pending := p.copies(m.Name)
@@ -123,6 +124,10 @@
 		}
 		place := p.reservation(in.Now, svc.Name, m.Name)
 		gain := p.worth(svc, m, copies)
+		most := storeLoads
+		if copies == 0 && p.asked && !p.wanted(m.Name) {
+			most = idleStoreLoads
+		}
 		for _, s := range p.sorted() {
 			if s.Service != svc.Name || !s.orderable() || s.working() || s.models[m.Name] != nil || s.uncertain != nil {
 				continue
@@ -130,7 +135,9 @@
 			if place != nil && s != place || s.reservedFor(in.Now) != "" && s.reserved != m.Name {
 				continue
 			}
-			if s.fromStore(m.Name) && (!store || rescue || copies == 0 && !p.storeWorth(in.Now, svc, m)) {
+			// A server that has made room for the model holds its place at the store.
+			free := store && (s == place || loading < most)
+			if s.fromStore(m.Name) && (!free || rescue || copies == 0 && !p.storeWorth(in.Now, svc, m)) {
 				continue
 			}
 			c := choice{model: m, server: s, gain: gain, copies: copies}
@@ -146,6 +153,12 @@
 	return best, best.server != nil
 }
 
+// wanted reports whether requests ask for a model.
+func (p *Planner) wanted(model string) bool {
+	rate, waiting, _ := p.load(model)
+	return rate > 0 || waiting > 0
+}
+
 // reservation returns the server that makes room for a model, if one does.
 func (p *Planner) reservation(now time.Duration, service, model string) *server {
 	for _, s := range p.servers {
--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -136,6 +137,41 @@
 	}
 }
 
+// Guards against models that are unloaded for loads which must wait for the
+// weight store: it serves four at full speed.
+func TestRoomIsMadeOnlyForLoadsThatTheStoreCanServe(t *testing.T) {
+	e := engine()
+	e.LoadsPerSecond = 100
+	servers := map[string][]Held{}
+	for i := range 8 {
+		idle := fmt.Sprint("idle", i)
+		e.Models = append(e.Models, route.Model{Name: idle, MemoryMiB: 200, StoreLoad: 13 * time.Second})
+		e.Models = append(e.Models, route.Model{Name: fmt.Sprint("new", i), MemoryMiB: 200, StoreLoad: 13 * time.Second})
+		servers[fmt.Sprint("s", i)] = []Held{{Model: idle}}
+	}
+	p := newPlan(&e, servers)
+	var demand []Demand
+	for i := range 8 {
+		demand = append(demand, Demand{Host: "h", Target: Target{Model: fmt.Sprint("new", i)}, Waiting: 1, Leaves: time.Minute})
+	}
+	p.step(0, demand...)
+	unloads := 0
+	for range 40 {
+		for i := range demand {
+			demand[i].Arrivals++
+		}
+		for _, o := range p.step(100*time.Millisecond, demand...) {
+			if !o.Load {
+				unloads++
+			}
+			p.planner.Ended(p.in.Now, o, Accepted)
+		}
+	}
+	if unloads != storeLoads {
+		t.Errorf("%d models were unloaded, want %d", unloads, storeLoads)
+	}
+}
+
 // Guards against the copies of a crashed server that keep its models unloaded.
 func TestTheModelsOfAnEndedServerAreLoadedElsewhere(t *testing.T) {
 	e := engine()
--- a/core/residency/store.go
+++ b/core/residency/store.go
@@ -11,6 +11,9 @@
 	// storeLoads is how many loads from the weight store run at once. The store
 	// serves no more at full speed, and more would delay the urgent ones.
 	storeLoads = 4
+	// idleStoreLoads is how many run at once for models that nobody asks for, once
+	// requests come in. A load takes seconds, and others would wait for it.
+	idleStoreLoads = 2
 	// ceilingWindow and ceilingShare bound the loads from the store that begin
 	// in a window to a share of what the store allows.
 	ceilingWindow = 5 * time.Second
@@ -67,14 +70,21 @@
 	return true
 }
 
-// storeFree reports whether another load from the weight store may begin.
-func (p *Planner) storeFree(now time.Duration, svc route.Service) bool {
+// storeAllows reports whether the ceiling admits another load from the weight
+// store.
+func (p *Planner) storeAllows(now time.Duration, svc route.Service) bool {
 	p.storeStarts = slices.DeleteFunc(p.storeStarts, func(at time.Duration) bool { return now-at > ceilingWindow })
-	if float64(len(p.storeStarts)+1) > ceilingShare*svc.Engine.LoadsPerSecond*ceilingWindow.Seconds() {
-		return false
-	}
+	return float64(len(p.storeStarts)+1) <= ceilingShare*svc.Engine.LoadsPerSecond*ceilingWindow.Seconds()
+}
+
+// storeLoading counts the loads from the weight store that are under way, and
+// those that servers make room for.
+func (p *Planner) storeLoading(now time.Duration) int {
 	loading := 0
 	for _, s := range p.servers {
+		if r := s.reservedFor(now); r != "" && s.models[r] == nil && s.fromStore(r) && !s.flyingLoad(r) {
+			loading++
+		}
 		for name, h := range s.models {
 			if h.phase == Loading && s.fromStore(name) {
 				loading++
@@ -84,5 +94,10 @@
 			loading++
 		}
 	}
-	return loading < storeLoads
+	return loading
+}
+
+// flyingLoad reports whether a load of the model waits for its answer.
+func (s *server) flyingLoad(model string) bool {
+	return s.flying != nil && s.flying.Load && s.flying.Adapter == "" && s.flying.Model == model
 }
