Ask the weight store if the server with the weights has no room

One server had its weights on disk, so the store was not asked, but that server was full of requests that no unload may wait for.

A server with the weights at hand now keeps the store from being asked only if it could make room.

--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -137,7 +137,7 @@
 			}
 			// A server that has made room for the model holds its place at the store.
 			free := store && (s == place || loading < most)
-			if s.fromStore(m.Name) && (!free || rescue || copies == 0 && !p.storeWorth(in.Now, svc, m)) {
+			if s.fromStore(m.Name) && (!free || rescue || copies == 0 && !p.storeWorth(in.Now, svc, m, gain)) {
 				continue
 			}
 			c := choice{model: m, server: s, gain: gain, copies: copies}
--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -137,6 +137,34 @@
 	}
 }
 
+// Guards against a busy model that nobody loads: the only server with its
+// weights at hand is full of requests that no unload may wait for, and the
+// weight store is not asked because of it.
+func TestTheStoreIsAskedIfTheServerWithTheWeightsHasNoRoom(t *testing.T) {
+	e := engine()
+	p := newPlan(&e, map[string][]Held{"near": {{Model: "a"}, {Model: "b"}}, "far": nil})
+	for i := range p.in.Servers {
+		if p.in.Servers[i].Name == "near" {
+			p.in.Servers[i].OnDisk = []string{"c"}
+		}
+	}
+	busy := []Demand{
+		{Host: "h", Target: Target{Model: "a"}, Running: 20, RunningOn: map[string]int{"near": 20}},
+		{Host: "h", Target: Target{Model: "b"}, Running: 20, RunningOn: map[string]int{"near": 20}},
+		{Host: "h", Target: Target{Model: "c"}, Waiting: 5, Leaves: 2 * time.Second},
+	}
+	var orders []Order
+	for range 20 {
+		for i := range busy {
+			busy[i].Arrivals++
+		}
+		orders = append(orders, p.step(100*time.Millisecond, busy...)...)
+	}
+	if len(orders) == 0 || orders[0].Server != "far" || orders[0].Model != "c" {
+		t.Errorf("orders %+v, want a load of c on far", orders)
+	}
+}
+
 // Guards against models that are unloaded for loads which must wait for the
 // weight store: it serves four at full speed.
 func TestRoomIsMadeOnlyForLoadsThatTheStoreCanServe(t *testing.T) {
--- a/core/residency/store.go
+++ b/core/residency/store.go
@@ -23,18 +23,32 @@
 // storeWorth reports whether the first copy of a model should come from the
 // weight store. A server that has the weights at hand, and can make room for
 // them soon, has them ready earlier.
-func (p *Planner) storeWorth(now time.Duration, svc route.Service, m route.Model) bool {
+func (p *Planner) storeWorth(now time.Duration, svc route.Service, m route.Model, gain float64) bool {
 	for _, s := range p.servers {
 		if s.Service != svc.Name || s.Leaving || s.Silent || s.unreachable || s.fenced || s.fromStore(m.Name) {
 			continue
 		}
-		if s.freeAt(now)+s.loadTime(svc.Engine, m.Name) < now+m.StoreLoad-storeMargin {
+		if s.freeAt(now)+s.loadTime(svc.Engine, m.Name) >= now+m.StoreLoad-storeMargin {
+			continue
+		}
+		if !s.orderable() || s.working() || p.hasRoom(now, svc, m, s, gain) {
 			return false
 		}
 	}
 	return true
 }
 
+// hasRoom reports whether a server that is at work on nothing could make room
+// for the first copy of a model.
+func (p *Planner) hasRoom(now time.Duration, svc route.Service, m route.Model, s *server, gain float64) bool {
+	if r := s.reservedFor(now); r != "" && r != m.Name {
+		return false
+	}
+	c := choice{model: m, server: s, gain: gain}
+	c.waiting, c.drain = p.urgency(now, m.Name, 0)
+	return p.makeRoom(now, svc, &c)
+}
+
 // freeAt is when a server can take an order for a model.
 func (s *server) freeAt(now time.Duration) time.Duration {
 	at := now
