Ask the weight store only after two seconds without room where the weights are

Ruled out as causes, by trials: the places that rooms hold at the store, and the fewer collections of garbage.

--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -18,6 +18,8 @@
 type Planner struct {
 	services map[string]route.Service
 	servers  map[string]*server
+	// full are the models whose weights are at hand only where there is no room.
+	full map[string]fullness
 	// storeStarts are the newest loads from the weight store.
 	storeStarts []time.Duration
 
@@ -47,7 +49,7 @@
 	return &Planner{
 		services: map[string]route.Service{}, servers: map[string]*server{},
 		arrivals: map[string]*hostArrivals{}, rates: map[Target]*rate{}, demand: map[Target]*total{},
-		running: map[string]float64{},
+		running: map[string]float64{}, full: map[string]fullness{},
 	}
 }
 
--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -154,11 +154,13 @@
 		{Host: "h", Target: Target{Model: "c"}, Waiting: 5, Leaves: 2 * time.Second},
 	}
 	var orders []Order
-	for range 20 {
+	for at := time.Duration(0); at <= roomWait+200*time.Millisecond; at += 100 * time.Millisecond {
 		for i := range busy {
 			busy[i].Arrivals++
 		}
-		orders = append(orders, p.step(100*time.Millisecond, busy...)...)
+		if orders = append(orders, p.step(100*time.Millisecond, busy...)...); len(orders) > 0 && at < roomWait {
+			t.Fatalf("orders %+v after %s, in which the server may get room", orders, at)
+		}
 	}
 	if len(orders) == 0 || orders[0].Server != "far" || orders[0].Model != "c" {
 		t.Errorf("orders %+v, want a load of c on far", orders)
--- a/core/residency/store.go
+++ b/core/residency/store.go
@@ -14,6 +14,10 @@
 	// idleStoreLoads is how many run at once for models that nobody asks for, once
 	// requests come in. A load takes seconds, and others would wait for it.
 	idleStoreLoads = 2
+	// roomWait is how long the servers with the weights at hand may be without
+	// room before the store is asked. Most streams end within it. Asked at once,
+	// the store loads were too many, and worth fell by 0.1 on bvlsa-spindle.
+	roomWait = 2 * time.Second
 	// ceilingWindow and ceilingShare bound the loads from the store that begin
 	// in a window to a share of what the store allows.
 	ceilingWindow = 5 * time.Second
@@ -22,8 +26,10 @@
 
 // storeWorth reports whether the first copy of a model should come from the
 // weight store. A server that has the weights at hand, and can make room for
-// them soon, has them ready earlier.
+// them soon, has them ready earlier. The store is asked once no such server had
+// room for a while.
 func (p *Planner) storeWorth(now time.Duration, svc route.Service, m route.Model, gain float64) bool {
+	atHand := false
 	for _, s := range p.servers {
 		if s.Service != svc.Name || s.Leaving || s.Silent || s.unreachable || s.fenced || s.fromStore(m.Name) {
 			continue
@@ -32,12 +38,27 @@
 			continue
 		}
 		if !s.orderable() || s.working() || p.hasRoom(now, svc, m, s, gain) {
+			delete(p.full, m.Name)
 			return false
 		}
+		atHand = true
 	}
-	return true
+	if !atHand {
+		return true
+	}
+	f, ok := p.full[m.Name]
+	if !ok || now-f.seen > roomWait {
+		f.since = now
+	}
+	f.seen = now
+	p.full[m.Name] = f
+	return now-f.since >= roomWait
 }
 
+// fullness is since when no server with a model's weights at hand has room, and
+// when that was last seen.
+type fullness struct{ since, seen time.Duration }
+
 // hasRoom reports whether a server that is at work on nothing could make room
 // for the first copy of a model.
 func (p *Planner) hasRoom(now time.Duration, svc route.Service, m route.Model, s *server, gain float64) bool {
