Add pollenctl explain and timeline; test that each ending leaves a line

Cause: an engineer on call had to search the logs of every host by hand for a request's id and then for what its hosts believed.

node/explain joins the decision logs of several processes: the lines of one request in order, the changes of belief that bore on it, hosts that dropped lines, and whether the end is told.

New tests in node/forward: each refusal and ending leaves a line; a request that crashes two servers is held back on the third attempt.

--- a/cmd/pollenctl/main.go
+++ b/cmd/pollenctl/main.go
@@ -29,7 +29,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	e := &environment{stdout: os.Stdout, stderr: os.Stderr, getenv: os.Getenv, sleep: sleep}
+	e := &environment{stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, getenv: os.Getenv, sleep: sleep}
 	code := e.execute(ctx, os.Args[1:])
 	stop()
 	os.Exit(code)
@@ -37,6 +37,7 @@
 
 // environment is what commands use of the world outside.
 type environment struct {
+	stdin          io.Reader
 	stdout, stderr io.Writer
 	getenv         func(string) string
 	// sleep waits, or returns the error of a context that ends first.
@@ -80,7 +81,7 @@
 	commands := []command{
 		e.questionnaireCommand(app), e.generateCommand(app), e.validateCommand(app), e.diffCommand(app),
 		e.applyCommand(app), e.statusCommand(app), e.modelsCommand(app), e.hostsCommand(app),
-		e.drainCommand(app), e.burnCommand(app),
+		e.drainCommand(app), e.burnCommand(app), e.explainCommand(app), e.timelineCommand(app),
 	}
 	selected, helped, err := parse(app, args)
 	if helped {
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -61,6 +61,9 @@
 	EventLeft     = "caller_left"
 )
 
+// RequestEvents are all events of a request.
+var RequestEvents = []string{EventAttempt, EventAnswered, EventLate, EventRefused, EventFailed, EventAborted, EventLeft}
+
 // Events of what a process believes.
 const (
 	EventTable    = "table"
--- a/node/forward/gate_test.go
+++ b/node/forward/gate_test.go
@@ -168,6 +168,7 @@
 		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: route.Unsafe, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Streaming, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
 		{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: route.Streaming, Resumable: true, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
+		{Name: "late", Host: "h", Prefix: "/late/", Kind: route.Safe, Timeout: time.Minute, Objective: time.Nanosecond, MaxAttempts: 2, Targets: targets},
 		{
 			Name: "model", Host: "h", Prefix: "/model/", Kind: route.Streaming, Timeout: time.Minute, MaxAttempts: 1,
 			Patience: 8 * time.Second, Targets: []route.Target{{Service: "models", Weight: 1}},
