--- a/node/forward/lines_test.go
+++ b/node/forward/lines_test.go
@@ -36,7 +36,7 @@
 		for range 500 {
 			for _, e := range hook.AllEntries() {
 				if event, _ := e.Data[decision.FieldEvent].(string); slices.Contains(events, event) {
-					return logrus.Fields(e.Data)
+					return e.Data
 				}
 			}
 			time.Sleep(10 * time.Millisecond)
