--- a/node/host/host.go
+++ b/node/host/host.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
 	"github.com/pollenwheel/pollenwheel/core/config"
@@ -206,29 +205,25 @@
 
 // Run serves until ctx ends and the host has left, or until a part fails.
 func (h *Host) Run(ctx context.Context) error {
-	var g run.Group
-	running, stop := context.WithCancel(context.Background())
-	defer stop()
-	actor := func(f func(context.Context) error) {
-		g.Add(func() error { return f(running) }, func(error) { stop() })
-	}
-	actor(h.members.run)
-	actor(h.entry.Run)
-	actor(h.becomeReady)
+	g := newParts()
+	defer g.stop()
+	g.add(h.members.run)
+	g.add(h.entry.Run)
+	g.add(h.becomeReady)
 	if h.group == nil {
-		actor(h.follower.Run)
+		g.add(h.follower.Run)
 	} else {
-		actor(h.group.Run)
-		actor(h.lead.run)
-		actor(h.dispatcher().Run)
+		g.add(h.group.Run)
+		g.add(h.lead.run)
+		g.add(h.dispatcher().Run)
 	}
-	actor((&reporter{
+	g.add((&reporter{
 		host: h.settings.Host, incarnation: h.sender.Incarnation, now: h.now,
 		demand: h.entry.Demand, forward: h.forward, board: h.board, refresh: demandRefresh,
 	}).run)
-	h.servePeers(&g)
-	h.serveCallers(&g)
-	g.Add(func() error { return h.depart(ctx, running) }, func(error) { stop() })
+	h.servePeers(g)
+	h.serveCallers(g)
+	g.add(func(running context.Context) error { return h.depart(ctx, running) })
 	err := g.Run()
 	h.peers.Close()
 	if h.transport != nil {
@@ -246,7 +241,7 @@
 	}, h.sender, h.logger)
 }
 
-func (h *Host) servePeers(g *run.Group) {
+func (h *Host) servePeers(g *parts) {
 	server := peer.NewServer(peer.Handlers{
 		Host: h.settings.Host, Group: h.peerGroup(), Gossip: h.members.step, Demand: h.lead.demand,
 		Drain: h.beginLeave, Burn: h.burn.snapshot, Traffic: h.traffic,
@@ -257,7 +252,7 @@
 // shutdownTimeout bounds the wait for the last bytes of answers.
 const shutdownTimeout = 5 * time.Second
 
-func (h *Host) serveCallers(g *run.Group) {
+func (h *Host) serveCallers(g *parts) {
 	server := &http.Server{Handler: h.web(), ReadHeaderTimeout: 10 * time.Second}
 	serve := func() error {
 		if err := server.Serve(h.callerListener); !errors.Is(err, http.ErrServerClosed) {
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -175,22 +175,26 @@
 	return *res.Before, nil
 }
 
-// holds reports whether this leader must not give orders yet, because an earlier
-// one that still runs and is connected may have given some within the lease. One
-// that does not answer was cut off, frozen or stopped; servers refuse its
-// fencing number from this leader's first order on.
+// holds reports whether this leader must not give orders yet.
 func (p *placer) holds(t *planTerm) bool {
-	if t.released {
-		return false
-	}
-	since := p.host.now() - t.since
-	t.released = since >= p.orderDelay || since >= releaseDelay && !p.runs(t.before)
-	if t.before.Host == "" || t.before == p.host.sender {
-		t.released = true
+	if !t.released {
+		since := p.host.now() - t.since
+		t.released = mayOrder(since, p.orderDelay, t.before, p.host.sender, func() bool { return p.runs(t.before) })
 	}
 	return !t.released
 }
 
+// mayOrder reports whether a leader may give orders, a time after its lead began.
+// An earlier leader that still runs and is connected may have given some within
+// the lease, which lasts for delay. One that does not answer was cut off, frozen
+// or stopped; servers refuse its fencing number from this leader's first order on.
+func mayOrder(since, delay time.Duration, before, self state.Sender, runs func() bool) bool {
+	if before.Host == "" || before == self || since >= delay {
+		return true
+	}
+	return since >= releaseDelay && !runs()
+}
+
 // runs reports whether a process of another control host answers this leader.
 func (p *placer) runs(x state.Sender) bool {
 	if !slices.Contains(p.host.group.Status().Answering, x.Host) {
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -13,7 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
 	"github.com/pollenwheel/pollenwheel/core/burn"
@@ -182,27 +181,23 @@
 
 // Run serves until ctx ends and the host has left, or until a part fails.
 func (h *Routed) Run(ctx context.Context) error {
-	var g run.Group
-	running, stop := context.WithCancel(context.Background())
-	defer stop()
-	actor := func(f func(context.Context) error) {
-		g.Add(func() error { return f(running) }, func(error) { stop() })
-	}
-	actor(h.decisions.Run)
-	actor(h.members.run)
-	actor(h.becomeReady)
+	g := newParts()
+	defer g.stop()
+	g.add(h.decisions.Run)
+	g.add(h.members.run)
+	g.add(h.becomeReady)
 	if h.group != nil {
-		actor(h.group.Run)
-		actor(h.placer.run)
+		g.add(h.group.Run)
+		g.add(h.placer.run)
 	} else {
-		actor(h.follower.Run)
-		actor(h.gate.Run)
-		actor(h.followHoldings)
-		actor(h.reporter().run)
+		g.add(h.follower.Run)
+		g.add(h.gate.Run)
+		g.add(h.followHoldings)
+		g.add(h.reporter().run)
 	}
-	h.servePeers(&g)
-	servers := h.serve(&g, running)
-	g.Add(func() error { return h.depart(ctx, running, servers) }, func(error) { stop() })
+	h.servePeers(g)
+	servers := h.serve(g)
+	g.add(func(running context.Context) error { return h.depart(ctx, running, servers) })
 	err := g.Run()
 	h.peers.Close()
 	if h.transport != nil {
@@ -276,7 +271,7 @@
 	return ""
 }
 
-func (h *Routed) servePeers(g *run.Group) {
+func (h *Routed) servePeers(g *parts) {
 	server := peer.NewServer(peer.Handlers{
 		Host: h.opts.Settings.Host, Group: h.peerGroup(), Gossip: h.members.step, Demand: h.placer.demand,
 		Holdings: h.placer.holdings, Drain: h.beginLeave, Burn: func() burn.Snapshot { return burn.Snapshot{} },
@@ -293,7 +288,7 @@
 	headerBytes   = 64 << 10
 )
 
-func (h *Routed) serve(g *run.Group, running context.Context) []*http.Server {
+func (h *Routed) serve(g *parts) []*http.Server {
 	var callers []*http.Server
 	for _, b := range h.listeners {
 		server := &http.Server{
@@ -308,7 +303,7 @@
 				return fmt.Errorf("host: serve %s: %w", b.listener.Addr(), err)
 			}
 			// A leaving host closes this server before its requests have ended.
-			<-running.Done()
+			<-g.running.Done()
 			return nil
 		}, func(error) { _ = server.Close() })
 	}
