--- a/core/residency/adapters.go
+++ b/core/residency/adapters.go
@@ -31,7 +31,7 @@
 
 // adapters orders the adapters that are waited for.
 func (p *Planner) adapters(in Input, svc route.Service, out *Output) {
-	for _, t := range p.waitingAdapters(svc.Engine) {
+	for _, t := range p.waitingAdapters(p.catalogs[svc.Name]) {
 		if p.hasAdapter(svc.Name, t) {
 			continue
 		}
@@ -41,7 +41,7 @@
 	}
 }
 
-func (p *Planner) waitingAdapters(e *route.Engine) []Target {
+func (p *Planner) waitingAdapters(e modelSource) []Target {
 	var out []Target
 	for t, d := range p.demand {
 		if _, ok := e.Model(t.Model); ok && t.Adapter != "" && d.waiting > 0 {
@@ -107,8 +107,9 @@
 
 // orderAdapter loads an adapter, or first unloads one that is not used.
 func (p *Planner) orderAdapter(in Input, e *route.Engine, s *server, t Target, out *Output) {
-	m, _ := e.Model(t.Model)
-	if s.adapterCount() >= e.AdapterSlots || s.used(e)+m.AdapterMiB > e.MemoryMiB {
+	models := p.catalogs[s.Service]
+	m, _ := models.Model(t.Model)
+	if s.adapterCount() >= e.AdapterSlots || s.used(models)+m.AdapterMiB > e.MemoryMiB {
 		if old := s.oldestAdapter(in.Now); old != (Target{}) {
 			p.send(in, s, Order{Target: old}, out)
 		}
--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -68,6 +68,9 @@
 	model   route.Model
 	server  *server
 	victims []string
+	// used is the memory that the server's models take, and filled the part of it
+	// that their requests fill.
+	used, filled float64
 	// copies is the number of other copies, and waiting is set if requests wait
 	// for the first.
 	copies  int
@@ -112,6 +115,7 @@
 	p.tally(svc.Name)
 	store := p.storeAllows(in.Now, svc)
 	loading := p.storeLoading(in.Now)
+	free := p.free(svc)
 	var best choice
 	for _, m := range svc.Engine.Models {
 		copies, pending := p.copies(m.Name)
@@ -122,25 +126,30 @@
 			}
 			copies = 0
 		}
-		place := p.reservation(in.Now, svc.Name, m.Name)
 		gain := p.worth(svc, m, copies)
+		if gain < copyCost {
+			continue
+		}
+		place := p.reservation(in.Now, svc.Name, m.Name)
 		most := storeLoads
 		if copies == 0 && p.asked && !p.wanted(m.Name) {
 			most = idleStoreLoads
 		}
-		for _, s := range p.sorted() {
-			if s.Service != svc.Name || !s.orderable() || s.working() || s.models[m.Name] != nil || s.uncertain != nil {
+		for _, option := range free {
+			s := option.server
+			if s.models[m.Name] != nil {
 				continue
 			}
 			if place != nil && s != place || s.reservedFor(in.Now) != "" && s.reserved != m.Name {
 				continue
 			}
 			// A server that has made room for the model holds its place at the store.
-			free := store && (s == place || loading < most)
-			if s.fromStore(m.Name) && (!free || rescue || copies == 0 && !p.storeWorth(in.Now, svc, m, gain)) {
+			served := store && (s == place || loading < most)
+			if s.fromStore(m.Name) && (!served || rescue || copies == 0 && !p.storeWorth(in.Now, svc, m, gain)) {
 				continue
 			}
-			c := choice{model: m, server: s, gain: gain, copies: copies}
+			c := option
+			c.model, c.gain, c.copies = m, gain, copies
 			c.waiting, c.drain = p.urgency(in.Now, m.Name, copies)
 			if !p.makeRoom(in.Now, svc, &c) {
 				continue
@@ -153,6 +162,23 @@
 	return best, best.server != nil
 }
 
+// free returns a choice without a model for each server of a service that can
+// take an order for one.
+func (p *Planner) free(svc route.Service) []choice {
+	var out []choice
+	for _, s := range p.sorted() {
+		if s.Service == svc.Name && s.orderable() && !s.working() && s.uncertain == nil {
+			out = append(out, p.option(svc, s))
+		}
+	}
+	return out
+}
+
+// option returns a choice without a model for a server.
+func (p *Planner) option(svc route.Service, s *server) choice {
+	return choice{server: s, used: s.used(p.catalogs[svc.Name]), filled: p.filled(svc, s)}
+}
+
 // wanted reports whether requests ask for a model.
 func (p *Planner) wanted(model string) bool {
 	rate, waiting, _ := p.load(model)
@@ -221,8 +247,9 @@
 // makeRoom picks the models that must go for a load and scores the load. It
 // reports whether the load is possible and worth it.
 func (p *Planner) makeRoom(now time.Duration, svc route.Service, c *choice) bool {
-	e := svc.Engine
-	free := e.MemoryMiB - c.server.used(e)
+	e, models := svc.Engine, p.catalogs[svc.Name]
+	free := e.MemoryMiB - c.used
+	filled := c.filled + p.share(svc, c.model.Name)/float64(c.copies+1)
 	loss := 0.0
 	for free < c.model.MemoryMiB {
 		// Before the first request nothing is known that warrants an unload.
@@ -230,10 +257,11 @@
 		if !ok || !p.asked {
 			return false
 		}
-		m, _ := e.Model(victim)
+		m, _ := models.Model(victim)
 		free += m.MemoryMiB + float64(len(c.server.models[victim].adapters))*m.AdapterMiB
 		loss += cost
 		c.victims = append(c.victims, victim)
+		filled -= p.part(svc, victim)
 	}
 	cost := copyCost
 	if c.server.fromStore(c.model.Name) {
@@ -246,25 +274,27 @@
 	if c.gain < factor*loss+cost {
 		return false
 	}
-	filled := p.filled(svc, c) + p.share(svc, c.model.Name)/float64(c.copies+1)
 	crowd := serverRate * max(0, filled-1)
-	load := c.server.loadTime(e, c.model.Name).Seconds()
+	load := c.server.loadTime(models, c.model.Name).Seconds()
 	c.loss = loss
 	leftover := (free - c.model.MemoryMiB) / e.MemoryMiB
 	c.score = (c.gain-loss-crowdedShare*crowd)/(1+slowness*load) + 0.01*(1-leftover)
 	return true
 }
 
-// filled is the part of a server that the requests for the models that it keeps
-// fill.
-func (p *Planner) filled(svc route.Service, c *choice) float64 {
+// part is the part of a server that the requests for one copy of a model fill.
+func (p *Planner) part(svc route.Service, model string) float64 {
+	copies, _ := p.copies(model)
+	return p.share(svc, model) / float64(max(1, copies))
+}
+
+// filled is the part of a server that the requests for its models fill.
+func (p *Planner) filled(svc route.Service, s *server) float64 {
 	total := 0.0
-	for name, h := range c.server.models {
-		if h.phase == Unloading || slices.Contains(c.victims, name) {
-			continue
+	for name, h := range s.models {
+		if h.phase != Unloading {
+			total += p.part(svc, name)
 		}
-		copies, _ := p.copies(name)
-		total += p.share(svc, name) / float64(max(1, copies))
 	}
 	return total
 }
@@ -281,7 +311,7 @@
 		if h.phase != Ready || now-h.since < minResidency || slices.Contains(c.victims, name) {
 			continue
 		}
-		m, ok := svc.Engine.Model(name)
+		m, ok := p.catalogs[svc.Name].Model(name)
 		if !ok {
 			continue
 		}
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -13,11 +13,36 @@
 // has served those who waited for it.
 const minResidency = 2 * time.Second
 
+// modelSource tells what is known of a model.
+type modelSource interface {
+	Model(name string) (route.Model, bool)
+}
+
+// catalog indexes the models of a service, of which there may be hundreds.
+type catalog map[string]route.Model
+
+// Model returns the model with a name.
+func (c catalog) Model(name string) (route.Model, bool) {
+	m, ok := c[name]
+	return m, ok
+}
+
+func newCatalog(models []route.Model) catalog {
+	out := make(catalog, len(models))
+	for _, m := range models {
+		out[m.Name] = m
+	}
+	return out
+}
+
 // Planner is the leader's view of the servers. It is not safe for concurrent
 // use.
 type Planner struct {
 	services map[string]route.Service
+	catalogs map[string]catalog
 	servers  map[string]*server
+	// ordered are the servers by name.
+	ordered []*server
 	// full are the models whose weights are at hand only where there is no room.
 	full map[string]fullness
 	// storeStarts are the newest loads from the weight store.
@@ -47,7 +72,7 @@
 // New returns a planner that knows no server.
 func New() *Planner {
 	return &Planner{
-		services: map[string]route.Service{}, servers: map[string]*server{},
+		services: map[string]route.Service{}, catalogs: map[string]catalog{}, servers: map[string]*server{},
 		arrivals: map[string]*hostArrivals{}, rates: map[Target]*rate{}, demand: map[Target]*total{},
 		running: map[string]float64{}, full: map[string]fullness{},
 	}
@@ -87,7 +112,7 @@
 		s.flying = nil
 		return
 	}
-	s.ended(now, o, r, svc.Engine)
+	s.ended(now, o, r, p.catalogs[s.Service])
 }
 
 // Reported records the answer to an inquiry; ok is false without one.
@@ -105,7 +130,7 @@
 		s.inquired = false
 		return
 	}
-	s.reported(now, r, svc.Engine)
+	s.reported(now, r, p.catalogs[s.Service])
 }
 
 // Holdings returns what each server holds, ordered by name.
@@ -117,15 +142,18 @@
 	return out
 }
 
-func (p *Planner) sorted() []*server {
-	return slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
-}
+// sorted returns the servers by name.
+func (p *Planner) sorted() []*server { return p.ordered }
 
 // observe merges announcements and demand.
 func (p *Planner) observe(in Input) {
 	clear(p.services)
+	clear(p.catalogs)
 	for _, svc := range in.Services {
 		p.services[svc.Name] = svc
+		if svc.Engine != nil {
+			p.catalogs[svc.Name] = newCatalog(svc.Engine.Models)
+		}
 	}
 	present := map[string]bool{}
 	for _, a := range in.Servers {
@@ -141,6 +169,7 @@
 		s.announced(in.Now, a)
 	}
 	maps.DeleteFunc(p.servers, func(name string, _ *server) bool { return !present[name] })
+	p.ordered = slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
 	if !p.asked {
 		p.presume(in.Now)
 	}
@@ -166,11 +195,8 @@
 
 // offered reports whether a service has a model. Callers may name any.
 func (p *Planner) offered(model string) bool {
-	for _, svc := range p.services {
-		if svc.Engine == nil {
-			continue
-		}
-		if _, ok := svc.Engine.Model(model); ok {
+	for _, c := range p.catalogs {
+		if _, ok := c[model]; ok {
 			return true
 		}
 	}
--- a/core/residency/server.go
+++ b/core/residency/server.go
@@ -5,8 +5,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/pollenwheel/pollenwheel/core/route"
 )
 
 const (
@@ -156,7 +154,7 @@
 
 // used returns the memory that the server's models and adapters take, with
 // everything that an unanswered order may still bring.
-func (s *server) used(e *route.Engine) float64 {
+func (s *server) used(e modelSource) float64 {
 	total := 0.0
 	for name, h := range s.models {
 		m, _ := e.Model(name)
@@ -186,7 +184,7 @@
 }
 
 // ended applies the end of a transmission.
-func (s *server) ended(now time.Duration, o Order, r Result, e *route.Engine) {
+func (s *server) ended(now time.Duration, o Order, r Result, e modelSource) {
 	s.flying, s.endedAt = nil, now
 	switch r {
 	case Accepted:
@@ -218,7 +216,7 @@
 }
 
 // apply records what an accepted order changes.
-func (s *server) apply(now time.Duration, o Order, e *route.Engine) {
+func (s *server) apply(now time.Duration, o Order, e modelSource) {
 	h := s.models[o.Model]
 	switch {
 	case o.Adapter != "" && h == nil:
@@ -237,7 +235,7 @@
 }
 
 // loadTime is the usual time of a load on this server.
-func (s *server) loadTime(e *route.Engine, model string) time.Duration {
+func (s *server) loadTime(e modelSource, model string) time.Duration {
 	m, _ := e.Model(model)
 	switch {
 	case slices.Contains(s.InMemory, model):
@@ -292,7 +290,7 @@
 
 // reported applies a report. It is exact for the number of orders that it
 // names, unless an order is under way that this leader did not give.
-func (s *server) reported(now time.Duration, r Report, e *route.Engine) {
+func (s *server) reported(now time.Duration, r Report, e modelSource) {
 	s.inquired = false
 	if s.flying != nil {
 		return
--- a/core/residency/store.go
+++ b/core/residency/store.go
@@ -34,7 +34,7 @@
 		if s.Service != svc.Name || s.Leaving || s.Silent || s.unreachable || s.fenced || s.fromStore(m.Name) {
 			continue
 		}
-		if s.freeAt(now)+s.loadTime(svc.Engine, m.Name) >= now+m.StoreLoad-storeMargin {
+		if s.freeAt(now)+s.loadTime(p.catalogs[svc.Name], m.Name) >= now+m.StoreLoad-storeMargin {
 			continue
 		}
 		if !s.orderable() || s.working() || p.hasRoom(now, svc, m, s, gain) {
@@ -65,7 +65,8 @@
 	if r := s.reservedFor(now); r != "" && r != m.Name {
 		return false
 	}
-	c := choice{model: m, server: s, gain: gain}
+	c := p.option(svc, s)
+	c.model, c.gain = m, gain
 	c.waiting, c.drain = p.urgency(now, m.Name, 0)
 	return p.makeRoom(now, svc, &c)
 }
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -22,6 +22,10 @@
 	placeInterval = 50 * time.Millisecond
 	// placePause bounds the plans a second while causes come in.
 	placePause = 2 * time.Millisecond
+	// placeRest is how many times as long as a plan took the leader rests after it.
+	// Reports come in faster than a plan of hundreds of models and servers ends, and
+	// the replicated log needs the processor.
+	placeRest = 3
 	// placeOrderTimeout bounds the wait for the answer to an order. An order is
 	// answered at once; its work is done later.
 	placeOrderTimeout = 500 * time.Millisecond
@@ -115,7 +119,9 @@
 	defer tick.Stop()
 	for h.group.CheckLease() && h.group.Status().Term == t.fence {
 		changed := h.members.serversChanged()
+		began := h.now()
 		p.step(ctx, t)
+		rest := max(placePause, placeRest*(h.now()-began))
 		select {
 		case <-ctx.Done():
 			return
@@ -123,7 +129,7 @@
 		case <-p.wake:
 		case <-changed:
 		}
-		time.Sleep(placePause)
+		time.Sleep(rest)
 	}
 }
 
