--- a/node/host/routed_test.go
+++ b/node/host/routed_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -83,19 +84,25 @@
 	t.Fatalf("waited in vain for: %s", what)
 }
 
-// slowBackend answers each request at once, and those to /slow once released.
-func slowBackend(t *testing.T) (b *httptest.Server, began, release chan struct{}) {
+// slowBackend answers each request at once, and those to /slow once released,
+// at the latest at the end of the test.
+func slowBackend(t *testing.T) (b *httptest.Server, began chan struct{}, release func()) {
 	t.Helper()
-	began, release = make(chan struct{}), make(chan struct{})
+	began = make(chan struct{})
+	released := make(chan struct{})
+	release = sync.OnceFunc(func() { close(released) })
 	b = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("T-Id", r.Header.Get("T-Id"))
 		if strings.HasSuffix(r.URL.Path, "/slow") {
 			close(began)
-			<-release
+			<-released
 		}
 		_, _ = io.WriteString(w, "whole")
 	}))
-	t.Cleanup(b.Close)
+	t.Cleanup(func() {
+		release()
+		b.Close()
+	})
 	return b, began, release
 }
 
@@ -187,7 +194,7 @@
 		t.Fatalf("the host ended with a request in progress: %v", err)
 	default:
 	}
-	close(release)
+	release()
 	if a := <-slow; a.err != nil || a.status != http.StatusOK || a.body != "whole" {
 		t.Errorf("the request in progress: %+v", a)
 	}
