--- a/cmd/pollenwheel/cluster_test.go
+++ b/cmd/pollenwheel/cluster_test.go
@@ -136,7 +136,12 @@
 func (d *deployment) signal(p *process, s syscall.Signal) {
 	d.t.Helper()
 	if err := p.cmd.Process.Signal(s); err != nil {
-		d.t.Fatal(err)
+		var exit error
+		select {
+		case exit = <-p.exited:
+		default:
+		}
+		d.t.Fatalf("%s to %s: %v; the process had ended with: %v", s, p.settings.Host, err, exit)
 	}
 }
 
