--- a/core/residency/server.go
+++ b/core/residency/server.go
@@ -234,32 +234,37 @@
 	}
 }
 
-// loadTime is the usual time of a load on this server.
-func (s *server) loadTime(e modelSource, model string) time.Duration {
-	m, _ := e.Model(model)
-	switch {
-	case slices.Contains(s.InMemory, model):
-		return m.MemoryLoad
-	case slices.Contains(s.OnDisk, model):
-		return m.DiskLoad
-	}
-	return m.StoreLoad
-}
+// Places of a model's weights, from the fastest on.
+const (
+	sourceMemory = "memory"
+	sourceDisk   = "disk"
+	sourceStore  = "store"
+)
 
-// source names where the server has the weights of a model.
+// source tells where the server has the weights of a model.
 func (s *server) source(model string) string {
 	switch {
 	case slices.Contains(s.InMemory, model):
-		return "memory"
+		return sourceMemory
 	case slices.Contains(s.OnDisk, model):
-		return "disk"
+		return sourceDisk
 	}
-	return "store"
+	return sourceStore
 }
 
 // fromStore reports whether a load of the model uses the weight store.
-func (s *server) fromStore(model string) bool {
-	return !slices.Contains(s.InMemory, model) && !slices.Contains(s.OnDisk, model)
+func (s *server) fromStore(model string) bool { return s.source(model) == sourceStore }
+
+// loadTime is the usual time of a load on this server.
+func (s *server) loadTime(e modelSource, model string) time.Duration {
+	m, _ := e.Model(model)
+	switch s.source(model) {
+	case sourceMemory:
+		return m.MemoryLoad
+	case sourceDisk:
+		return m.DiskLoad
+	}
+	return m.StoreLoad
 }
 
 // needsReport tells whether only a report can show what the server holds.
--- a/core/residency/store.go
+++ b/core/residency/store.go
@@ -15,8 +15,8 @@
 	// requests come in. A load takes seconds, and others would wait for it.
 	idleStoreLoads = 2
 	// roomWait is how long the servers with the weights at hand may be without
-	// room before the store is asked. Most streams end within it. Asked at once,
-	// the store loads were too many, and worth fell by 0.1 on bvlsa-spindle.
+	// room before the store is asked. Most streams end within it. Asked at once, the
+	// store loads models that such a server would hold half a second later.
 	roomWait = 2 * time.Second
 	// ceilingWindow and ceilingShare bound the loads from the store that begin
 	// in a window to a share of what the store allows.
