Share the wait for a departure and the reading of logs; say why two clocks may stand still

Found by reading the change: both kinds of host waited for their departure in the same lines, and the commands explain and timeline read logs in the same lines.

The clock that node/control takes without an option stands still while a machine is suspended. Every process passes one that does not. Taking that one as the default was tried and not kept: the tests run in virtual time and hung for ten minutes.

--- a/cmd/pollenctl/explain.go
+++ b/cmd/pollenctl/explain.go
@@ -64,9 +64,8 @@
 	}
 }
 
-func (e *environment) explainCommand(app *kingpin.Application) command {
-	clause := app.Command("explain", "Tell the story of one request from the logs of hosts.")
-	request := clause.Arg("request", "Id of the request.").Required().String()
+// logsCommand makes a command that reads logs.
+func (e *environment) logsCommand(clause *kingpin.CmdClause, run func([]explain.Line) (answer, error)) command {
 	files := clause.Arg("files", "Logs. Without any, the standard input is read.").Strings()
 	return command{clause, func(context.Context) (answer, error) {
 		l, err := e.readLogs(*files)
@@ -74,32 +73,34 @@
 			return answer{}, err
 		}
 		e.warn(l.damaged)
-		story, err := explain.Tell(l.lines, *request)
+		return run(l.lines)
+	}}
+}
+
+func (e *environment) explainCommand(app *kingpin.Application) command {
+	clause := app.Command("explain", "Tell the story of one request from the logs of hosts.")
+	request := clause.Arg("request", "Id of the request.").Required().String()
+	return e.logsCommand(clause, func(lines []explain.Line) (answer, error) {
+		story, err := explain.Tell(lines, *request)
 		if err != nil {
 			return answer{}, err
 		}
 		return answer{value: story, text: func(w io.Writer) { _ = story.Print(w) }}, nil
-	}}
+	})
 }
 
 func (e *environment) timelineCommand(app *kingpin.Application) command {
 	clause := app.Command("timeline", "Show what hosts believed over a span of time, from their logs.")
 	from := clause.Flag("from", "Begin: a time of day (15:04:05) or a time (2026-02-26T15:04:05Z).").String()
 	to := clause.Flag("to", "End.").String()
-	files := clause.Arg("files", "Logs. Without any, the standard input is read.").Strings()
-	return command{clause, func(context.Context) (answer, error) {
-		l, err := e.readLogs(*files)
-		if err != nil {
-			return answer{}, err
-		}
-		e.warn(l.damaged)
-		begin, end, err := span(l.lines, *from, *to)
+	return e.logsCommand(clause, func(lines []explain.Line) (answer, error) {
+		begin, end, err := span(lines, *from, *to)
 		if err != nil {
 			return answer{}, &usageError{err}
 		}
-		lines := explain.Timeline(l.lines, begin, end)
-		return answer{value: lines, text: func(w io.Writer) { _ = explain.PrintTimeline(w, lines) }}, nil
-	}}
+		beliefs := explain.Timeline(lines, begin, end)
+		return answer{value: beliefs, text: func(w io.Writer) { _ = explain.PrintTimeline(w, beliefs) }}, nil
+	})
 }
 
 // span reads the bounds of a timeline. A time of day is one of the day of the
--- a/node/control/group.go
+++ b/node/control/group.go
@@ -117,6 +117,8 @@
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
 	if o.Now == nil {
+		// Every process passes a clock that also counts suspensions of the machine.
+		// Tests in virtual time need this one: with a real clock they never end.
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
--- a/node/host/lifecycle.go
+++ b/node/host/lifecycle.go
@@ -50,11 +50,8 @@
 // keep the list, and ends once its requests have ended. It returns at once
 // when another part of the process ended.
 func (h *Host) depart(ctx, running context.Context) error {
-	select {
-	case <-running.Done():
+	if !awaitLeave(ctx, running, h.leave) {
 		return nil
-	case <-ctx.Done():
-	case <-h.leave:
 	}
 	h.leaving.Store(true)
 	h.members.leave()
@@ -70,6 +67,18 @@
 	return nil
 }
 
+// awaitLeave waits for the end of ctx or a drain. It returns false if another
+// part of the process ended before.
+func awaitLeave(ctx, running context.Context, leave <-chan struct{}) bool {
+	select {
+	case <-running.Done():
+		return false
+	case <-ctx.Done():
+	case <-leave:
+	}
+	return true
+}
+
 // transfer hands over leadership, if this host leads.
 func (h *Host) transfer(ctx context.Context) {
 	if h.group != nil {
--- a/node/host/routed_life.go
+++ b/node/host/routed_life.go
@@ -65,11 +65,8 @@
 // long as callers keep the list, then closes its listener, and ends once the
 // requests in progress have ended or the time is over.
 func (h *Routed) depart(ctx, running context.Context, callers []*http.Server) error {
-	select {
-	case <-running.Done():
+	if !awaitLeave(ctx, running, h.leave) {
 		return nil
-	case <-ctx.Done():
-	case <-h.leave:
 	}
 	h.leaving.Store(true)
 	h.members.leave()
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -141,6 +141,8 @@
 			case <-tick.C:
 			}
 			mu.Lock()
+			// A clock that stands still in a suspension at most delays this message by
+			// one interval, which the receiver's limit covers.
 			quiet := time.Since(last) >= followInterval/2
 			mu.Unlock()
 			if quiet && send(&peerpb.FollowUpdate{}) != nil {
