consensus: let all control hosts vote, up to the number of losses to tolerate

Cause: a group founded by three seeds of five control hosts kept three voters. The other two got the log only when they replaced an unreachable voter, so the loss of two disks at once, which the grown deployments allow, could lose acknowledged configurations, and two of five hosts held no log.

Change: Options.TargetVoters. The leader adds spares as learners and gives them a vote once they have caught up, one change at a time, while no repair is in progress.

--- a/core/consensus/fuzz_test.go
+++ b/core/consensus/fuzz_test.go
@@ -143,12 +143,13 @@
 // valid lease, one vote per term and member id, and a group that repairs itself
 // and commits again once the faults end.
 func TestFaults(t *testing.T) {
-	for _, size := range []struct{ hosts, voters int }{{3, 3}, {5, 3}, {7, 5}} {
-		t.Run(fmt.Sprintf("%d of %d hosts vote", size.voters, size.hosts), func(t *testing.T) {
+	for _, size := range []struct{ hosts, voters, targetVoters int }{{3, 3, 0}, {5, 3, 0}, {7, 5, 0}, {5, 3, 5}, {6, 3, 5}} {
+		t.Run(fmt.Sprintf("%d of %d hosts vote, target %d", size.voters, size.hosts, size.targetVoters), func(t *testing.T) {
 			var terms, entries, snapshotsReceived, changesCommitted int
 			rapid.Check(t, func(t *rapid.T) {
 				schedule := scheduleGenerator(size.hosts).Draw(t, "schedule")
 				s := newSim(rapid.Int64().Draw(t, "seed"), size.hosts, size.voters, disabledMechanisms{})
+				s.targetVoters = size.targetVoters
 				if err := s.runSchedule(schedule); err != nil {
 					t.Fatal(err)
 				}
--- a/core/consensus/mechanism_test.go
+++ b/core/consensus/mechanism_test.go
@@ -147,6 +147,25 @@
 	}
 }
 
+// scenarioTwoLostDisks lets a group that three of five hosts founded grow, and then
+// empties the disks of two of the founders at the same moment.
+func scenarioTwoLostDisks(s *sim) {
+	_, others := s.leaderAndOthers()
+	s.run(40 * simElectionTimeout)
+	s.propose(50)
+	s.run(5 * simElectionTimeout)
+	for _, m := range others[:2] {
+		s.kill(m)
+		m.disk, m.emptied = simDisk{}, true
+		s.lostIDs[m.ID] = true
+		m.ID = s.newID()
+	}
+	for _, m := range others[:2] {
+		s.start(m)
+	}
+	s.requireRecovery()
+}
+
 // randomSchedule injects the faults that the seed selects.
 func randomSchedule(hosts int) func(*sim, int) {
 	return func(s *sim, seed int) {
@@ -171,16 +190,19 @@
 		run     func(*sim, int)
 		disable func(*sim)
 		seeds   int
+		// targetVoters is the number of voters up to which the group grows.
+		targetVoters int
 	}{
-		{"lease wait after start", 3, ignoreSeed(scenarioRestartInLease), func(s *sim) { s.disabled.startWait = true }, 100},
-		{"drift margin of the lease", 3, ignoreSeed(scenarioClockDrift), func(s *sim) { s.disabled.driftMargin = true }, 100},
-		{"pre-vote", 3, ignoreSeed(scenarioReturn), func(s *sim) { s.disabled.preVote = true }, 20},
-		{"quorum check", 3, ignoreSeed(scenarioIsolatedLeader), func(s *sim) { s.disabled.quorumCheck = true }, 20},
-		{"lease released before a transfer", 3, ignoreSeed(scenarioTransfer), func(s *sim) { s.disabled.leaseRelease = true }, 20},
-		{"learner before vote", 3, ignoreSeed(scenarioLostDuringRepair), func(s *sim) { s.disabled.learnerPhase = true }, 20},
-		{"repair", 4, ignoreSeed(scenarioLostAfterRepair), func(s *sim) { s.noOffers = true }, 20},
-		{"sync before send", 3, ignoreSeed(scenarioPowerLoss), func(s *sim) { s.sendBeforeSync = true }, 20},
-		{"new member id for an empty data folder", 5, randomSchedule(5), func(s *sim) { s.reuseID = true }, 200},
+		{"lease wait after start", 3, ignoreSeed(scenarioRestartInLease), func(s *sim) { s.disabled.startWait = true }, 100, 0},
+		{"drift margin of the lease", 3, ignoreSeed(scenarioClockDrift), func(s *sim) { s.disabled.driftMargin = true }, 100, 0},
+		{"pre-vote", 3, ignoreSeed(scenarioReturn), func(s *sim) { s.disabled.preVote = true }, 20, 0},
+		{"quorum check", 3, ignoreSeed(scenarioIsolatedLeader), func(s *sim) { s.disabled.quorumCheck = true }, 20, 0},
+		{"lease released before a transfer", 3, ignoreSeed(scenarioTransfer), func(s *sim) { s.disabled.leaseRelease = true }, 20, 0},
+		{"learner before vote", 3, ignoreSeed(scenarioLostDuringRepair), func(s *sim) { s.disabled.learnerPhase = true }, 20, 0},
+		{"repair", 4, ignoreSeed(scenarioLostAfterRepair), func(s *sim) { s.noOffers = true }, 20, 0},
+		{"growth to all control hosts", 5, ignoreSeed(scenarioTwoLostDisks), func(s *sim) { s.targetVoters = 0 }, 20, 5},
+		{"sync before send", 3, ignoreSeed(scenarioPowerLoss), func(s *sim) { s.sendBeforeSync = true }, 20, 0},
+		{"new member id for an empty data folder", 5, randomSchedule(5), func(s *sim) { s.reuseID = true }, 200, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -189,6 +211,7 @@
 			for seed := range c.seeds {
 				for _, disabled := range []bool{false, true} {
 					s := newSim(int64(seed), c.hosts, 3, disabledMechanisms{})
+					s.targetVoters = c.targetVoters
 					if disabled {
 						c.disable(s)
 					}
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -25,6 +25,9 @@
 	// RepairAfter is how long a voter is unreachable before a spare replaces
 	// it. Zero or less disables repair.
 	RepairAfter time.Duration
+	// TargetVoters is the number of voters up to which the leader adds spares to
+	// the group. Zero leaves the number of voters as it is.
+	TargetVoters int
 	// Rand randomises election timeouts.
 	Rand *rand.Rand
 
--- a/core/consensus/repair.go
+++ b/core/consensus/repair.go
@@ -38,8 +38,11 @@
 		return
 	}
 	next, ok := n.startRepair(m)
-	if m.Repair != nil {
+	switch {
+	case m.Repair != nil:
 		next, ok = n.continueRepair(m)
+	case !ok:
+		next, ok = n.grow(m)
 	}
 	if ok && (n.quorumResponsive(next) || n.opts.disabled.learnerPhase) {
 		// This cannot fail: appendChange encodes the entry from a valid membership.
@@ -75,6 +78,36 @@
 	return m, false
 }
 
+// grow returns the membership after the next step towards TargetVoters, and whether
+// a step is due. A group that is founded by a few hosts tolerates only the losses
+// that these allow until the other control hosts vote as well. A spare joins as a
+// learner and gets its vote once it has caught up, so that it never delays commits.
+func (n *Node) grow(m Membership) (Membership, bool) {
+	if len(m.Voters) >= n.opts.TargetVoters {
+		return m, false
+	}
+	for _, l := range m.Learners {
+		if n.unreachable(l.ID) {
+			m.Learners = without(m.Learners, l.ID)
+			return m, true
+		}
+		if !hasHost(m.Voters, l.Host) {
+			return promote(m, l.ID), n.caughtUp(l.ID)
+		}
+	}
+	for _, spare := range n.spares(m) {
+		if !hasHost(m.All(), spare.Host) {
+			return withAdded(m, spare, false), true
+		}
+	}
+	return m, false
+}
+
+// hasHost reports whether a member in the list runs on the host.
+func hasHost(members []Member, host string) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.Host == host })
+}
+
 func (n *Node) expireOffers() {
 	for id, o := range n.offers {
 		if n.now-o.lastOffered > offerLifetimeTimeouts*n.opts.ElectionTimeout {
@@ -108,8 +141,7 @@
 		if spare.Host == lost.Host {
 			return spare, unresponsiveFor >= n.opts.ElectionTimeout
 		}
-		hostInUse := slices.ContainsFunc(m.Voters, func(v Member) bool { return v.Host == spare.Host })
-		if !hostInUse && chosen.ID == 0 {
+		if !hasHost(m.Voters, spare.Host) && chosen.ID == 0 {
 			chosen = spare
 		}
 	}
--- a/core/consensus/sim_test.go
+++ b/core/consensus/sim_test.go
@@ -76,6 +76,7 @@
 	reuseID           bool // a member with an emptied disk keeps its member id
 	electionTimeout   time.Duration
 	noOffers          bool // hosts do not offer themselves as spares
+	targetVoters      int  // voters up to which the group grows
 	lossy             bool
 	members           []*simMember    // indexed by host
 	lostIDs           map[uint64]bool // member ids that never return
@@ -147,7 +148,7 @@
 func (s *sim) start(m *simMember) {
 	node, err := New(Options{
 		ID: m.ID, ElectionTimeout: s.electionTimeout, HeartbeatInterval: s.electionTimeout / 5, DriftMargin: s.electionTimeout / 5,
-		RepairAfter: simRepairTimeouts * s.electionTimeout, Rand: rand.New(rand.NewSource(s.rand.Int63())), disabled: s.disabled,
+		RepairAfter: simRepairTimeouts * s.electionTimeout, TargetVoters: s.targetVoters, Rand: rand.New(rand.NewSource(s.rand.Int63())), disabled: s.disabled,
 	}, StoredState{HardState: m.disk.hardState, Snapshot: m.disk.snapshot, Entries: slices.Clone(m.disk.entries)}, m.now())
 	m.node, m.delayed, m.frozen, m.stopped = node, nil, false, false
 	m.applied = m.disk.snapshot.Index
--- a/node/control/group.go
+++ b/node/control/group.go
@@ -151,7 +151,8 @@
 	node, err := consensus.New(consensus.Options{
 		ID: id, ElectionTimeout: g.opts.ElectionTimeout, HeartbeatInterval: g.opts.HeartbeatInterval,
 		DriftMargin: g.opts.ElectionTimeout / driftMarginDivisor, RepairAfter: g.opts.RepairAfter,
-		Rand: rand.New(rand.NewSource(int64(id))),
+		TargetVoters: g.opts.TargetVoters,
+		Rand:         rand.New(rand.NewSource(int64(id))),
 	}, initial, g.now())
 	if err != nil {
 		return err
--- a/node/control/groupapi.go
+++ b/node/control/groupapi.go
@@ -50,6 +50,9 @@
 	// RepairAfter is how long a voter must be unreachable before a spare replaces
 	// it. A negative value disables automatic repair.
 	RepairAfter time.Duration
+	// TargetVoters is the number of voters up to which spares join the group. Zero
+	// leaves the number of voters as it is.
+	TargetVoters int
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
 
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -161,6 +161,7 @@
 func openMember(s settings.Settings, peerAddress string, o control.Options) (group, error) {
 	o.Folder, o.Host, o.PeerAddress = s.DataFolder, s.Host, peerAddress
 	o.DisableFounding, o.RepairAfter, o.ElectionTimeout = s.DisableFounding, s.RepairAfter, s.ElectionTimeout
+	o.TargetVoters = s.TargetVoters
 	for _, v := range s.Voters {
 		address := v.Address
 		if v.Name == s.Host {
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -50,6 +50,9 @@
 	// RepairAfter is how long a voter is unreachable before a spare replaces it.
 	// Zero means the default.
 	RepairAfter time.Duration
+	// TargetVoters is the number of voters up to which other control hosts join the
+	// initial Voters. Zero leaves their number as it is.
+	TargetVoters int
 	// ElectionTimeout is how long a control host waits for a message of the leader
 	// before it starts an election. Zero means the default.
 	ElectionTimeout time.Duration
