control: end the streams of followers when no leader is known

Change: a control host that has known no leader for three election timeouts ends Follow, so its followers choose another host.

TestFollowEndsWithoutLeader failed before.

--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/state"
 )
@@ -15,6 +16,11 @@
 	maxRecentBytes   = 32 << 20
 	// maxUpdateEntries bounds the entries in one update.
 	maxUpdateEntries = 256
+	// leaderlessFollowTimeouts is the number of election timeouts without a known
+	// leader after which a host is no longer followed. Elections usually take one or
+	// two. A host that is cut off or no member of the group applies no new entries, so
+	// its followers would serve an old configuration.
+	leaderlessFollowTimeouts = 3
 )
 
 // recentLog keeps the most recently applied commands in memory.
@@ -96,7 +102,8 @@
 
 // Follow sends every committed entry above index from until ctx ends or send
 // fails. If some of these entries are no longer kept, it sends a snapshot first.
-// It returns nil when ctx or the group ends.
+// It returns nil when ctx or the group ends, and a *NotLeaderError if this host knows
+// no leader for leaderlessFollowTimeouts election timeouts.
 func (g *Group) Follow(ctx context.Context, from uint64, send func(FollowUpdate) error) error {
 	for ctx.Err() == nil {
 		batch, available, changed := g.recent.entriesAfter(from)
@@ -116,18 +123,47 @@
 			}
 			from = batch[len(batch)-1].Index
 		default:
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-g.done:
-				return nil
-			case <-changed:
+			ended, err := g.waitForEntries(ctx, changed)
+			if ended || err != nil {
+				return err
 			}
 		}
 	}
 	return nil
 }
 
+// waitForEntries waits until changed is closed or the leader changes. It reports
+// whether ctx or the group has ended, and returns a *NotLeaderError if this host knew
+// no leader for too long.
+func (g *Group) waitForEntries(ctx context.Context, changed <-chan struct{}) (ended bool, err error) {
+	known, leaderChanged := g.knownLeader()
+	var leaderless <-chan time.Time
+	if !known {
+		timer := time.NewTimer(leaderlessFollowTimeouts * g.opts.ElectionTimeout)
+		defer timer.Stop()
+		leaderless = timer.C
+	}
+	select {
+	case <-ctx.Done():
+		return true, nil
+	case <-g.done:
+		return true, nil
+	case <-leaderless:
+		return false, &NotLeaderError{}
+	case <-leaderChanged:
+	case <-changed:
+	}
+	return false, nil
+}
+
+// knownLeader reports whether this host knows the leader, and returns a channel that
+// is closed at the next change of the leader or the term.
+func (g *Group) knownLeader() (known bool, changed <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.status.Leader != "", g.leaderChanged
+}
+
 // followerSnapshot encodes the current state for a follower, with its log index.
 func (g *Group) followerSnapshot() (index uint64, data []byte, err error) {
 	var stateCopy *state.State
--- a/node/control/group_test.go
+++ b/node/control/group_test.go
@@ -301,6 +301,58 @@
 	}
 }
 
+// TestFollowEndsWithoutLeader guards against an entry host that follows a control
+// host which is cut off from the group, and therefore keeps an old configuration in
+// force for seconds after a newer one was acknowledged.
+func TestFollowEndsWithoutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newTestNet(t, 3, 3, Options{})
+		n.startAll()
+		n.propose(configure("first", 0))
+		followers := n.others(n.awaitLeader())
+		follow := func(h *testHost) <-chan error {
+			ended := make(chan error, 1)
+			go func() { ended <- h.group().Follow(t.Context(), 0, func(FollowUpdate) error { return nil }) }()
+			return ended
+		}
+		cutOff, connected := follow(followers[0]), follow(followers[1])
+		n.disconnect(followers[0].name)
+		select {
+		case err := <-cutOff:
+			var noLeader *NotLeaderError
+			if !errors.As(err, &noLeader) {
+				t.Errorf("following a host that is cut off ended with %v, want a *NotLeaderError", err)
+			}
+		case <-time.After((leaderlessFollowTimeouts + 3) * defaultElectionTimeout):
+			t.Error("a host that is cut off is still followed")
+		}
+		select {
+		case err := <-connected:
+			t.Errorf("following a connected host ended: %v", err)
+		default:
+		}
+		n.disconnect("")
+		n.stopAll()
+	})
+}
+
+// TestGroupGrowsToTarget guards against control hosts that only the later loss of a
+// voter makes members: until then, the loss of two of five disks could end the group.
+func TestGroupGrowsToTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newTestNet(t, 5, 3, Options{TargetVoters: 5})
+		n.startAll()
+		n.propose(configure("first", 0))
+		time.Sleep(10 * time.Second)
+		if voters := n.awaitLeader().group().voterCount(); voters != 5 {
+			t.Errorf("%d voters, want all 5 control hosts", voters)
+		}
+		n.propose(configure("second", 1))
+		n.awaitEqualStates()
+		n.stopAll()
+	})
+}
+
 // TestFullDisk guards the case of a leader whose disk is full: it must step down,
 // the other hosts must continue, and no accepted command may be lost.
 func TestFullDisk(t *testing.T) {
--- a/node/control/propose.go
+++ b/node/control/propose.go
@@ -180,9 +180,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*g.opts.ElectionTimeout)
 	defer cancel()
 	for {
-		g.mu.Lock()
-		known, changed := g.status.Leader != "", g.leaderChanged
-		g.mu.Unlock()
+		known, changed := g.knownLeader()
 		if known {
 			return nil
 		}
