membership: keep most gossip within its data centre

Cause: each host sent every change of a server's state to up to 15 hosts of any data centre, and heartbeats to three.

Change: a host forwards a change within its data centre as before. To other data centres the issuer sends it to two hosts each, and about four hosts of each data centre forward it to one host of each other. Of the three hosts that get a heartbeat, one is in another data centre.

Ruled out: forwarding by the issuer alone; one broken link then kept a leaving server unknown for more than 2 s (TestLeavingReachesAllHosts).

--- a/core/membership/gossip.go
+++ b/core/membership/gossip.go
@@ -14,6 +14,18 @@
 	// When all hosts do so, a given host is missed with probability e^-15; the
 	// comparison of digests then finds the difference.
 	maxTargets = 15
+	// issuerRemoteTargets is the number of hosts in each other data centre to which
+	// the host that issues an update sends it. These hosts forward it within their data
+	// centre. The second host covers the failure of the first.
+	issuerRemoteTargets = 2
+	// remoteHeartbeatTargets is the number of the fanout hosts to which a heartbeat for
+	// all hosts is sent that are in other data centres. With one of three, a heartbeat
+	// reaches every data centre within a few rounds.
+	remoteHeartbeatTargets = 1
+	// relaysPerCentre is the expected number of hosts in each data centre that also
+	// send an update which they received to one host of each other data centre. They
+	// cover broken links of the issuer.
+	relaysPerCentre = 4
 	// resendAfter is the time after which an update is sent again to a host that
 	// has not acknowledged it, up to maxSends times in total.
 	resendAfter = 200 * time.Millisecond
@@ -51,8 +63,13 @@
 	maxRecords = 64
 )
 
-// update is a new state that is still being forwarded.
+// update is a new state that is still being forwarded. Every host forwards it within
+// its data centre, but few hosts forward it to other data centres, because bytes
+// between data centres are scarce.
 type update struct {
+	// remoteTargets is the number of hosts in each other data centre to which this host
+	// forwards the state.
+	remoteTargets int
 	// acknowledgedBy holds the peer addresses of the hosts that acknowledged the
 	// state.
 	acknowledgedBy map[string]bool
@@ -68,11 +85,29 @@
 // startUpdate starts to forward the current state of k.
 func (t *Table) startUpdate(k Key) {
 	delete(t.pendingHeartbeats, k)
-	t.updates[k] = &update{acknowledgedBy: map[string]bool{}, sent: map[string]sendAttempts{}}
+	t.updates[k] = &update{remoteTargets: t.remoteTargets(), acknowledgedBy: map[string]bool{}, sent: map[string]sendAttempts{}}
 	t.hasUnsentUpdates = true
 	t.changes++
 }
 
+// remoteTargets returns the number of hosts in each other data centre to which this
+// host forwards a state that is new to it.
+func (t *Table) remoteTargets() int {
+	if !t.merging {
+		return issuerRemoteTargets
+	}
+	local := 0
+	for _, h := range t.hosts {
+		if h.DataCentre == t.opts.Self.DataCentre {
+			local++
+		}
+	}
+	if local <= relaysPerCentre || t.rand.Intn(local) < relaysPerCentre {
+		return 1
+	}
+	return 0
+}
+
 // Changes returns the number of host and server states that were new to this
 // table.
 func (t *Table) Changes() uint64 { return t.changes }
@@ -81,11 +116,13 @@
 // updates.
 func (t *Table) Step(now time.Duration, m Message) {
 	t.ensureStarted(now)
+	t.merging = true
 	t.mergeRecords(now, m)
 	for _, heartbeat := range m.Heartbeats {
 		t.mergeHeartbeat(now, heartbeat)
 		t.markAcknowledged(heartbeat.ID, m.FromAddress)
 	}
+	t.merging = false
 	if len(m.Digest) == bucketCount {
 		t.compareDigest(m)
 	}
--- a/core/membership/send.go
+++ b/core/membership/send.go
@@ -16,7 +16,7 @@
 	}
 	batch := map[string][]Heartbeat{}
 	centres := t.liveCentres(now)
-	targets := map[string][]string{"": t.pickRandom(t.peers(now, ""), fanout)}
+	targets := map[string][]string{"": t.globalHeartbeatTargets(now)}
 	remoteEvery := max(t.opts.RemoteHeartbeatEvery, uint64(len(t.servers)/serversPerRemoteEvery))
 	for _, k := range slices.SortedFunc(maps.Keys(t.pendingHeartbeats), Key.compare) {
 		heartbeat := t.heartbeat(k)
@@ -39,6 +39,17 @@
 	clear(t.pendingHeartbeats)
 }
 
+// globalHeartbeatTargets returns the addresses to which heartbeats for all hosts are
+// sent: fanout hosts, of which remoteHeartbeatTargets are in other data centres if this
+// data centre has enough hosts.
+func (t *Table) globalHeartbeatTargets(now time.Duration) []string {
+	local := t.peers(now, t.opts.Self.DataCentre)
+	remote := slices.DeleteFunc(t.peers(now, ""), func(a string) bool { return slices.Contains(local, a) })
+	localCount := max(fanout-remoteHeartbeatTargets, fanout-len(remote))
+	out := t.pickRandom(local, localCount)
+	return append(out, t.pickRandom(remote, fanout-len(out))...)
+}
+
 // heartbeat returns the heartbeat for the current state of k.
 func (t *Table) heartbeat(k Key) Heartbeat {
 	v, _ := t.version(k)
@@ -77,17 +88,17 @@
 // sent to any host yet.
 func (t *Table) sendUpdates(now time.Duration, unsentOnly bool) {
 	t.hasUnsentUpdates = false
-	peers := t.peers(now, "")
-	if len(t.updates) == 0 || len(peers) == 0 || t.opts.disabled.push {
+	if len(t.updates) == 0 || t.opts.disabled.push {
 		return
 	}
+	centres := t.peersByCentre(now)
 	batch := map[string][]Key{}
 	for _, k := range slices.SortedFunc(maps.Keys(t.updates), Key.compare) {
 		u := t.updates[k]
 		if unsentOnly && len(u.sent) > 0 {
 			continue
 		}
-		targets, done := t.updateTargets(now, u, peers)
+		targets, done := t.updateTargets(now, u, centres)
 		for _, address := range targets {
 			u.sent[address] = sendAttempts{u.sent[address].count + 1, now}
 			batch[address] = append(batch[address], k)
@@ -101,13 +112,57 @@
 	}
 }
 
+// centrePeers are the addresses of the other hosts of one data centre that are not
+// silent.
+type centrePeers struct {
+	local     bool
+	addresses []string
+}
+
+// peersByCentre returns the other hosts that are not silent by data centre, in the
+// order of the names of the data centres.
+func (t *Table) peersByCentre(now time.Duration) []centrePeers {
+	byCentre := map[string][]string{}
+	for name, h := range t.hosts {
+		if name != t.opts.Self.Name && !t.hostSilent(now, h) {
+			byCentre[h.DataCentre] = append(byCentre[h.DataCentre], h.PeerAddress)
+		}
+	}
+	var out []centrePeers
+	for _, dc := range slices.Sorted(maps.Keys(byCentre)) {
+		slices.Sort(byCentre[dc])
+		out = append(out, centrePeers{dc == t.opts.Self.DataCentre, byCentre[dc]})
+	}
+	return out
+}
+
 // updateTargets returns the addresses to send an update to now. done is set if
 // nothing remains to be sent or resent for the update.
-func (t *Table) updateTargets(now time.Duration, u *update, peers []string) (addresses []string, done bool) {
+func (t *Table) updateTargets(now time.Duration, u *update, centres []centrePeers) (addresses []string, done bool) {
+	done = true
+	for _, c := range centres {
+		limit, perRound := maxTargets, fanout
+		if !c.local {
+			limit, perRound = u.remoteTargets, u.remoteTargets
+		}
+		targets, centreDone := t.centreTargets(now, u, c.addresses, limit, perRound)
+		addresses = append(addresses, targets...)
+		done = done && centreDone
+	}
+	return addresses, done
+}
+
+// centreTargets returns the addresses among peers to send an update to now. It is sent
+// to at most limit of them, and to perRound in one round. done is set if nothing
+// remains to be sent or resent to them.
+func (t *Table) centreTargets(now time.Duration, u *update, peers []string, limit, perRound int) (addresses []string, done bool) {
 	var unsent []string
-	waiting := false
+	sentCount, waiting := 0, false
 	for _, a := range peers {
 		s, sent := u.sent[a]
+		if sent {
+			sentCount++
+		}
 		switch {
 		case u.acknowledgedBy[a] || s.count >= maxSends:
 		case !sent:
@@ -119,7 +174,7 @@
 			waiting = true
 		}
 	}
-	firstSends := t.pickRandom(unsent, min(fanout, max(0, maxTargets-len(u.sent))))
+	firstSends := t.pickRandom(unsent, min(perRound, max(0, limit-sentCount)))
 	return append(addresses, firstSends...), len(addresses) == 0 && len(firstSends) == 0 && !waiting
 }
 
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -77,6 +77,8 @@
 	byID map[uint64]Key
 
 	updates map[Key]*update
+	// merging is set while a message of another host is merged.
+	merging bool
 	// pendingHeartbeats holds the keys whose heartbeats wait for the next flush.
 	pendingHeartbeats map[Key]bool
 	outbox            []Message
--- a/core/membership/table_test.go
+++ b/core/membership/table_test.go
@@ -79,6 +79,32 @@
 	}
 }
 
+// TestUpdatesRarelyLeaveTheDataCentre guards against a change that every host sends
+// to a dozen hosts of other data centres: bytes between data centres are the scarcest
+// resource of a large fleet. Each host may send a change to one remote host on average.
+func TestUpdatesRarelyLeaveTheDataCentre(t *testing.T) {
+	const hosts = 90
+	net := newNetwork(hosts, 1, faults{drop: 0.05, delay: 20 * time.Millisecond})
+	server := newServer(0)
+	net.run(10*time.Second, []*simServer{server})
+	crossed := 0
+	net.onSend = func(m Message) {
+		from, to := net.byAddress[m.FromAddress], net.byAddress[m.To]
+		if len(m.Servers) > 0 && from.host.DataCentre != to.host.DataCentre {
+			crossed++
+		}
+	}
+	server.Leaving, server.running = true, false
+	net.announce(server, 7)
+	net.run(2*time.Second, []*simServer{server})
+	if unaware := unawareOfLeaving(net, server); len(unaware) > 0 {
+		t.Errorf("2 s after the announcement, %v do not know that the server is leaving", unaware)
+	}
+	if crossed > hosts {
+		t.Errorf("the change left a data centre %d times, want at most once for each of the %d hosts", crossed, hosts)
+	}
+}
+
 // healBound is the time after the end of a partition within which each side has
 // the states of the other: a silent address is tried every second, and the records
 // in its response propagate like any update.
