forward: choose between data centres at the first request on a server

Cause: a host kept to servers of its own data centre until it had 12 requests of its own on one. With 9 to 95 hosts that share the servers, a busy server was preferred to an idle one elsewhere.

--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -86,9 +86,11 @@
 
 const (
 	// remoteLoadThreshold is the number of this host's requests in flight on a server
-	// of its own data centre above which servers of other data centres are
-	// considered.
-	remoteLoadThreshold = 12
+	// of its own data centre from which on servers of other data centres are
+	// considered. They are chosen if they have less than half of that load. Dozens of
+	// hosts share the servers, so a host with few requests of its own on a server
+	// cannot tell that the server is idle.
+	remoteLoadThreshold = 1
 	// breakerFailures is the number of consecutive failures that opens a server's
 	// breaker.
 	breakerFailures = 3
