forward: send requests to an adapter only once its load can have ended

Cause: the acceptance of an adapter's load made it ready for all hosts, while the load takes 5 to 13 ms.

Change: a holding is ready from its ReadyAt on, 25 ms after the acceptance of an adapter load; until then requests wait, and the router is rebuilt when the time has come.

--- a/core/residency/server.go
+++ b/core/residency/server.go
@@ -21,9 +21,10 @@
 	// arrival. A model or adapter that changed within this time and is missing
 	// in an announcement is not taken to be absent.
 	maxAnnouncementAge = 2500 * time.Millisecond
-	// adapterLoadTime is the usual time of an adapter load, including the
-	// round trip.
-	adapterLoadTime = 8 * time.Millisecond
+	// adapterLoadTime is the time after which an adapter whose load was accepted is
+	// loaded, also on a slow server and beside other adapter loads. A request that
+	// arrives earlier is refused, while the wait is short against any objective.
+	adapterLoadTime = 25 * time.Millisecond
 )
 
 // adapter is an adapter on a server.
--- a/node/forward/forecast.go
+++ b/node/forward/forecast.go
@@ -33,13 +33,13 @@
 
 // addServer adds the holdings and cached weights of an engine's server. A server
 // that is leaving is ignored because it starts no loads.
-func (f *forecaster) addServer(s membership.ServerStatus, engine *route.Engine, holdings []residency.Holding) {
+func (f *forecaster) addServer(now time.Duration, s membership.ServerStatus, engine *route.Engine, holdings []residency.Holding) {
 	f.engines[s.Service] = engine
 	if s.Leaving {
 		return
 	}
 	for _, h := range holdings {
-		f.addHolding(s.Service, h)
+		f.addHolding(now, s.Service, h)
 	}
 	for _, c := range s.Cached {
 		m, ok := engine.Model(c.Model)
@@ -57,12 +57,12 @@
 	}
 }
 
-func (f *forecaster) addHolding(service string, h residency.Holding) {
+func (f *forecaster) addHolding(now time.Duration, service string, h residency.Holding) {
 	key := routing.Key{Service: service, Model: h.Model, Adapter: h.Adapter}
-	switch h.Phase {
-	case residency.Ready:
+	switch {
+	case isReady(now, h):
 		f.ready[key] = true
-	case residency.Loading:
+	case h.Phase == residency.Ready, h.Phase == residency.Loading:
 		if at, known := f.readyAt[key]; !known || h.ReadyAt < at {
 			f.readyAt[key] = h.ReadyAt
 		}
--- a/node/forward/forecast_test.go
+++ b/node/forward/forecast_test.go
@@ -63,6 +63,12 @@
 			"the model is ready, its adapter is not", []server{{holdings: []residency.Holding{{Target: target, Phase: residency.Ready}}}},
 			withAdapter, waitpolicy.Forecast{},
 		},
+		{
+			"the adapter is loaded in a moment", []server{{holdings: []residency.Holding{
+				{Target: target, Phase: residency.Ready},
+				{Target: residency.Target{Model: "m", Adapter: "a"}, Phase: residency.Ready, ReadyAt: 1025 * time.Millisecond},
+			}}}, withAdapter, waitpolicy.Forecast{Known: true, ReadyAt: 1025 * time.Millisecond},
+		},
 		{
 			"the earlier of two loads counts", []server{
 				{holdings: []residency.Holding{{Target: target, Phase: residency.Loading, ReadyAt: 9 * time.Second}}},
@@ -77,7 +83,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newForecaster()
 			for _, s := range c.servers {
-				f.addServer(membership.ServerStatus{Server: membership.Server{Service: "s", Leaving: s.leaving, Cached: s.cached}}, engine, s.holdings)
+				f.addServer(time.Second, membership.ServerStatus{Server: membership.Server{Service: "s", Leaving: s.leaving, Cached: s.cached}}, engine, s.holdings)
 			}
 			if got := f.forecast(c.key); got != c.want {
 				t.Errorf("forecast %+v, want %+v", got, c.want)
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -64,6 +64,9 @@
 	// requests that wait for a server.
 	rebuilt    chan struct{}
 	forecaster *forecaster
+	// nextReady is the next time at which a holding becomes ready without a further
+	// report, or zero.
+	nextReady time.Duration
 	// sequences holds the sequence number of each server's newest announcement,
 	// and reportedEnds the process end last reported for each server.
 	sequences    map[string]uint64
@@ -114,14 +117,19 @@
 }
 
 // Run calls Refresh on each change of the route table, the servers or their holdings,
-// until ctx ends.
+// and when a holding becomes ready, until ctx ends.
 func (f *Forwarder) Run(ctx context.Context) error {
 	for {
 		committed, serversChanged, holdingsChanged := f.opts.Replica.Changed(), f.opts.ServersChanged(), f.opts.Holdings.Changed()
 		f.Refresh()
+		var becameReady <-chan time.Time
+		if d, ok := f.untilNextReady(); ok {
+			becameReady = time.After(d)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-becameReady:
 		case <-committed:
 		case <-serversChanged:
 		case <-holdingsChanged:
--- a/node/forward/view.go
+++ b/node/forward/view.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/residency"
@@ -109,6 +110,8 @@
 // holdings, and wakes the waiting requests.
 func (f *Forwarder) rebuildRouter(table *route.Table) {
 	current := f.liveServers()
+	now := f.opts.Now()
+	var nextReady time.Duration
 	var servers []routing.Server
 	var replicas []routing.Replica
 	forecaster := newForecaster()
@@ -125,8 +128,9 @@
 			continue
 		}
 		holdings := f.holdingsOf(s)
-		replicas = append(replicas, readyReplicas(s, holdings)...)
-		forecaster.addServer(s, svc.Engine, holdings)
+		replicas = append(replicas, readyReplicas(now, s, holdings)...)
+		forecaster.addServer(now, s, svc.Engine, holdings)
+		nextReady = earliestReady(now, nextReady, holdings)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -136,7 +140,7 @@
 		f.sequences[s.Name] = s.Sequence
 		f.router.RecordAnnouncement(s.Name, s.Incarnation, s.Sequence)
 	}
-	f.forecaster = forecaster
+	f.forecaster, f.nextReady = forecaster, nextReady
 	f.wakeWaiting()
 }
 
@@ -153,14 +157,42 @@
 	return out
 }
 
+// isReady reports whether requests may be sent to a holding. The load of an adapter
+// counts as ready from its acceptance on, but takes until ReadyAt.
+func isReady(now time.Duration, h residency.Holding) bool {
+	return h.Phase == residency.Ready && h.ReadyAt <= now
+}
+
 // readyReplicas returns a replica for each target that a server is ready for.
-func readyReplicas(s membership.ServerStatus, holdings []residency.Holding) []routing.Replica {
+func readyReplicas(now time.Duration, s membership.ServerStatus, holdings []residency.Holding) []routing.Replica {
 	var out []routing.Replica
 	for _, h := range holdings {
-		if h.Phase == residency.Ready {
+		if isReady(now, h) {
 			key := routing.Key{Service: s.Service, Model: h.Model, Adapter: h.Adapter}
 			out = append(out, routing.Replica{Server: s.Name, Key: key})
 		}
 	}
 	return out
 }
+
+// earliestReady returns the earlier of a time, where zero means none, and the next time
+// at which one of the holdings becomes ready without a further report.
+func earliestReady(now, earliest time.Duration, holdings []residency.Holding) time.Duration {
+	for _, h := range holdings {
+		if h.Phase == residency.Ready && h.ReadyAt > now && (earliest == 0 || h.ReadyAt < earliest) {
+			earliest = h.ReadyAt
+		}
+	}
+	return earliest
+}
+
+// untilNextReady returns the time until the next holding becomes ready without a
+// further report, and false if there is none.
+func (f *Forwarder) untilNextReady() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.nextReady == 0 {
+		return 0, false
+	}
+	return max(0, f.nextReady-f.opts.Now()), true
+}
