forward, host: bound request bodies in time and memory, and answer until the process ends

Causes: - The bytes of a body were subtracted only for requests that were admitted. Each refused request (unknown model, quarantine) leaked its body; after 64 MiB in total every request got 503. - The limit was checked before a body was read, so many callers that sent at the same time could exceed it together. - A body had no deadline: a caller that sends a byte now and then kept its connection and memory forever. - A planned stop closed idle connections of callers (Server.Shutdown). net/http counts a connection as idle until the head of a request is parsed, so a request that had just been read was cut off without an answer. - A panic in the handling of a request was discarded without a log line.

Changes: bytes count while they arrive and until the request ends; the body is read until the deadline of the request, then 408; a leaving host closes its listener, answers 503 with Connection: close on open connections, and ends once 100 ms have passed without a request; panics are logged with their origin.

--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -72,10 +72,10 @@
 	sequences    map[string]uint64
 	reportedEnds map[string]processEnd
 
-	inFlightGroup      sync.WaitGroup
 	keepAlivesDisabled atomic.Bool
 	admissionStopped   atomic.Bool
 	inFlight           atomic.Int64
+	requestsStarted    atomic.Int64
 	bodyBytes          atomic.Int64
 }
 
@@ -148,16 +148,28 @@
 // InFlight returns the number of requests in flight.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
-// WaitIdle returns when no request is in flight or ctx ends.
-func (f *Forwarder) WaitIdle(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		f.inFlightGroup.Wait()
-		close(done)
-	}()
-	select {
-	case <-ctx.Done():
-	case <-done:
+// idlePollInterval is how often WaitIdle checks for requests in flight.
+const idlePollInterval = 10 * time.Millisecond
+
+// WaitIdle returns once no request has been in flight for the given time, or when ctx
+// ends. It reports whether the former is the case.
+func (f *Forwarder) WaitIdle(ctx context.Context, quiet time.Duration) bool {
+	tick := time.NewTicker(idlePollInterval)
+	defer tick.Stop()
+	idleSince, started := f.opts.Now(), f.requestsStarted.Load()
+	for {
+		now := f.opts.Now()
+		if n := f.requestsStarted.Load(); n != started || f.inFlight.Load() > 0 {
+			idleSince, started = now, n
+		}
+		if now-idleSince >= quiet && f.inFlight.Load() == 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick.C:
+		}
 	}
 }
 
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -5,8 +5,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -43,6 +46,9 @@
 	// same fingerprint.
 	fingerprint string
 	body        []byte
+	// countedBytes is the number of bytes of the body that count toward
+	// maxInFlightBodyBytes until the request ends.
+	countedBytes int64
 
 	arrivedAt, deadline time.Duration
 	exchange            *exchange.Exchange
@@ -66,18 +72,18 @@
 // that can run it and forwards it. It then answers, repeats or ends the request
 // as core/exchange decides.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.inFlightGroup.Add(1)
+	f.requestsStarted.Add(1)
 	f.inFlight.Add(1)
-	defer f.inFlightGroup.Done()
 	defer f.inFlight.Add(-1)
 	if f.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{forwarder: f, w: w, inbound: r, arrivedAt: f.opts.Now()}
+	defer func() { f.bodyBytes.Add(-c.countedBytes) }()
+	defer c.logPanic()
 	if !c.admit() {
 		return
 	}
-	defer f.bodyBytes.Add(-int64(len(c.body)))
 	var cancel context.CancelFunc
 	c.ctx, cancel = context.WithTimeout(r.Context(), c.deadline-c.arrivedAt)
 	defer cancel()
@@ -101,6 +107,10 @@
 	if err != nil {
 		return c.refuse(http.StatusBadRequest, 0, err.Error())
 	}
+	c.deadline = c.arrivedAt + c.route.Timeout
+	if d := c.request.Timeout; d > 0 {
+		c.deadline = min(c.deadline, c.arrivedAt+d)
+	}
 	if !c.readBody(v.index.Table().Limits) {
 		return false
 	}
@@ -108,10 +118,6 @@
 	if _, ok := v.suspects[c.fingerprint]; ok {
 		return c.refuse(http.StatusServiceUnavailable, 0, "request is quarantined because it crashed backend servers")
 	}
-	c.deadline = c.arrivedAt + c.route.Timeout
-	if d := c.request.Timeout; d > 0 {
-		c.deadline = min(c.deadline, c.arrivedAt+d)
-	}
 	c.lastEventID = c.request.ResumeAfter
 	c.key = routing.Key{Service: c.route.ChooseService(f.randomFraction()), Model: c.request.Model, Adapter: c.request.Adapter}
 	svc, _ := v.index.Table().Service(c.key.Service)
@@ -127,35 +133,86 @@
 	return true
 }
 
-// readBody reads the request body within the limits. It refuses a body that
-// exceeds them and returns false.
+// readBody reads the request body within the limits on size and time. It refuses a
+// body that exceeds them and returns false.
 func (c *call) readBody(l route.Limits) bool {
 	limit := l.BodyBytes
 	if limit == 0 {
 		limit = defaultMaxBodyBytes
 	}
 	if c.inbound.ContentLength > limit {
-		c.w.Header().Set("Connection", "close")
-		return c.refuse(http.StatusRequestEntityTooLarge, 0, "request body exceeds the size limit")
+		return c.refuseBody(http.StatusRequestEntityTooLarge, 0, "request body exceeds the size limit")
 	}
-	if c.forwarder.bodyBytes.Load() > maxInFlightBodyBytes {
-		c.w.Header().Set("Connection", "close")
-		return c.refuse(http.StatusServiceUnavailable, unavailableRetryAfter, "request bodies in memory exceed 64 MiB")
+	// A caller that sends its body slowly, or never ends it, is not waited for longer
+	// than for its answer. Errors mean that the connection has no deadlines.
+	controller := http.NewResponseController(c.w)
+	if c.inbound.ContentLength != 0 {
+		_ = controller.SetReadDeadline(time.Now().Add(c.deadline - c.arrivedAt))
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.inbound.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, countedBody{c}, limit))
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return c.refuse(http.StatusRequestEntityTooLarge, 0, "request body exceeds the size limit")
-	}
-	if err != nil {
+	switch {
+	case errors.As(err, &tooLarge):
+		return c.refuseBody(http.StatusRequestEntityTooLarge, 0, "request body exceeds the size limit")
+	case errors.Is(err, errBodyMemory):
+		return c.refuseBody(http.StatusServiceUnavailable, unavailableRetryAfter, "request bodies in memory exceed 64 MiB")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return c.refuseBody(http.StatusRequestTimeout, 0, "request body was not complete at the deadline")
+	case err != nil:
 		c.logEvent(decision.EventCallerLeft, decision.Fields{decision.FieldReason: "request body interrupted: " + errorReason(err)})
 		panic(http.ErrAbortHandler)
 	}
+	_ = controller.SetReadDeadline(time.Time{})
 	c.body = body
-	c.forwarder.bodyBytes.Add(int64(len(body)))
 	return true
 }
 
+// refuseBody refuses a request whose body was not read completely, and closes its
+// connection.
+func (c *call) refuseBody(status int, retryAfter time.Duration, reason string) bool {
+	c.w.Header().Set("Connection", "close")
+	return c.refuse(status, retryAfter, reason)
+}
+
+var errBodyMemory = errors.New("forward: the request bodies in memory exceed their limit")
+
+// countedBody reads the body of a request and counts its bytes while they arrive, so
+// that many callers that send at the same time cannot exceed maxInFlightBodyBytes.
+type countedBody struct{ call *call }
+
+func (b countedBody) Read(p []byte) (int, error) {
+	n, err := b.call.inbound.Body.Read(p)
+	b.call.countedBytes += int64(n)
+	if b.call.forwarder.bodyBytes.Add(int64(n)) > maxInFlightBodyBytes {
+		return n, errBodyMemory
+	}
+	return n, err
+}
+
+func (b countedBody) Close() error { return b.call.inbound.Body.Close() }
+
+// logPanic logs an unexpected panic of the handling of a request and passes it on, so
+// that the server closes the connection. The process and its other requests continue.
+func (c *call) logPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		c.logEvent(decision.EventAborted, decision.Fields{decision.FieldReason: fmt.Sprintf("unexpected error: %v at %s", cause, panicOrigin())})
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// maxPanicOrigin is the maximum number of bytes of a stack trace in a log line.
+const maxPanicOrigin = 2 << 10
+
+// panicOrigin returns the beginning of the stack trace of the current goroutine.
+func panicOrigin() string {
+	stack := debug.Stack()
+	return string(stack[:min(len(stack), maxPanicOrigin)])
+}
+
 // computeFingerprint returns a hash of the method, host, URI, model, adapter and
 // body of the request.
 func (c *call) computeFingerprint() string {
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -206,8 +206,8 @@
 		g.add(h.newReporter().run)
 	}
 	h.servePeers(g)
-	servers := h.serveListeners(g)
-	g.add(func(running context.Context) error { return h.runDeparture(ctx, running, servers) })
+	callers := h.serveListeners(g)
+	g.add(func(running context.Context) error { return h.runDeparture(ctx, running, callers) })
 	err := g.Run()
 	h.peers.Close()
 	if h.transport != nil {
@@ -305,24 +305,25 @@
 	maxHTTPHeaderBytes = 64 << 10
 )
 
-// serveListeners adds a server for each listener, and returns the servers for
+// serveListeners adds a server for each listener, and returns the listeners for
 // callers.
-func (h *RoutedHost) serveListeners(g *runGroup) []*http.Server {
-	var callers []*http.Server
+func (h *RoutedHost) serveListeners(g *runGroup) []net.Listener {
+	var callers []net.Listener
 	for _, b := range h.listeners {
 		server := &http.Server{
 			Handler: b.handler, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHTTPHeaderBytes,
 			ErrorLog: stdlog.New(io.Discard, "", 0),
 		}
 		if b.callers {
-			callers = append(callers, server)
+			callers = append(callers, b.listener)
 		}
 		g.Add(func() error {
-			if err := server.Serve(b.listener); !errors.Is(err, http.ErrServerClosed) {
+			err := server.Serve(b.listener)
+			if !errors.Is(err, http.ErrServerClosed) && !(h.leaving.Load() && errors.Is(err, net.ErrClosed)) {
 				return fmt.Errorf("host: serve %s: %w", b.listener.Addr(), err)
 			}
-			// A leaving host shuts this server down while its requests are still in
-			// progress. Returning now would end the process.
+			// A leaving host closes this listener while requests are still in progress.
+			// Returning now would end the process.
 			<-g.running.Done()
 			return nil
 		}, func(error) { _ = server.Close() })
--- a/node/host/routed_lifecycle.go
+++ b/node/host/routed_lifecycle.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net/http"
+	"net"
 	"slices"
 	"time"
 
@@ -64,11 +64,13 @@
 
 // runDeparture waits until ctx ends or a drain is requested, and then leaves. The
 // host is removed from the address list and transfers its leadership. It accepts
-// requests for as long as callers keep the list, then closes its listener, and
-// returns once the requests in progress have ended or DepartureTimeout has passed.
-// A host without callers returns after leaveGossipPeriod. running ends when another
+// requests for as long as callers keep the list, then closes its listener and refuses
+// further requests, and returns once none has arrived for departureQuietTime and those
+// in progress have ended, or DepartureTimeout has passed. Connections stay open until
+// then: closing an idle one could cut off a request that has just been read. A host
+// without callers returns after leaveGossipPeriod. running ends when another
 // component of the process ends; runDeparture then returns early.
-func (h *RoutedHost) runDeparture(ctx, running context.Context, callers []*http.Server) error {
+func (h *RoutedHost) runDeparture(ctx, running context.Context, callers []net.Listener) error {
 	if !waitDepartureStart(ctx, running, h.leaveRequested) {
 		return nil
 	}
@@ -89,16 +91,23 @@
 	h.requestForwarder.StopAdmission()
 	departureCtx, cancel := context.WithTimeout(running, h.opts.DepartureTimeout-h.opts.ServeAfterLeave)
 	defer cancel()
-	for _, s := range callers {
-		if err := s.Shutdown(departureCtx); err != nil {
-			h.logger.WithError(err).Warn("requests were still in progress when the departure timed out")
+	for _, l := range callers {
+		if err := l.Close(); err != nil {
+			h.logger.WithError(err).Warn("cannot close the listener for callers")
 		}
 	}
-	h.requestForwarder.WaitIdle(departureCtx)
+	if !h.requestForwarder.WaitIdle(departureCtx, departureQuietTime) {
+		h.logger.WithField("requests", h.requestForwarder.InFlight()).Warn("requests were still in progress when the departure timed out")
+	}
 	h.decisions.RecordStateChange(decision.EventSettings, decision.Fields{decision.FieldOutcome: "left"})
 	return nil
 }
 
+// departureQuietTime is the time without a request after which a leaving host closes
+// the connections of its callers. It covers a request that a caller sent before it
+// received the answer that announces the close.
+const departureQuietTime = 100 * time.Millisecond
+
 // routedTransferTimeout bounds a transfer of leadership. It is part of
 // DepartureTimeout.
 const routedTransferTimeout = time.Second
--- a/node/host/routed_test.go
+++ b/node/host/routed_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -209,6 +210,57 @@
 	}
 }
 
+// TestPlannedStopAnswersOpenConnections guards against a planned stop that closes the
+// idle connections of callers: a request that has just been read on one of them would
+// be cut off without an answer. It is answered as not run instead.
+func TestPlannedStopAnswersOpenConnections(t *testing.T) {
+	backend, began, release := slowBackend(t)
+	_, callerHost, url := startDeployment(t, backend.Listener.Addr().String(), 0)
+	address := strings.TrimPrefix(url, "http://")
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	exchange := func(id string) (*http.Response, error) {
+		_, _ = fmt.Fprintf(conn, "POST /quick HTTP/1.1\r\nHost: h\r\nT-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		resp, err := http.ReadResponse(reader, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		return resp, err
+	}
+	if resp, err := exchange("before"); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("before the stop: response %+v, error %v", resp, err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := sendRequest(url, "/slow")
+		ended <- err
+	}()
+	<-began
+	callerHost.stop()
+	await(t, "the listener for callers is closed", func() bool {
+		probe, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = probe.Close()
+		}
+		return err != nil
+	})
+	resp, err := exchange("during")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("on a connection from before the stop: response %+v, error %v; want status 503 with Connection: close", resp, err)
+	}
+	release()
+	if err := <-ended; err != nil {
+		t.Errorf("the request in progress ended with error %v", err)
+	}
+	if err := <-callerHost.ended; err != nil {
+		t.Errorf("the host ended with error %v", err)
+	}
+}
+
 // TestPublishedReturnsNewestTable guards against a host that replaces the
 // operators' document by one of an older version, or that answers from its own
 // state without the leader although a newer document may be committed.
