peer, state: one malformed message no longer ends a process

Changes: interceptors answer such a call with an error and log the stack; the lock on the membership table is released; Restore replaces null maps.

--- a/core/state/state.go
+++ b/core/state/state.go
@@ -239,9 +239,30 @@
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, &DecodeError{What: "snapshot", Err: err}
 	}
+	s.makeMaps()
 	return s, nil
 }
 
+// makeMaps replaces the maps that a snapshot sets to null.
+func (s *State) makeMaps() {
+	empty := New()
+	if s.Servers == nil {
+		s.Servers = empty.Servers
+	}
+	if s.Placements == nil {
+		s.Placements = empty.Placements
+	}
+	if s.Claims == nil {
+		s.Claims = empty.Claims
+	}
+	if s.Suspects == nil {
+		s.Suspects = empty.Suspects
+	}
+	if s.Ended == nil {
+		s.Ended = empty.Ended
+	}
+}
+
 // Hash returns a digest of the state, for comparison between members of the
 // consensus group.
 func (s *State) Hash() string {
--- a/node/host/members.go
+++ b/node/host/members.go
@@ -71,7 +71,16 @@
 // which detects the gap. Otherwise the table would classify hosts as silent
 // although this process itself could not receive their messages.
 func (m *members) withTable(f func(t *membership.Table, now time.Duration)) {
+	for _, msg := range m.updateTable(f) {
+		m.send(msg)
+	}
+}
+
+// updateTable calls f with the table and returns the messages to send. The lock is
+// released also if f panics, since the handlers of messages recover from that.
+func (m *members) updateTable(f func(t *membership.Table, now time.Duration)) []membership.Message {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	now := m.now()
 	if now-m.lastTick >= 5*tableTickInterval {
 		m.lastTick = now
@@ -84,10 +93,7 @@
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
-	m.mu.Unlock()
-	for _, msg := range out {
-		m.send(msg)
-	}
+	return out
 }
 
 // send sends a message in the background. It drops the message if maxGossipCalls
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -66,6 +66,7 @@
 		handlers.Traffic = &Traffic{}
 	}
 	s := &Server{handlers: handlers, grpc: grpc.NewServer(grpc.StatsHandler(handlers.Traffic),
+		grpc.UnaryInterceptor(recoverUnary), grpc.StreamInterceptor(recoverStream),
 		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ConnectionTimeout(connectTimeout),
 	)}
