--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -41,7 +41,9 @@
 
 // ServerClient sends orders to backend servers and requests their reports.
 type ServerClient interface {
-	Order(ctx context.Context, o residency.Order) residency.Result
+	// Order sends an order if mayStillSend returns true right before its first byte
+	// is sent.
+	Order(ctx context.Context, o residency.Order, mayStillSend func() bool) residency.Result
 	Report(ctx context.Context, q residency.Inquiry) (residency.Report, error)
 }
 
@@ -237,14 +239,14 @@
 	t.changed = make(chan struct{})
 }
 
-// sendOrder sends one order and records its result. It checks the lease again
-// immediately before.
+// sendOrder sends one order and records its result. The lease is checked again when
+// the connection to the server is open, immediately before the order is sent.
 func (p *placer) sendOrder(ctx context.Context, t *leaderTerm, o residency.Order) {
 	ctx, cancel := context.WithTimeout(ctx, serverCallTimeout)
 	defer cancel()
 	result := residency.NotSent
 	if p.host.group.CheckLease() {
-		result = p.serverClient.Order(ctx, o)
+		result = p.serverClient.Order(ctx, o, p.host.group.CheckLease)
 	}
 	p.host.decisions.RecordStateChange(decision.EventOrder, orderFields(o, result))
 	p.mu.Lock()
