backend: never take a late copy of an answer for the next one

Cause: the product's own interface uses connections to backend servers again. Answers to orders carry no ID, and answers to attempts were accepted without one, so a second copy of an answer that arrived when the connection was in use again became the answer to the next request or order.

Change: a connection is used again only for attempts, and only while the server repeats the IDs of attempts; an answer without an ID on such a connection is an error that promises nothing. Orders and calls to servers that repeat no IDs get a connection of their own.

Not affected: the platform's path, which uses each connection for one request.

--- a/node/backend/client.go
+++ b/node/backend/client.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -92,6 +93,11 @@
 	// fails, net/http silently resends some requests, which must not happen to a
 	// request that may run only once.
 	unpooled *http.Client
+
+	mu sync.Mutex
+	// identifying holds the addresses whose last answer repeated the ID of its attempt.
+	// Only their connections are used again.
+	identifying map[string]bool
 }
 
 // connectTimeout bounds the TCP handshake with a backend server.
@@ -106,7 +112,7 @@
 
 // NewClientWithDial returns a client that opens its connections with dial.
 func NewClientWithDial(dial DialFunc) *Client {
-	return &Client{pooled: newHTTPClient(dial, false), unpooled: newHTTPClient(dial, true)}
+	return &Client{pooled: newHTTPClient(dial, false), unpooled: newHTTPClient(dial, true), identifying: map[string]bool{}}
 }
 
 // newHTTPClient returns an HTTP client that neither decompresses answers nor
@@ -168,7 +174,43 @@
 // Do sends one request and returns the response, whose body must be closed. Errors
 // are of type *SendError.
 func (c *Client) Do(ctx context.Context, address, method, path string, header http.Header, body []byte) (*http.Response, error) {
-	return c.send(ctx, c.clientFor(method, header), address, method, path, header, body)
+	client := c.clientFor(address, method, header)
+	resp, err := c.send(ctx, client, address, method, path, header, body)
+	if err != nil {
+		return nil, err
+	}
+	c.recordIdentification(address, header, resp)
+	if client == c.pooled && resp.Header.Get(HeaderAttemptID) == "" {
+		_ = resp.Body.Close()
+		return nil, &SendError{Address: address, Delivery: MaybeSent, Err: errUnidentifiedAnswer}
+	}
+	return resp, nil
+}
+
+// errUnidentifiedAnswer reports an answer without the ID of an attempt on a connection
+// that other attempts have used. It may be a late copy of the answer to one of them.
+// The caller of the client compares the IDs of all other answers.
+var errUnidentifiedAnswer = errors.New("the answer does not carry the ID of its attempt")
+
+// recordIdentification records whether the answers from an address repeat the IDs of
+// their attempts.
+func (c *Client) recordIdentification(address string, header http.Header, resp *http.Response) {
+	id := header.Get(HeaderAttemptID)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if id != "" && resp.Header.Get(HeaderAttemptID) == id {
+		c.identifying[address] = true
+		return
+	}
+	delete(c.identifying, address)
+}
+
+// isIdentifying reports whether the last answer from an address repeated the ID of its
+// attempt.
+func (c *Client) isIdentifying(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.identifying[address]
 }
 
 // DoOnce sends one request like Do, but always over a new connection, so that
@@ -178,8 +220,12 @@
 }
 
 // clientFor returns the unpooled client for requests that net/http would resend by
-// itself, and the pooled client for all others.
-func (c *Client) clientFor(method string, header http.Header) *http.Client {
+// itself, and for those whose answer cannot be told from a late copy of another one.
+// All others get the pooled client.
+func (c *Client) clientFor(address, method string, header http.Header) *http.Client {
+	if header.Get(HeaderAttemptID) == "" || !c.isIdentifying(address) {
+		return c.unpooled
+	}
 	switch method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
 		return c.unpooled
