--- a/node/forward/limits_test.go
+++ b/node/forward/limits_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
 )
@@ -183,3 +184,59 @@
 		})
 	}
 }
+
+// pacedStream sends the headers of an event stream and then, after each pause, the next
+// part. It ends the stream after the last part if complete is set, and otherwise repeats
+// the last part until the connection is closed.
+func pacedStream(pause time.Duration, complete bool, parts ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("T-Signed", "yes")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 0; i < len(parts) || !complete; i++ {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(pause):
+			}
+			_, _ = io.WriteString(w, parts[min(i, len(parts)-1)])
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+// TestSlowStreamIsNotCut guards against a sound stream that is cut because its server
+// pauses for longer than the time after which a silent link counts as broken.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	url, _, _ := startForwarder(t, []http.HandlerFunc{
+		pacedStream(unackedTimeout+200*time.Millisecond, true, "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"),
+	})
+	resp, body, err := post(t, url, "/stream/", "")
+	if err != nil || resp.status != http.StatusOK || body != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" {
+		t.Errorf("status %d, body %q, error %v; want the complete stream", resp.status, body, err)
+	}
+}
+
+// TestStalledStreamEndsAtTheDeadline guards against a stream that never ends because its
+// server sends a byte now and then, before the first event or in the middle of one.
+func TestStalledStreamEndsAtTheDeadline(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		parts  []string
+		status int
+	}{
+		{"before the first event", []string{":"}, http.StatusGatewayTimeout},
+		{"within an event", []string{"id: 1\ndata: a\n\n", "d"}, http.StatusOK},
+		{"comments only", []string{"id: 1\ndata: a\n\n", ":\n"}, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			url, _, _ := startForwarder(t, []http.HandlerFunc{pacedStream(5*time.Millisecond, false, c.parts...)})
+			resp, body, err := post(t, url, "/stream/", "", "T-Deadline", "150")
+			if resp.status != c.status {
+				t.Errorf("status %d, want %d", resp.status, c.status)
+			}
+			if c.status == http.StatusOK && (err == nil || body != c.parts[0]) {
+				t.Errorf("body %q, error %v; want the whole event and a broken answer", body, err)
+			}
+		})
+	}
+}
