residency: use a model as soon as it is ready, and do not let one slow load limit the store

A load that ended before its predicted end stayed unused until then. - A slow server could lower the limit of loads from the store for the rest of a leader's term, to one even by a load without others. - A reserved server that is unreachable gave a count of -1 replicas, and with it a division by zero in the score of a load.

Changes: ReadyAt is the time of the announcement; a load without others teaches nothing, and 16 loads on time at the limit raise it by one; the count is at least zero.

--- a/core/residency/load_test.go
+++ b/core/residency/load_test.go
@@ -236,3 +236,44 @@
 		})
 	}
 }
+
+// TestOneSlowServerDoesNotLimitTheStore guards against a store that is hardly used for
+// the rest of a leader's term because one server loads slowly.
+func TestOneSlowServerDoesNotLimitTheStore(t *testing.T) {
+	const usual = 6 * time.Second
+	c := newStoreConcurrency()
+	c.recordLoad(1, 3*usual, usual)
+	if c.limit != initialStoreLoads {
+		t.Errorf("limit %d after a slow load without others, want %d", c.limit, initialStoreLoads)
+	}
+	c.recordLoad(4, 4*usual, usual)
+	for range 4 * regrowthLoads {
+		c.recordLoad(c.limit, usual, usual)
+	}
+	if c.limit < initialStoreLoads {
+		t.Errorf("limit %d after %d loads on time, want at least %d", c.limit, 4*regrowthLoads, initialStoreLoads)
+	}
+}
+
+// TestLoadThatEndsEarlyIsUsedAtOnce guards against a model that is ready but gets no
+// requests until the predicted end of its load.
+func TestLoadThatEndsEarlyIsUsedAtOnce(t *testing.T) {
+	e := testEngine()
+	f := newFixture(&e, map[string][]HeldModel{"s": nil})
+	d := Demand{Host: "h", Target: Target{Model: "a"}, Waiting: 1, EarliestExpiry: time.Minute}
+	var orders []Order
+	for range 3 {
+		orders = append(orders, f.step(100*time.Millisecond, d)...)
+	}
+	if len(orders) != 1 || !orders[0].Load {
+		t.Fatalf("orders %+v, want one load", orders)
+	}
+	f.planner.RecordResult(f.in.Now, orders[0], Accepted)
+	f.announce("s", map[string]bool{"a": true})
+	f.step(time.Second, d)
+	for _, h := range f.planner.Holdings()[0].Holdings {
+		if h.Phase != Ready || h.ReadyAt > f.in.Now {
+			t.Errorf("holding %+v at %v, want it to be ready now", h, f.in.Now)
+		}
+	}
+}
--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -139,7 +139,7 @@
 		replicas := count.total()
 		if reservedServer != nil && !secondLoad {
 			// The reservation is for the replica that is considered here.
-			replicas--
+			replicas = max(0, replicas-1)
 		}
 		gain := p.replicaValue(svc, m, replicas)
 		if gain < loadCost {
--- a/core/residency/server.go
+++ b/core/residency/server.go
@@ -117,7 +117,8 @@
 			s.loadEnds = append(s.loadEnds, LoadEnd{
 				Server: s.Name, Model: name, ActualDuration: now - h.since, ExpectedDuration: h.readyAt - h.since, StoreLoads: h.storeLoads,
 			})
-			h.phase, h.since = Ready, now
+			// The load may have ended before its predicted end.
+			h.phase, h.since, h.readyAt = Ready, now, now
 		}
 		if ok && h.mergeAdapters(now, announced) {
 			s.ordersKnown = false
--- a/core/residency/storeconcurrency.go
+++ b/core/residency/storeconcurrency.go
@@ -14,6 +14,10 @@
 	// slowLoadFactor is the ratio of a load's duration to its usual duration above
 	// which the store has served more loads at once than it can at full speed.
 	slowLoadFactor = 1.2
+	// regrowthLoads is the number of loads that must fill a measured limit and end in
+	// their usual time before the limit is raised by one. A single slow server can have
+	// made it too low.
+	regrowthLoads = 16
 )
 
 // storeConcurrency learns how many loads the weight store serves at full speed. The
@@ -26,6 +30,9 @@
 	limit int
 	// measured is set once a slow load has shown the limit.
 	measured bool
+	// onTime counts the loads that filled the measured limit and ended in their usual
+	// time.
+	onTime int
 }
 
 func newStoreConcurrency() storeConcurrency { return storeConcurrency{limit: initialStoreLoads} }
@@ -38,14 +45,17 @@
 	}
 	slowdown := float64(actual) / float64(usual)
 	switch {
+	case slowdown > slowLoadFactor && parallel == 1:
+		// A slow load without others says nothing about their number.
 	case slowdown > slowLoadFactor:
 		c.limit = min(maxStoreLoads, max(1, int(math.Round(float64(parallel)/slowdown))))
-		c.measured = true
+		c.measured, c.onTime = true, 0
 	case parallel >= c.limit && !c.measured:
 		c.limit = min(maxStoreLoads, 2*parallel)
-	case parallel > c.limit:
-		// The store has become faster since the limit was measured.
-		c.limit = min(maxStoreLoads, parallel)
+	case parallel >= c.limit:
+		if c.onTime++; c.onTime >= regrowthLoads {
+			c.limit, c.onTime = min(maxStoreLoads, c.limit+1), 0
+		}
 	}
 }
 
