--- a/core/consensus/fuzz_test.go
+++ b/core/consensus/fuzz_test.go
@@ -148,7 +148,7 @@
 			var terms, entries, snapshotsReceived, changesCommitted int
 			rapid.Check(t, func(t *rapid.T) {
 				schedule := scheduleGenerator(size.hosts).Draw(t, "schedule")
-				s := newSim(rapid.Int64().Draw(t, "seed"), size.hosts, size.voters, disabledMechanisms{})
+				s := newSim(rapid.Int64().Draw(t, "seed"), size.hosts, size.voters)
 				s.targetVoters = size.targetVoters
 				if err := s.runSchedule(schedule); err != nil {
 					t.Fatal(err)
--- a/core/consensus/malformed_test.go
+++ b/core/consensus/malformed_test.go
@@ -35,7 +35,7 @@
 // leadership.
 func TestMalformedMessages(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSim(rapid.Int64().Draw(t, "seed"), 3, 3, disabledMechanisms{})
+		s := newSim(rapid.Int64().Draw(t, "seed"), 3, 3)
 		s.startAll()
 		s.propose(3)
 		s.run(simElectionTimeout)
--- a/core/consensus/mechanism_test.go
+++ b/core/consensus/mechanism_test.go
@@ -210,7 +210,7 @@
 			failed := 0
 			for seed := range c.seeds {
 				for _, disabled := range []bool{false, true} {
-					s := newSim(int64(seed), c.hosts, 3, disabledMechanisms{})
+					s := newSim(int64(seed), c.hosts, 3)
 					s.targetVoters = c.targetVoters
 					if disabled {
 						c.disable(s)
@@ -257,7 +257,7 @@
 // it is partitioned, keeps its old leader and therefore never offers itself as a
 // spare again (found by TestFaults with seed 817283).
 func TestRemovedLearnerOffersItself(t *testing.T) {
-	s := newSim(1, 4, 3, disabledMechanisms{})
+	s := newSim(1, 4, 3)
 	learner := s.members[3]
 	err := catchViolation(func() {
 		s.startAll()
--- a/core/consensus/sim_test.go
+++ b/core/consensus/sim_test.go
@@ -95,9 +95,9 @@
 	membership    Membership // latest committed membership
 }
 
-func newSim(seed int64, hosts, voters int, disabled disabledMechanisms) *sim {
+func newSim(seed int64, hosts, voters int) *sim {
 	s := &sim{
-		rand: rand.New(rand.NewSource(seed)), disabled: disabled, electionTimeout: simElectionTimeout, lostIDs: map[uint64]bool{}, blocked: map[[2]int]bool{},
+		rand: rand.New(rand.NewSource(seed)), electionTimeout: simElectionTimeout, lostIDs: map[uint64]bool{}, blocked: map[[2]int]bool{},
 		leaders: map[uint64]uint64{}, votes: map[[2]uint64]uint64{}, committed: map[uint64]string{}, stateHashes: map[uint64]uint64{},
 	}
 	var initial Membership
--- a/core/membership/gossip.go
+++ b/core/membership/gossip.go
@@ -10,9 +10,9 @@
 	// fanout is the number of hosts that an update or a heartbeat is sent to in
 	// one round.
 	fanout = 3
-	// maxTargets is the number of hosts to which one host forwards an update.
-	// When all hosts do so, a given host is missed with probability e^-15; the
-	// comparison of digests then finds the difference.
+	// maxTargets is the number of hosts of its data centre to which one host forwards
+	// an update. When all of them do so, a given host is missed with probability e^-15;
+	// the comparison of digests then finds the difference.
 	maxTargets = 15
 	// issuerRemoteTargets is the number of hosts in each other data centre to which
 	// the host that issues an update sends it. These hosts forward it within their data
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -319,7 +319,8 @@
 		}
 		g.Add(func() error {
 			err := server.Serve(b.listener)
-			if !errors.Is(err, http.ErrServerClosed) && !(h.leaving.Load() && errors.Is(err, net.ErrClosed)) {
+			closedToLeave := h.leaving.Load() && errors.Is(err, net.ErrClosed)
+			if !closedToLeave && !errors.Is(err, http.ErrServerClosed) {
 				return fmt.Errorf("host: serve %s: %w", b.listener.Addr(), err)
 			}
 			// A leaving host closes this listener while requests are still in progress.
--- a/node/host/routed_test.go
+++ b/node/host/routed_test.go
@@ -223,16 +223,23 @@
 	}
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	exchange := func(id string) (*http.Response, error) {
+	type answer struct {
+		status int
+		closes bool
+		err    error
+	}
+	exchange := func(id string) answer {
 		_, _ = fmt.Fprintf(conn, "POST /quick HTTP/1.1\r\nHost: h\r\nT-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
 		resp, err := http.ReadResponse(reader, nil)
-		if err == nil {
-			_, err = io.Copy(io.Discard, resp.Body)
+		if err != nil {
+			return answer{err: err}
 		}
-		return resp, err
+		defer func() { _ = resp.Body.Close() }()
+		_, err = io.Copy(io.Discard, resp.Body)
+		return answer{resp.StatusCode, resp.Close, err}
 	}
-	if resp, err := exchange("before"); err != nil || resp.StatusCode != http.StatusOK {
-		t.Fatalf("before the stop: response %+v, error %v", resp, err)
+	if a := exchange("before"); a.err != nil || a.status != http.StatusOK {
+		t.Fatalf("before the stop: %+v", a)
 	}
 	ended := make(chan error, 1)
 	go func() {
@@ -248,9 +255,8 @@
 		}
 		return err != nil
 	})
-	resp, err := exchange("during")
-	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
-		t.Errorf("on a connection from before the stop: response %+v, error %v; want status 503 with Connection: close", resp, err)
+	if a := exchange("during"); a.err != nil || a.status != http.StatusServiceUnavailable || !a.closes {
+		t.Errorf("on a connection from before the stop: %+v; want status 503 with Connection: close", a)
 	}
 	release()
 	if err := <-ended; err != nil {
--- a/node/peer/recover_test.go
+++ b/node/peer/recover_test.go
@@ -11,10 +11,7 @@
 func TestFailingHandlerEndsOnlyItsCall(t *testing.T) {
 	log := newFakeLog("a")
 	hosts, _, servers := serveMembers(t, log)
-	servers["a"].handlers.Gossip = func(m membership.Message) {
-		var none map[string]int
-		none[m.From] = 1
-	}
+	servers["a"].handlers.Gossip = func(membership.Message) { panic("unexpected") }
 	client := newTestClient(t)
 	if err := client.Gossip(t.Context(), membership.Message{To: hosts["a"], From: "x"}); err == nil {
 		t.Error("the call whose handler failed has no error")
