--- a/core/residency/storeconcurrency.go
+++ b/core/residency/storeconcurrency.go
@@ -14,7 +14,7 @@
 	// slowLoadFactor is the ratio of a load's duration to its usual duration above
 	// which the store has served more loads at once than it can at full speed.
 	slowLoadFactor = 1.2
-	// regrowthLoads is the number of loads that must fill a measured limit and end in
+	// regrowthLoads is the number of loads that must fill a known limit and end in
 	// their usual time before the limit is raised by one. A single slow server can have
 	// made it too low.
 	regrowthLoads = 16
@@ -28,10 +28,9 @@
 type storeConcurrency struct {
 	// limit is the number of loads that may run at once.
 	limit int
-	// measured is set once a slow load has shown the limit.
-	measured bool
-	// onTime counts the loads that filled the measured limit and ended in their usual
-	// time.
+	// limitKnown is set once a slow load has shown the limit.
+	limitKnown bool
+	// onTime counts the loads that filled the known limit and ended in their usual time.
 	onTime int
 }
 
@@ -49,8 +48,8 @@
 		// A slow load without others says nothing about their number.
 	case slowdown > slowLoadFactor:
 		c.limit = min(maxStoreLoads, max(1, int(math.Round(float64(parallel)/slowdown))))
-		c.measured, c.onTime = true, 0
-	case parallel >= c.limit && !c.measured:
+		c.limitKnown, c.onTime = true, 0
+	case parallel >= c.limit && !c.limitKnown:
 		c.limit = min(maxStoreLoads, 2*parallel)
 	case parallel >= c.limit:
 		if c.onTime++; c.onTime >= regrowthLoads {
@@ -62,7 +61,7 @@
 // loadTime returns the expected duration of a load that begins as one of parallel
 // loads, where a single load takes usual time.
 func (c *storeConcurrency) loadTime(usual time.Duration, parallel int) time.Duration {
-	if !c.measured || parallel <= c.limit {
+	if !c.limitKnown || parallel <= c.limit {
 		return usual
 	}
 	return time.Duration(float64(usual) * float64(parallel) / float64(c.limit))
