forward: log the content hash, the prompt parts and the begin of the answer of each suspect

The line of the event suspect named the server only, so the log could not tell whether crashes have a prompt part in common (H1), requests are alike (H2) or no request explains them (H3).

--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -50,6 +50,12 @@
 	FieldLoss          = "loss"
 	FieldOtherReplicas = "copies"
 	FieldWaiting       = "waiting"
+	// FieldFingerprint is the hash of the content of a request, FieldPromptParts the
+	// parts of its prompt that other requests may share, and FieldBegun tells whether
+	// its answer had begun.
+	FieldFingerprint = "fingerprint"
+	FieldPromptParts = "prompt_parts"
+	FieldBegun       = "begun"
 )
 
 // Events of a request. EventAttempt is logged for each attempt that failed.
--- a/node/forward/accounting.go
+++ b/node/forward/accounting.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"syscall"
 	"time"
 
@@ -179,40 +180,53 @@
 // given sequence number.
 type processEnd struct{ incarnation, sequence uint64 }
 
+// interruptedRequest is a request whose connection to a server broke before the end of
+// the answer.
+type interruptedRequest struct {
+	id, fingerprint string
+	promptParts     []string
+	// begun is set if the server had begun to write the answer.
+	begun bool
+}
+
 // checkCrash connects to the server of an interrupted attempt. If the connection is
 // refused, the process has ended, and checkCrash reports the end with the request as
 // a suspect.
-func (f *Forwarder) checkCrash(attempt routing.Attempt, fingerprint string) {
+func (f *Forwarder) checkCrash(attempt routing.Attempt, request *interruptedRequest) {
 	conn, err := net.DialTimeout("tcp", attempt.Address, dialTimeout)
 	if err == nil {
 		_ = conn.Close()
 		return
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		f.reportProcessEnd(attempt, fingerprint)
+		f.reportProcessEnd(attempt, request)
 	}
 }
 
 // reportProcessEnd reports to all hosts that a server process has ended, together
-// with the fingerprints of requests that were in flight on it. An end without
-// fingerprints is reported only once after each announcement of the process.
-func (f *Forwarder) reportProcessEnd(attempt routing.Attempt, fingerprints ...string) {
+// with the request that was in flight on it, if any. An end without a request is
+// reported only once after each announcement of the process.
+func (f *Forwarder) reportProcessEnd(attempt routing.Attempt, request *interruptedRequest) {
 	f.mu.Lock()
 	f.router.MarkEnded(attempt)
 	sequence, alreadyReported := f.markEndReported(attempt)
 	f.mu.Unlock()
-	if alreadyReported && len(fingerprints) == 0 {
+	if alreadyReported && request == nil {
 		return
 	}
+	end := state.Suspect{Server: attempt.Server, Incarnation: attempt.Incarnation, Sequence: sequence}
+	fields := decision.Fields{decision.FieldServer: attempt.Server, decision.FieldOutcome: "recorded"}
+	if request != nil {
+		end.Fingerprints = []string{request.fingerprint}
+		fields[decision.FieldRequest], fields[decision.FieldFingerprint] = request.id, request.fingerprint
+		fields[decision.FieldPromptParts], fields[decision.FieldBegun] = strings.Join(request.promptParts, " "), request.begun
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
 	defer cancel()
-	_, err := f.opts.Log.Propose(ctx, state.Command{
-		UnixMS:  time.Now().UnixMilli(),
-		Suspect: &state.Suspect{Server: attempt.Server, Incarnation: attempt.Incarnation, Sequence: sequence, Fingerprints: fingerprints},
-	})
-	fields := decision.Fields{decision.FieldServer: attempt.Server, decision.FieldOutcome: "recorded"}
-	if err != nil {
+	proposedAt := f.opts.Now()
+	if _, err := f.opts.Log.Propose(ctx, state.Command{UnixMS: time.Now().UnixMilli(), Suspect: &end}); err != nil {
 		fields[decision.FieldOutcome] = "not recorded: " + err.Error()
 	}
+	fields[decision.FieldTookMS] = (f.opts.Now() - proposedAt).Milliseconds()
 	f.opts.Decisions.RecordStateChange(decision.EventSuspect, fields)
 }
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -18,6 +18,9 @@
 	Model, Adapter string
 	// Prefix is a hash of the shared prefix of the prompt. Zero means none.
 	Prefix uint64
+	// PromptParts are the IDs of the parts of the prompt that other requests may
+	// share, in their order in the prompt. The part of the request itself is omitted.
+	PromptParts []string
 	// ResumeAfter is the ID of the last event that the caller has received, if any.
 	ResumeAfter string
 }
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -261,13 +261,16 @@
 	f := c.forwarder
 	target := residency.Target{Model: c.key.Model, Adapter: c.key.Adapter}
 	f.recordAttemptStart(target, attempt.Server)
+	eventsBefore := c.eventCount
 	out := c.send(c.ctx, attempt)
 	f.recordAttemptEnd(target, attempt, out, c.ctx.Err() != nil)
 	switch {
 	case out.connectionRefused:
-		go f.reportProcessEnd(attempt)
+		go f.reportProcessEnd(attempt, nil)
 	case out.connectionBroken && out.outcome != exchange.NotSent:
-		go f.checkCrash(attempt, c.fingerprint)
+		go f.checkCrash(attempt, &interruptedRequest{
+			id: c.request.ID, fingerprint: c.fingerprint, promptParts: c.request.PromptParts, begun: c.eventCount > eventsBefore,
+		})
 	}
 	return out
 }
