--- a/node/entry/cluster_test.go
+++ b/node/entry/cluster_test.go
@@ -8,10 +8,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -22,72 +20,10 @@
 	"github.com/pollenwheel/pollenwheel/node/backend"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 	"github.com/pollenwheel/pollenwheel/standin/engine"
+	"github.com/pollenwheel/pollenwheel/standin/memnet"
 	"github.com/pollenwheel/pollenwheel/standin/plain"
 )
 
-// network connects the hosts and servers of a test in memory, so that the test can run
-// in virtual time.
-type network struct {
-	mu        sync.Mutex
-	listeners map[string]*listener
-}
-
-type listener struct {
-	net     *network
-	address string
-	accept  chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-}
-
-func (n *network) listen(address string) *listener {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	l := &listener{net: n, address: address, accept: make(chan net.Conn), closed: make(chan struct{})}
-	n.listeners[address] = l
-	return l
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.accept:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *listener) Addr() net.Addr {
-	host, port, _ := strings.Cut(l.address, ":")
-	var p int
-	_, _ = fmt.Sscan(port, &p)
-	return &net.TCPAddr{IP: net.ParseIP(host), Port: p}
-}
-
-func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	refused := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
-	n.mu.Lock()
-	l := n.listeners[address]
-	n.mu.Unlock()
-	if l == nil {
-		return nil, refused
-	}
-	ours, theirs := net.Pipe()
-	select {
-	case l.accept <- theirs:
-		return ours, nil
-	case <-l.closed:
-		return nil, refused
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // errNoLogAnswer is the error of a proposal of which it is unknown whether it is
 // committed.
 var errNoLogAnswer = errors.New("no answer from the log")
@@ -184,7 +120,7 @@
 type cluster struct {
 	ctx     context.Context
 	stop    context.CancelFunc
-	net     *network
+	net     *memnet.Network
 	log     *commitLog
 	hosts   []*host
 	clients []*backend.Client
@@ -213,7 +149,7 @@
 const guideModel, orderService = "pattern-guide", "supply-orders"
 
 func newCluster(o clusterOptions) *cluster {
-	cl := &cluster{net: &network{listeners: map[string]*listener{}}, table: membership.NewTable(), start: time.Now(), announcingEnded: make(chan struct{})}
+	cl := &cluster{net: &memnet.Network{}, table: membership.NewTable(), start: time.Now(), announcingEnded: make(chan struct{})}
 	cl.ctx, cl.stop = context.WithCancel(context.Background())
 	cl.log = &commitLog{state: state.New()}
 	for i := range o.hosts {
@@ -236,7 +172,7 @@
 	for i := range o.plainServers {
 		p := plain.Start(plain.Options{
 			Name: fmt.Sprintf("desk-%d", i+1), Service: orderService, DataCentre: "waco", Incarnation: 1,
-			Listener: cl.net.listen(fmt.Sprintf("10.0.1.%d:80", i+1)), CallTime: 30 * time.Millisecond, Journal: &cl.plainJournal, Faults: o.plainFaults,
+			Listener: cl.net.Listen(fmt.Sprintf("10.0.1.%d:80", i+1)), CallTime: 30 * time.Millisecond, Journal: &cl.plainJournal, Faults: o.plainFaults,
 		})
 		cl.plainServers = append(cl.plainServers, p)
 		cl.register(p.NextAnnouncement())
@@ -270,7 +206,7 @@
 		if h.ctx.Err() != nil {
 			return nil, errors.New("the entry host is killed")
 		}
-		return cl.net.dial(ctx, network, address)
+		return cl.net.Dial(ctx, network, address)
 	})
 	cl.clients = append(cl.clients, client)
 	h.entry = New(Options{
@@ -293,7 +229,7 @@
 	cl.mu.Lock()
 	opts := cl.engineOptions[i]
 	cl.mu.Unlock()
-	opts.Listener = cl.net.listen(fmt.Sprintf("10.0.0.%d:80", i+1))
+	opts.Listener = cl.net.Listen(fmt.Sprintf("10.0.0.%d:80", i+1))
 	eng, err := engine.Start(cl.ctx, opts)
 	if err != nil {
 		panic(err)
--- a/node/entry/crash_test.go
+++ b/node/entry/crash_test.go
@@ -198,7 +198,7 @@
 		first, opts := cl.engines[0], cl.engineOptions[0]
 		cl.mu.Unlock()
 		_ = first.Close()
-		opts.Incarnation, opts.Listener = 2, cl.net.listen("10.0.0.1:80")
+		opts.Incarnation, opts.Listener = 2, cl.net.Listen("10.0.0.1:80")
 		unregistered, err := engine.Start(cl.ctx, opts)
 		if err != nil {
 			t.Fatal(err)
--- a/node/entry/isolation_cluster_test.go
+++ b/node/entry/isolation_cluster_test.go
@@ -28,6 +28,7 @@
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/backend"
 	"github.com/pollenwheel/pollenwheel/node/replica"
+	"github.com/pollenwheel/pollenwheel/standin/memnet"
 )
 
 // The isolation tests use three data centres. Each has one entry host, two engines and
@@ -145,7 +146,7 @@
 type isoCluster struct {
 	ctx     context.Context
 	stop    context.CancelFunc
-	net     *network
+	net     *memnet.Network
 	log     *commitLog
 	start   time.Time
 	servers []*isoServer
@@ -208,7 +209,7 @@
 			<-ctx.Done()
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
 		}
-		c, err := cl.net.dial(ctx, network, address)
+		c, err := cl.net.Dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
@@ -244,7 +245,7 @@
 func callerKey(team string) string { return "key-" + team }
 
 func newIsoCluster(o isoOptions) *isoCluster {
-	cl := &isoCluster{net: &network{listeners: map[string]*listener{}}, log: &commitLog{state: state.New()}, start: time.Now()}
+	cl := &isoCluster{net: &memnet.Network{}, log: &commitLog{state: state.New()}, start: time.Now()}
 	cl.ctx, cl.stop = context.WithCancel(context.Background())
 	cl.quorum.Store(true)
 	for dc := range isoDataCentres {
@@ -333,7 +334,7 @@
 		dc: dc, batch: make(chan struct{}, isoBatch), faultyModel: o.faultyModel, done: make(chan struct{}),
 	}
 	s.http = &http.Server{Handler: s, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: time.Minute}
-	l := cl.net.listen(address)
+	l := cl.net.Listen(address)
 	go func() { _ = s.http.Serve(l) }()
 	cl.servers = append(cl.servers, s)
 	cl.log.apply(state.Command{Register: &state.Register{
--- a/node/forward/accounting.go
+++ b/node/forward/accounting.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"strings"
 	"syscall"
 	"time"
@@ -193,7 +192,9 @@
 // refused, the process has ended, and checkCrash reports the end with the request as
 // a suspect.
 func (f *Forwarder) checkCrash(attempt routing.Attempt, request *interruptedRequest) {
-	conn, err := net.DialTimeout("tcp", attempt.Address, dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := f.opts.Dial(ctx, "tcp", attempt.Address)
 	if err == nil {
 		_ = conn.Close()
 		return
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -33,11 +33,9 @@
 	maxAnswerBytes = 16 << 20
 )
 
-// newTransport returns a transport that uses each connection for one request
-// only, so that an extra or late answer on a connection is never taken for the
-// answer to another request.
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{
+// newDialer returns a dialer whose connections fail soon after their link breaks.
+func newDialer() *net.Dialer {
+	return &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 3,
@@ -52,8 +50,14 @@
 			return err
 		},
 	}
+}
+
+// newTransport returns a transport that uses each connection for one request
+// only, so that an extra or late answer on a connection is never taken for the
+// answer to another request.
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
 	return &http.Transport{
-		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+		DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
 		WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10, MaxResponseHeaderBytes: 64 << 10,
 	}
 }
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,8 @@
 	// Ready reports whether this host can serve requests.
 	Ready      func() bool
 	RetryLimit retry.Limit
+	// Dial opens a connection to a backend server; nil means one over TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// DemandChanged is called when a request begins to wait or is refused because no
 	// server holds its target.
 	DemandChanged func()
@@ -103,8 +106,11 @@
 // to date.
 func New(o Options) *Forwarder {
 	seed := uint64(time.Now().UnixNano())
+	if o.Dial == nil {
+		o.Dial = newDialer().DialContext
+	}
 	f := &Forwarder{
-		opts: o, transport: newTransport(), rng: rand.New(rand.NewPCG(seed, 2)),
+		opts: o, transport: newTransport(o.Dial), rng: rand.New(rand.NewPCG(seed, 2)),
 		router: routing.New(routing.Options{
 			DataCentre: o.DataCentre, RemoteLoadThreshold: remoteLoadThreshold, BreakerFailures: breakerFailures,
 		}, rand.New(rand.NewPCG(seed, 1))),
--- /dev/null
+++ b/node/forward/harmful_part_test.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// The limits of the platform's rules: crashes after which a harmful part must be known,
+// the time until this is in force on all hosts, and further arrivals at servers.
+const (
+	allowedCrashes  = 5
+	inForceWithin   = 3 * time.Second
+	allowedArrivals = 3
+)
+
+// harmfulPartLoads are the loads under which a harmful part must be contained.
+var harmfulPartLoads = map[string]crashWorldOptions{
+	"1 in 20":                    {seed: 1, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05},
+	"1 in 100":                   {seed: 2, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.01},
+	"1 in 5":                     {seed: 3, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.2},
+	"1 in 5, many hosts":         {seed: 4, hosts: 40, servers: 30, perSecond: 110, harmfulShare: 0.2},
+	"before a shared part":       {seed: 5, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, harmfulFirst: true},
+	"beside unrelated crashes":   {seed: 6, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, crashEvery: 700 * time.Millisecond, crashTogether: 1},
+	"beside the loss of a rack":  {seed: 7, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, crashEvery: 4 * time.Second, crashTogether: 4},
+	"one host only":              {seed: 8, hosts: 1, servers: 9, perSecond: 36, harmfulShare: 0.05},
+	"the same request each time": {seed: 9, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, contentHarmful: true},
+}
+
+func TestHarmfulPromptPartStopsReachingServers(t *testing.T) {
+	for name, o := range harmfulPartLoads {
+		t.Run(name, func(t *testing.T) {
+			o.harmfulFrom, o.harmfulUntil, o.duration = 4*time.Second, 26*time.Second, 30*time.Second
+			synctest.Test(t, func(t *testing.T) {
+				w := runCrashWorld(t, o)
+				t.Logf("%d servers crashed, %d harmful arrivals, %d proposals", len(w.crashes), len(w.arrivals), w.log.proposals)
+				checkHarmfulPartContained(t, w)
+			})
+		})
+	}
+}
+
+// checkHarmfulPartContained checks the two rules on requests with a harmful part.
+func checkHarmfulPartContained(t *testing.T, w *crashWorld) {
+	t.Helper()
+	if len(w.crashes) >= allowedCrashes {
+		late := 0
+		for _, at := range w.arrivals {
+			if at > w.crashes[allowedCrashes-1]+inForceWithin {
+				late++
+			}
+		}
+		if late > allowedArrivals {
+			t.Errorf("harmful requests reached servers %d times later than %v after crash %d, want at most %d", late, inForceWithin, allowedCrashes, allowedArrivals)
+		}
+	}
+	if len(w.crashes) == 0 {
+		t.Fatal("no server crashed")
+	}
+	before, begunBefore := w.sound(0, w.opts.harmfulFrom)
+	known := w.crashes[min(len(w.crashes), allowedCrashes)-1] - time.Second
+	beside, begunBeside := w.sound(known+2*inForceWithin, w.opts.harmfulUntil)
+	if begunBeside*before*2 < begunBefore*beside {
+		t.Errorf("of %d sound requests beside the harmful ones, %d began at the first attempt; of %d before, %d did", beside, begunBeside, before, begunBefore)
+	}
+}
