forward, state: find the prompt part that crashes servers, and refuse requests with it

Callers saw half of all requests fail or refused while 5 in 100 of one class had a part that ends each server that begins to answer it: 31 to 50 servers ended in 22 s, and most of the damage was to sound requests on these servers.

Cause: evidence on crashes was attributed to whole requests only, by the hash of their content. No two harmful requests are alike, so none was ever refused; each was also sent to a second server at once. Requests whose answer had begun were suspects too, although a harmful one crashes its server before; that led to refusals of sound requests.

Now the shared parts of a prompt are suspects as well, in the same replicated records. A crash accuses the parts of those requests whose answer had not begun, but for parts that have been answered since the crash before; each host remembers that. A request with an accused part runs as a trial, one at a time for each part over all hosts, on the least loaded server. An answer that begins clears the part on all hosts; a crash under trial quarantines it. A repetition waits until its crash is recorded. A quarantine lasts a minute, and twice as long each further time; answers that begin meanwhile end it. The records are bounded.

Unrelated crashes of servers bar no part that many requests share.

--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -396,16 +396,17 @@
 	}
 }
 
-// PickLeastLoaded begins an attempt on the least loaded usable server for a key. It is
-// used for the trial of a suspect request, and returns false if no server is usable.
-func (r *Router) PickLeastLoaded(now time.Duration, k Key, exclude string) (Attempt, bool) {
+// PickLeastLoaded begins an attempt on the least loaded usable server for a key that is
+// not excluded. It is used for the trial of a suspect request, and returns false if no
+// server is usable.
+func (r *Router) PickLeastLoaded(now time.Duration, k Key, excluded func(server string) bool) (Attempt, bool) {
 	t := r.targets[k]
 	if t == nil {
 		return Attempt{}, false
 	}
 	var best *candidate
 	for _, c := range t.candidates {
-		if r.usable(now, c, exclude) && (best == nil || c.server.load() < best.server.load()) {
+		if r.usable(now, c, "") && !excluded(c.server.Name) && (best == nil || c.server.load() < best.server.load()) {
 			best = c
 		}
 	}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/pollenwheel/pollenwheel/core/config"
 )
@@ -200,16 +201,28 @@
 	Server       string   `json:"server"`
 	Incarnation  uint64   `json:"incarnation"`
 	Fingerprints []string `json:"fingerprints"`
+	// Parts are the parts of the prompt of the only request in Fingerprints that may
+	// have caused the end, in their order in the prompt.
+	Parts []string `json:"parts,omitempty"`
+	// Answered are its parts for which the proposer knows that an answer has begun
+	// since the crash recorded before. They are recorded, but are no suspects.
+	Answered []string `json:"answered,omitempty"`
+	// Trial is the trial as which that request ran, if any.
+	Trial *Trial `json:"trial,omitempty"`
 	// Sequence is the sequence number of the newest announcement that the
 	// proposer knew. A later announcement shows that the process still runs.
 	// With zero, only the suspects are marked.
 	Sequence uint64 `json:"sequence,omitempty"`
 }
 
-// Trial reserves a server for one attempt at a suspect request: the server receives
-// no other request until the trial ends.
+// Trial permits one attempt at a suspect request, or at a request with suspect prompt
+// parts, on a server that has no other trial. A server with the trial of a suspect
+// request receives no other request until the trial ends.
 type Trial struct {
-	Fingerprint string      `json:"fingerprint"`
+	Fingerprint string `json:"fingerprint"`
+	// Parts are the suspect parts of the request's prompt. A trial has either Parts or
+	// is one of the request with the Fingerprint as a whole.
+	Parts       []string    `json:"parts,omitempty"`
 	Server      string      `json:"server"`
 	Incarnation uint64      `json:"incarnation"`
 	Holder      HostProcess `json:"holder"`
@@ -223,9 +236,22 @@
 	Release bool `json:"release,omitempty"`
 }
 
-// ClearSuspect clears a suspect after a trial without a crash.
+// Same reports whether t and other are the same trial.
+func (t Trial) Same(other Trial) bool {
+	return t.Fingerprint == other.Fingerprint && t.Server == other.Server && t.Incarnation == other.Incarnation &&
+		t.Holder == other.Holder && t.Nonce == other.Nonce && t.ExpiresMS == other.ExpiresMS && slices.Equal(t.Parts, other.Parts)
+}
+
+// ClearSuspect clears a suspect request after a trial without a crash, or prompt parts
+// after a server has begun to write an answer to a request with them.
 type ClearSuspect struct {
-	Fingerprint string `json:"fingerprint"`
+	Fingerprint string   `json:"fingerprint,omitempty"`
+	Parts       []string `json:"parts,omitempty"`
+	// SeenIndex is the log index up to which the proposer had applied the log when the
+	// answer began: the answer is newer than the crashes recorded up to it.
+	SeenIndex uint64 `json:"seen_index,omitempty"`
+	// Lift clears the parts by decision of an operator.
+	Lift bool `json:"lift,omitempty"`
 }
 
 // RecordLeader records the process that becomes the leader and begins to send orders.
--- a/core/state/errors.go
+++ b/core/state/errors.go
@@ -33,6 +33,7 @@
 	CodeKeyExpired      Code = "key_expired"
 	CodeKeyReused       Code = "key_reused"
 	CodeQuarantined     Code = "quarantined"
+	CodeNotSuspect      Code = "not_suspect"
 )
 
 // Rejection is the error of a command that did not change the state.
--- /dev/null
+++ b/core/state/part.go
@@ -0,0 +1,237 @@
+package state
+
+import (
+	"slices"
+	"time"
+)
+
+// PartRecord is what is recorded of a prompt part beside its crashes. A part is a
+// suspect from a crash on until it is cleared. A crash under trial quarantines it.
+type PartRecord struct {
+	// Cleared is set once an answer to a request with the part has begun since the
+	// crashes. The record is kept to tell newer evidence from older.
+	Cleared bool `json:"cleared,omitempty"`
+	// UnclearedCrashes is the number of crashes since the part was last cleared.
+	UnclearedCrashes int `json:"uncleared_crashes,omitempty"`
+	// TrialShared is set if the server of the current trial had another trial at any
+	// time, so that a crash does not tell which of them caused it.
+	TrialShared bool `json:"trial_shared,omitempty"`
+	// RefutingIndex is the lowest SeenIndex of evidence that clears the part. An answer
+	// that began before a crash clears the part of that crash, but not of the next:
+	// a part may turn harmful.
+	RefutingIndex uint64 `json:"refuting_index,omitempty"`
+	// Fingerprints are the hashes of different requests with the part that were in
+	// flight at a crash since the part was last cleared.
+	Fingerprints []string `json:"fingerprints,omitempty"`
+	// UntilMS is the end of the quarantine, in Unix milliseconds. After it, the part is
+	// a suspect again.
+	UntilMS int64 `json:"until_ms,omitempty"`
+	// Quarantines is the number of quarantines since the part was last cleared.
+	Quarantines int `json:"quarantines,omitempty"`
+	// Beside are the other suspect parts of the request whose trial led to the
+	// quarantine. If one of them is quarantined later, it explains that crash.
+	Beside []string `json:"beside,omitempty"`
+}
+
+const (
+	// firstQuarantine is the duration of the first quarantine of a prompt part. Its end
+	// costs a server if the part is still harmful, so each further one lasts twice as
+	// long, up to maxQuarantine.
+	firstQuarantine = time.Minute
+	maxQuarantine   = 24 * time.Hour
+	// maxPartFingerprints and maxPartCrashes limit the fingerprints and crashes that a
+	// record of a prompt part keeps.
+	maxPartFingerprints = 4
+	maxPartCrashes      = 8
+)
+
+// PartKey returns the key of a prompt part in State.Suspects. Fingerprints are
+// hexadecimal, so no fingerprint equals it.
+func PartKey(id string) string { return "part:" + id }
+
+// Barred reports whether requests are rejected at the given time, in Unix
+// milliseconds.
+func (r SuspectRecord) Barred(unixMS int64) bool {
+	return r.Quarantined && (r.Part == nil || unixMS < r.Part.UntilMS)
+}
+
+// Suspect reports whether a request needs a trial at the given time, in Unix
+// milliseconds.
+func (r SuspectRecord) Suspect(unixMS int64) bool {
+	return !r.Barred(unixMS) && (r.Part == nil || !r.Part.Cleared)
+}
+
+// suspectParts records a crash for the parts of a request. If the request ran as their
+// trial and no other trial ran on the server, the crash quarantines one of them.
+func (s *State) suspectParts(c Suspect, crash string) {
+	for _, id := range c.Answered {
+		if rec := s.partRecord(id); !slices.Contains(rec.Crashes, crash) {
+			rec.addCrash(crash, s.Index)
+			s.Suspects[PartKey(id)] = rec
+		}
+	}
+	var tried []string
+	for _, id := range c.Parts {
+		rec := s.partRecord(id)
+		if slices.Contains(rec.Crashes, crash) {
+			continue
+		}
+		rec.Part.addFingerprints(c.Fingerprints)
+		// Crashes by equal requests speak against the request rather than its parts.
+		conclusive := !rec.Part.TrialShared && len(rec.Part.Fingerprints) > 1
+		if c.Trial != nil && rec.Trial != nil && rec.Trial.Same(*c.Trial) && conclusive {
+			tried = append(tried, id)
+		}
+		rec.Part.Cleared, rec.Part.TrialShared = false, false
+		rec.Part.RefutingIndex = rec.LastIndex
+		rec.Part.UnclearedCrashes++
+		rec.Trial = nil
+		rec.addCrash(crash, s.Index)
+		s.Suspects[PartKey(id)] = rec
+	}
+	if len(tried) > 0 {
+		s.quarantinePart(tried[len(tried)-1], tried[:len(tried)-1])
+	}
+}
+
+// partRecord returns a copy of the record of a part, or a cleared one without crashes.
+func (s *State) partRecord(id string) SuspectRecord {
+	rec := s.Suspects[PartKey(id)]
+	part := PartRecord{Cleared: true}
+	if rec.Part != nil {
+		part = *rec.Part
+	}
+	rec.Part = &part
+	return rec
+}
+
+// addCrash adds a crash that is recorded at a log index.
+func (r *SuspectRecord) addCrash(crash string, index uint64) {
+	r.Crashes = lastOf(append(slices.Clone(r.Crashes), crash), maxPartCrashes)
+	r.LastIndex = index
+}
+
+// addFingerprints adds those of the fingerprints that are not recorded yet.
+func (p *PartRecord) addFingerprints(fingerprints []string) {
+	added := slices.Clone(p.Fingerprints)
+	for _, fp := range fingerprints {
+		if !slices.Contains(added, fp) {
+			added = append(added, fp)
+		}
+	}
+	p.Fingerprints = lastOf(added, maxPartFingerprints)
+}
+
+// lastOf returns the last n elements of list, or all if it has fewer.
+func lastOf(list []string, n int) []string { return list[max(0, len(list)-n):] }
+
+// quarantinePart quarantines the part whose trial crashed a server. The other suspect
+// parts of that request stay suspects. The last part is taken for the cause, because
+// fewer requests share it: if another one is, its own trial shows that, and ends the
+// quarantine of the former.
+func (s *State) quarantinePart(id string, beside []string) {
+	rec := s.Suspects[PartKey(id)]
+	part := *rec.Part
+	duration := maxQuarantine
+	if part.Quarantines < 16 {
+		duration = min(maxQuarantine, firstQuarantine<<part.Quarantines)
+	}
+	part.Quarantines++
+	part.UntilMS = s.ClockMS + duration.Milliseconds()
+	part.RefutingIndex = s.Index
+	part.Beside = slices.Clone(beside)
+	rec.Part, rec.Quarantined = &part, true
+	s.Suspects[PartKey(id)] = rec
+	for key, other := range s.Suspects {
+		if other.Quarantined && other.Part != nil && slices.Contains(other.Part.Beside, id) {
+			changed := *other.Part
+			changed.Beside, changed.Quarantines, changed.UntilMS = nil, 0, 0
+			other.Part, other.Quarantined = &changed, false
+			s.Suspects[key] = other
+		}
+	}
+}
+
+// aloneAfterCrashes is the number of crashes after which a part is tried alone on its
+// server. Trials after the first crash may share a server, because most suspects are
+// sound requests that were on the server of a harmful one.
+const aloneAfterCrashes = 2
+
+// partTrial grants or releases the trial of suspect parts. At most one trial is open
+// for each part.
+func (s *State) partTrial(t Trial) Result {
+	if t.Release {
+		t.Release = false
+		s.endPartTrial(t)
+		return Result{}
+	}
+	alone := false
+	for _, id := range t.Parts {
+		rec := s.partRecord(id)
+		switch {
+		case rec.Part.Cleared:
+			return reject(CodeNotSuspect, "prompt part %s is not a suspect", id)
+		case rec.Barred(s.ClockMS):
+			return reject(CodeQuarantined, "prompt part %s crashed backend servers", id)
+		case s.trialOpen(rec.Trial) && !rec.Trial.Same(t):
+			return reject(CodeBusy, "a trial of prompt part %s runs on %s", id, rec.Trial.Server)
+		}
+		alone = alone || rec.Part.UnclearedCrashes >= aloneAfterCrashes
+	}
+	others := s.otherTrials(t)
+	for _, key := range others {
+		if rec := s.Suspects[key]; alone || rec.Part == nil || rec.Part.UnclearedCrashes >= aloneAfterCrashes {
+			return reject(CodeBusy, "another trial runs on %s", t.Server)
+		}
+	}
+	for _, key := range others {
+		rec := s.Suspects[key]
+		part := *rec.Part
+		part.TrialShared = true
+		rec.Part = &part
+		s.Suspects[key] = rec
+	}
+	for _, id := range t.Parts {
+		rec := s.partRecord(id)
+		rec.Trial, rec.Part.TrialShared = &t, len(others) > 0
+		s.Suspects[PartKey(id)] = rec
+	}
+	return Result{}
+}
+
+// otherTrials returns the keys of the suspects with another open trial on the server of
+// t.
+func (s *State) otherTrials(t Trial) []string {
+	var keys []string
+	for key, other := range s.Suspects {
+		if s.trialOpen(other.Trial) && other.Trial.Server == t.Server && !other.Trial.Same(t) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// endPartTrial removes a trial from its parts.
+func (s *State) endPartTrial(t Trial) {
+	for _, id := range t.Parts {
+		if rec := s.Suspects[PartKey(id)]; rec.Trial != nil && rec.Trial.Same(t) {
+			rec.Trial = nil
+			s.Suspects[PartKey(id)] = rec
+		}
+	}
+}
+
+// clearParts clears parts of which an answer has begun, unless a newer crash shows
+// that the evidence is too old.
+func (s *State) clearParts(c ClearSuspect) Result {
+	for _, id := range c.Parts {
+		rec, ok := s.Suspects[PartKey(id)]
+		if !ok || rec.Part == nil || rec.Part.Cleared || !c.Lift && c.SeenIndex < rec.Part.RefutingIndex {
+			continue
+		}
+		rec.Part = &PartRecord{Cleared: true}
+		rec.Trial, rec.Quarantined = nil, false
+		s.Suspects[PartKey(id)] = rec
+	}
+	return Result{}
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -96,15 +96,19 @@
 	Outcome *Outcome `json:"outcome,omitempty"`
 }
 
-// SuspectRecord holds the crashes and the trial of a suspect request.
+// SuspectRecord holds the crashes and the trial of a suspect request or prompt part.
 type SuspectRecord struct {
-	// Crashes lists the server incarnations that ended with the request in flight,
-	// each as "server/incarnation".
+	// Crashes lists the server incarnations that ended with the request, or a request
+	// with the part, in flight, each as "server/incarnation".
 	Crashes []string `json:"crashes"`
 	// Trial is the current trial, if any. It may have expired.
 	Trial *Trial `json:"trial,omitempty"`
 	// Quarantined requests are rejected by every host.
 	Quarantined bool `json:"quarantined,omitempty"`
+	// LastIndex is the log index of the newest crash.
+	LastIndex uint64 `json:"last_index,omitempty"`
+	// Part holds what is recorded of prompt parts only.
+	Part *PartRecord `json:"part,omitempty"`
 }
 
 // Result is the result of applying one command.
@@ -138,7 +142,10 @@
 	Servers    map[string]Server          `json:"servers"`
 	Placements map[PlacementKey]Placement `json:"placements"`
 	Claims     map[string]ClaimRecord     `json:"claims"`
-	Suspects   map[string]SuspectRecord   `json:"suspects"`
+	// Suspects contains suspect requests by fingerprint and prompt parts by PartKey.
+	Suspects map[string]SuspectRecord `json:"suspects"`
+	// SuspectsIndex is the index of the command that last changed Suspects.
+	SuspectsIndex uint64 `json:"suspects_index,omitempty"`
 	// Ended contains the server processes that were found to have ended, by server
 	// name.
 	Ended map[string]EndedProcess `json:"ended,omitempty"`
@@ -211,12 +218,9 @@
 		return s.claim(*c.Claim)
 	case c.Outcome != nil:
 		return s.outcome(*c.Outcome)
-	case c.Suspect != nil:
-		return s.suspect(*c.Suspect)
-	case c.Trial != nil:
-		return s.trial(*c.Trial)
-	case c.ClearSuspect != nil:
-		return s.clearSuspect(*c.ClearSuspect)
+	case c.Suspect != nil, c.Trial != nil, c.ClearSuspect != nil:
+		s.SuspectsIndex = s.Index
+		return s.dispatchSuspicion(c)
 	case c.StoreLearned != nil:
 		s.Learned = c.StoreLearned.Data
 	case c.RecordLeader != nil:
--- a/core/state/suspect.go
+++ b/core/state/suspect.go
@@ -1,15 +1,30 @@
 package state
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 )
 
 // crashesToQuarantine is the number of server incarnations that end with a request in
 // flight before the request is rejected by every host.
 const crashesToQuarantine = 2
 
+// dispatchSuspicion executes a command about suspects.
+func (s *State) dispatchSuspicion(c Command) Result {
+	switch {
+	case c.Suspect != nil:
+		return s.suspect(*c.Suspect)
+	case c.Trial != nil:
+		return s.trial(*c.Trial)
+	case len(c.ClearSuspect.Parts) > 0:
+		return s.clearParts(*c.ClearSuspect)
+	}
+	return s.clearSuspect(*c.ClearSuspect)
+}
+
 // suspect records a crash for every request that was in flight on a server process
 // that ended. The second crash quarantines the request, so the crash of a trial always
 // does: only a request with an earlier crash has a trial.
@@ -26,11 +41,44 @@
 		rec.Crashes = append(slices.Clone(rec.Crashes), crash)
 		rec.Quarantined = len(rec.Crashes) >= crashesToQuarantine
 		rec.Trial = nil
+		rec.LastIndex = s.Index
 		s.Suspects[fp] = rec
 	}
+	s.suspectParts(c, crash)
+	s.limitSuspects()
 	return Result{}
 }
 
+// maxSuspects is the maximum number of suspect requests and prompt parts that are
+// kept, so that callers that send ever new ones do not fill the state.
+const maxSuspects = 4096
+
+// keptSuspects is the number of suspects that are left when maxSuspects is exceeded, so
+// that the removal is seldom necessary.
+const keptSuspects = maxSuspects * 7 / 8
+
+// limitSuspects removes the suspects whose newest crash is the oldest until
+// keptSuspects are left, those in quarantine last.
+func (s *State) limitSuspects() {
+	if len(s.Suspects) <= maxSuspects {
+		return
+	}
+	keys := slices.Collect(maps.Keys(s.Suspects))
+	slices.SortFunc(keys, func(a, b string) int {
+		x, y := s.Suspects[a], s.Suspects[b]
+		if x.Quarantined != y.Quarantined {
+			if x.Quarantined {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(x.LastIndex, y.LastIndex), strings.Compare(a, b))
+	})
+	for _, key := range keys[:len(keys)-keptSuspects] {
+		delete(s.Suspects, key)
+	}
+}
+
 // EndedProcess is a server process that was found to have ended.
 type EndedProcess struct {
 	Incarnation uint64 `json:"incarnation"`
@@ -73,13 +121,16 @@
 // trial grants or releases the trial of a suspect. At most one trial is open per
 // fingerprint and per server.
 func (s *State) trial(t Trial) Result {
+	if len(t.Parts) > 0 {
+		return s.partTrial(t)
+	}
 	rec, ok := s.Suspects[t.Fingerprint]
 	if !ok {
 		return Result{}
 	}
 	if t.Release {
 		t.Release = false
-		if rec.Trial != nil && *rec.Trial == t {
+		if rec.Trial != nil && rec.Trial.Same(t) {
 			rec.Trial = nil
 			s.Suspects[t.Fingerprint] = rec
 		}
@@ -88,7 +139,7 @@
 	if rec.Quarantined {
 		return reject(CodeQuarantined, "request crashed %d backend servers", len(rec.Crashes))
 	}
-	if s.trialOpen(rec.Trial) && *rec.Trial != t {
+	if s.trialOpen(rec.Trial) && !rec.Trial.Same(t) {
 		return reject(CodeBusy, "a trial of the request runs on %s", rec.Trial.Server)
 	}
 	for fp, other := range s.Suspects {
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -51,11 +51,12 @@
 	FieldOtherReplicas = "copies"
 	FieldWaiting       = "waiting"
 	// FieldFingerprint is the hash of the content of a request, FieldPromptParts the
-	// parts of its prompt that other requests may share, and FieldBegun tells whether
-	// its answer had begun.
+	// parts of its prompt that other requests may share, FieldAccused those of them that
+	// may have crashed a server, and FieldTrial tells whether the request ran as a trial.
 	FieldFingerprint = "fingerprint"
 	FieldPromptParts = "prompt_parts"
-	FieldBegun       = "begun"
+	FieldAccused     = "accused"
+	FieldTrial       = "trial"
 )
 
 // Events of a request. EventAttempt is logged for each attempt that failed.
@@ -78,6 +79,7 @@
 	EventTable        = "table"
 	EventServer       = "server"
 	EventSuspect      = "suspect"
+	EventSuspicion    = "suspicion"
 	EventOrder        = "order"
 	EventReport       = "report"
 	EventLoaded       = "loaded"
--- a/node/entry/suspect.go
+++ b/node/entry/suspect.go
@@ -179,7 +179,7 @@
 func (e *Entry) pickTrialServer(req *request) *serverAttempt {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	a, ok := e.router.PickLeastLoaded(e.opts.Now(), req.key, "")
+	a, ok := e.router.PickLeastLoaded(e.opts.Now(), req.key, func(string) bool { return false })
 	if !ok {
 		return nil
 	}
@@ -219,7 +219,7 @@
 // trial ends when another attempt of an equal request crashes a server.
 func (e *Entry) holdsTrial(attempt *serverAttempt) bool {
 	rec := e.view.Load().suspects[attempt.fingerprint]
-	return rec.Trial != nil && *rec.Trial == *attempt.trial
+	return rec.Trial != nil && rec.Trial.Same(*attempt.trial)
 }
 
 // awaitAlone waits until nothing else runs on the trial's server: no other attempt of
--- a/node/forward/accounting.go
+++ b/node/forward/accounting.go
@@ -1,23 +1,14 @@
 package forward
 
 import (
-	"context"
-	"errors"
-	"strings"
-	"syscall"
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/exchange"
 	"github.com/pollenwheel/pollenwheel/core/residency"
 	"github.com/pollenwheel/pollenwheel/core/routing"
-	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/core/waitpolicy"
-	"github.com/pollenwheel/pollenwheel/node/decision"
 )
 
-// suspectTimeout is the maximum time for committing a suspect record.
-const suspectTimeout = 3 * time.Second
-
 // randomFraction returns a random number in [0, 1).
 func (f *Forwarder) randomFraction() float64 {
 	f.mu.Lock()
@@ -91,13 +82,19 @@
 	f.opts.DemandChanged()
 }
 
-// pickServer selects a server for a request. If there is none, it returns a
+// pickServer selects a server for a request, for a trial the least loaded one, so that a
+// crash ends few other requests. If there is none, it returns a
 // forecast and a channel that is closed when the router has been rebuilt. A nil
 // channel means that waiting cannot help.
-func (f *Forwarder) pickServer(c *call) (attempt routing.Attempt, rebuilt <-chan struct{}, forecast waitpolicy.Forecast, ok bool) {
+func (f *Forwarder) pickServer(c *call, trial bool) (attempt routing.Attempt, rebuilt <-chan struct{}, forecast waitpolicy.Forecast, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.opts.Now()
+	if trial {
+		if attempt, ok = f.router.PickLeastLoaded(now, c.key, f.excludedFromTrial(c)); ok {
+			return attempt, nil, forecast, true
+		}
+	}
 	q := routing.Query{Key: c.key, Prefix: c.request.Prefix, Exclude: c.avoidServer}
 	if attempt, ok = f.router.Pick(now, q); ok {
 		return attempt, nil, forecast, true
@@ -178,56 +175,3 @@
 // processEnd identifies the end of a process after its announcement with the
 // given sequence number.
 type processEnd struct{ incarnation, sequence uint64 }
-
-// interruptedRequest is a request whose connection to a server broke before the end of
-// the answer.
-type interruptedRequest struct {
-	id, fingerprint string
-	promptParts     []string
-	// begun is set if the server had begun to write the answer.
-	begun bool
-}
-
-// checkCrash connects to the server of an interrupted attempt. If the connection is
-// refused, the process has ended, and checkCrash reports the end with the request as
-// a suspect.
-func (f *Forwarder) checkCrash(attempt routing.Attempt, request *interruptedRequest) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	conn, err := f.opts.Dial(ctx, "tcp", attempt.Address)
-	if err == nil {
-		_ = conn.Close()
-		return
-	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		f.reportProcessEnd(attempt, request)
-	}
-}
-
-// reportProcessEnd reports to all hosts that a server process has ended, together
-// with the request that was in flight on it, if any. An end without a request is
-// reported only once after each announcement of the process.
-func (f *Forwarder) reportProcessEnd(attempt routing.Attempt, request *interruptedRequest) {
-	f.mu.Lock()
-	f.router.MarkEnded(attempt)
-	sequence, alreadyReported := f.markEndReported(attempt)
-	f.mu.Unlock()
-	if alreadyReported && request == nil {
-		return
-	}
-	end := state.Suspect{Server: attempt.Server, Incarnation: attempt.Incarnation, Sequence: sequence}
-	fields := decision.Fields{decision.FieldServer: attempt.Server, decision.FieldOutcome: "recorded"}
-	if request != nil {
-		end.Fingerprints = []string{request.fingerprint}
-		fields[decision.FieldRequest], fields[decision.FieldFingerprint] = request.id, request.fingerprint
-		fields[decision.FieldPromptParts], fields[decision.FieldBegun] = strings.Join(request.promptParts, " "), request.begun
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
-	defer cancel()
-	proposedAt := f.opts.Now()
-	if _, err := f.opts.Log.Propose(ctx, state.Command{UnixMS: time.Now().UnixMilli(), Suspect: &end}); err != nil {
-		fields[decision.FieldOutcome] = "not recorded: " + err.Error()
-	}
-	fields[decision.FieldTookMS] = (f.opts.Now() - proposedAt).Milliseconds()
-	f.opts.Decisions.RecordStateChange(decision.EventSuspect, fields)
-}
--- a/node/forward/crash_world_test.go
+++ b/node/forward/crash_world_test.go
@@ -102,6 +102,8 @@
 	leader    *state.State
 	followers []chan state.Command
 	proposals int
+	// barred are the prompt parts that were in quarantine at any time.
+	barred map[string]bool
 }
 
 func (l *worldLog) Propose(ctx context.Context, c state.Command) (state.Result, error) {
@@ -119,6 +121,11 @@
 	l.index++
 	l.proposals++
 	result := l.leader.Apply(l.index, c)
+	for key, rec := range l.leader.Suspects {
+		if id, ok := strings.CutPrefix(key, state.PartKey("")); ok && rec.Quarantined {
+			l.barred[id] = true
+		}
+	}
 	for _, f := range l.followers {
 		f <- c
 	}
@@ -149,7 +156,7 @@
 func runCrashWorld(t *testing.T, o crashWorldOptions) *crashWorld {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &crashWorld{opts: o, start: time.Now(), log: &worldLog{leader: state.New()}, changed: make(chan struct{})}
+	w := &crashWorld{opts: o, start: time.Now(), log: &worldLog{leader: state.New(), barred: map[string]bool{}}, changed: make(chan struct{})}
 	for i := range o.servers {
 		w.startServer(fmt.Sprintf("server-%d", i), fmt.Sprintf("10.0.0.%d:80", i+1), 1)
 	}
@@ -181,7 +188,7 @@
 
 func (w *crashWorld) startHost(ctx context.Context, i int) {
 	f := New(Options{
-		Protocol: testProtocol{}, Replica: w.log.follow(ctx), Log: w.log, Holdings: NewHoldings(),
+		Protocol: testProtocol{}, Replica: w.log.follow(ctx), Log: w.log, Holdings: NewHoldings(), Self: state.HostProcess{Host: fmt.Sprint(i)},
 		Servers: w.statuses, ServersChanged: w.serversChanged, HostCount: func() int { return w.opts.hosts },
 		Now: func() time.Duration { return w.now() + time.Second }, Ready: func() bool { return true }, Dial: w.net.Dial,
 		RetryLimit: retry.Limit{Ratio: 0.2, Window: 10 * time.Second, Slack: 56}, DemandChanged: func() {},
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollenwheel/pollenwheel/core/evidence"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/residency"
 	"github.com/pollenwheel/pollenwheel/core/retry"
@@ -30,6 +31,8 @@
 	Replica    *replica.Replica
 	Log        Log
 	DataCentre string
+	// Self identifies this process as the holder of trials.
+	Self state.HostProcess
 	// Servers returns the known backend servers. ServersChanged returns a channel
 	// that is closed when they next change.
 	Servers        func() []membership.ServerStatus
@@ -74,6 +77,14 @@
 	// and reportedEnds the process end last reported for each server.
 	sequences    map[string]uint64
 	reportedEnds map[string]processEnd
+	// begun remembers the answers that have begun, and refuted the crashes after which
+	// the answers to a prompt part were reported to the other hosts.
+	begun   *evidence.Begun
+	refuted map[string]uint64
+
+	refreshMu sync.Mutex
+	// trials is the number of trials that this process has begun.
+	trials atomic.Uint64
 
 	keepAlivesDisabled atomic.Bool
 	admissionStopped   atomic.Bool
@@ -86,8 +97,10 @@
 // A change replaces the complete view.
 type admissionView struct {
 	index *route.Index
-	// suspects holds the quarantined records by fingerprint.
-	suspects map[string]state.SuspectRecord
+	// suspects are the suspect requests and prompt parts, and appliedIndex the log
+	// index up to which they are known.
+	suspects     *suspects
+	appliedIndex uint64
 }
 
 const (
@@ -116,7 +129,7 @@
 		}, rand.New(rand.NewPCG(seed, 1))),
 		budgets: map[string]*retry.Budget{}, demands: map[residency.Target]*targetDemand{},
 		rebuilt: make(chan struct{}), forecaster: newForecaster(),
-		sequences: map[string]uint64{}, reportedEnds: map[string]processEnd{},
+		sequences: map[string]uint64{}, reportedEnds: map[string]processEnd{}, begun: evidence.NewBegun(), refuted: map[string]uint64{},
 	}
 	f.view.Store(&admissionView{})
 	return f
--- a/node/forward/harmful_part_test.go
+++ b/node/forward/harmful_part_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,3 +65,24 @@
 		t.Errorf("of %d sound requests beside the harmful ones, %d began at the first attempt; of %d before, %d did", beside, begunBeside, before, begunBefore)
 	}
 }
+
+func TestUnrelatedCrashesBarNoPartThatManyRequestsShare(t *testing.T) {
+	for name, o := range map[string]crashWorldOptions{
+		"one server at a time": {seed: 11, crashEvery: 300 * time.Millisecond, crashTogether: 1},
+		"racks":                {seed: 12, crashEvery: 2 * time.Second, crashTogether: 5},
+		"all servers at once":  {seed: 13, crashEvery: 5 * time.Second, crashTogether: 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o.hosts, o.servers, o.perSecond, o.duration = 8, 9, 36, 30*time.Second
+			synctest.Test(t, func(t *testing.T) {
+				w := runCrashWorld(t, o)
+				t.Logf("%d parts were barred, %d proposals", len(w.log.barred), w.log.proposals)
+				for i := range 3 {
+					if part := fmt.Sprintf("first-%d", i); w.log.barred[part] {
+						t.Errorf("part %s, which a third of all requests share, was barred", part)
+					}
+				}
+			})
+		})
+	}
+}
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -17,6 +17,7 @@
 	"github.com/pollenwheel/pollenwheel/core/residency"
 	"github.com/pollenwheel/pollenwheel/core/route"
 	"github.com/pollenwheel/pollenwheel/core/routing"
+	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/core/waitpolicy"
 	"github.com/pollenwheel/pollenwheel/node/decision"
 )
@@ -66,6 +67,14 @@
 	// longest time between two events, and waitTime the time spent waiting for a
 	// server.
 	firstOutputAt, lastEventAt, longestPause, waitTime time.Duration
+	// attemptBegun is set once the server of the current attempt has begun to write the
+	// answer.
+	attemptBegun bool
+	// trial is the open trial as which the current attempt runs, if any.
+	trial *state.Trial
+	// crashUnrecorded is set if the request may have crashed a server and that could
+	// not be recorded. It is not sent again.
+	crashUnrecorded bool
 }
 
 // ServeHTTP handles one request. It admits the request, waits for a backend server
@@ -115,8 +124,8 @@
 		return false
 	}
 	c.fingerprint = c.computeFingerprint()
-	if _, ok := v.suspects[c.fingerprint]; ok {
-		return c.refuse(http.StatusServiceUnavailable, 0, "request is quarantined because it crashed backend servers")
+	if s := v.suspects.of(c.fingerprint, c.request.PromptParts); s.refused {
+		return c.refuse(http.StatusServiceUnavailable, s.retryAfter, s.reason)
 	}
 	c.lastEventID = c.request.ResumeAfter
 	c.key = routing.Key{Service: c.route.ChooseService(f.randomFraction()), Model: c.request.Model, Adapter: c.request.Adapter}
@@ -240,6 +249,9 @@
 			panic(http.ErrAbortHandler)
 		}
 		action := c.exchange.ActionAfter(now, out.outcome)
+		if action == exchange.Send && c.crashUnrecorded {
+			action = c.exchange.ActionAtDeadline()
+		}
 		if out.outcome != exchange.Complete {
 			c.logEvent(decision.EventAttempt, decision.Fields{
 				decision.FieldServer: attempt.Server, decision.FieldOutcome: out.outcome.String(), decision.FieldReason: out.reason,
@@ -261,33 +273,70 @@
 	f := c.forwarder
 	target := residency.Target{Model: c.key.Model, Adapter: c.key.Adapter}
 	f.recordAttemptStart(target, attempt.Server)
-	eventsBefore := c.eventCount
+	c.attemptBegun = false
 	out := c.send(c.ctx, attempt)
 	f.recordAttemptEnd(target, attempt, out, c.ctx.Err() != nil)
 	switch {
+	case out.outcome == exchange.Complete || out.outcome == exchange.Failed:
+		c.recordBegun()
 	case out.connectionRefused:
 		go f.reportProcessEnd(attempt, nil)
 	case out.connectionBroken && out.outcome != exchange.NotSent:
-		go f.checkCrash(attempt, &interruptedRequest{
-			id: c.request.ID, fingerprint: c.fingerprint, promptParts: c.request.PromptParts, begun: c.eventCount > eventsBefore,
-		})
+		c.checkInterruption(attempt)
+	}
+	if t := c.trial; t != nil {
+		c.trial = nil
+		go f.releaseTrial(*t)
 	}
 	return out
 }
 
+// recordBegun records, once for each attempt, that the server has begun to write the
+// answer.
+func (c *call) recordBegun() {
+	if !c.attemptBegun {
+		c.attemptBegun = true
+		c.forwarder.recordBegun(c)
+	}
+}
+
+// checkInterruption checks whether the server of an attempt whose connection broke has
+// crashed. It waits for the record of a crash if the request may have caused it, because
+// a repetition before could crash another server.
+func (c *call) checkInterruption(attempt routing.Attempt) {
+	if c.attemptBegun {
+		go c.forwarder.checkCrash(attempt, nil)
+		return
+	}
+	request := &interruptedRequest{id: c.request.ID, fingerprint: c.fingerprint, promptParts: c.request.PromptParts, trial: c.trial}
+	c.crashUnrecorded = !c.forwarder.checkCrash(attempt, request)
+}
+
 // acquireServer selects a server and waits for one if necessary. If no server is
 // expected in time, it ends the request and returns false.
 func (c *call) acquireServer() (routing.Attempt, bool) {
 	f := c.forwarder
 	target := residency.Target{Model: c.key.Model, Adapter: c.key.Adapter}
 	waiting := false
+	trialWait := time.Duration(0)
 	defer func() {
 		if waiting {
 			f.endWait(target, c)
 		}
 	}()
 	for {
-		attempt, rebuilt, forecast, ok := f.pickServer(c)
+		suspected := f.suspicionOf(c)
+		if suspected.refused {
+			c.endWithoutServer(suspected.retryAfter, suspected.reason)
+			return routing.Attempt{}, false
+		}
+		attempt, rebuilt, forecast, ok := f.pickServer(c, len(suspected.parts) > 0)
+		if ok && len(suspected.parts) > 0 {
+			if sent, ended := c.tryTrial(attempt, suspected.parts, &trialWait); sent || ended {
+				return attempt, sent
+			}
+			continue
+		}
 		if ok {
 			return attempt, true
 		}
--- a/node/forward/stream.go
+++ b/node/forward/stream.go
@@ -41,6 +41,7 @@
 
 // recordEvent updates the count and times of the events passed on.
 func (c *call) recordEvent() {
+	c.recordBegun()
 	now := c.forwarder.opts.Now()
 	if c.eventCount == 0 {
 		c.firstOutputAt = now
--- a/node/forward/view.go
+++ b/node/forward/view.go
@@ -66,10 +66,12 @@
 // Refresh updates the admission view and the router from the replica, the servers
 // and their holdings.
 func (f *Forwarder) Refresh() {
+	f.refreshMu.Lock()
+	defer f.refreshMu.Unlock()
 	old := f.view.Load()
 	next := &admissionView{index: old.index}
 	f.opts.Replica.View(func(s *state.State) {
-		next.suspects = s.Suspects
+		next.suspects, next.appliedIndex = copySuspects(old.suspects, s), s.Index
 		if s.Published == nil || next.index != nil && next.index.Table().Version == s.Published.Table.Version {
 			return
 		}
@@ -77,24 +79,15 @@
 		next.index = route.NewIndex(&table)
 		f.opts.Decisions.RecordStateChange(decision.EventTable, decision.Fields{decision.FieldVersion: table.Version})
 	})
-	next.suspects = quarantinedSuspects(next.suspects)
 	f.view.Store(next)
+	if next.suspects != old.suspects {
+		f.refuteAll(next.suspects)
+	}
 	if next.index != nil {
 		f.rebuildRouter(next.index.Table())
 	}
 }
 
-// quarantinedSuspects returns a copy of the records whose requests are refused.
-func quarantinedSuspects(all map[string]state.SuspectRecord) map[string]state.SuspectRecord {
-	out := map[string]state.SuspectRecord{}
-	for fp, rec := range all {
-		if rec.Quarantined {
-			out[fp] = rec
-		}
-	}
-	return out
-}
-
 // liveServers returns the servers whose processes are not known to have ended.
 func (f *Forwarder) liveServers() []membership.ServerStatus {
 	current := membership.WithoutSuperseded(f.opts.Servers())
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -115,7 +115,7 @@
 	h.follower = peer.NewFollower(h.peers, h.members, h.replica, h.logger, rng, o.Settings.Host, h.peerGroup())
 	h.placer = newPlacer(h, o.ServerClient, o.OrderDelay)
 	h.requestForwarder = forward.New(forward.Options{
-		Protocol: o.Protocol, Replica: h.replica, Log: h.leaderClient, DataCentre: o.Settings.DataCentre,
+		Protocol: o.Protocol, Replica: h.replica, Log: h.leaderClient, DataCentre: o.Settings.DataCentre, Self: h.sender,
 		Servers: h.members.Servers, ServersChanged: h.members.serversChanged, Holdings: h.holdings,
 		HostCount: h.callerHostCount, Now: h.now, Ready: h.Ready, RetryLimit: o.RetryLimit, DemandChanged: h.signalDemandChange, Decisions: h.decisions,
 	})
