forward, state: keep the trial of a part open when another server ends, and excuse parts answered a moment ago

The log shows why: each crash of another server closed the open trial, so a second trial of the same part began at once, and the crash under the first no longer counted. Each crash also accused the parts that most requests share, because a host sees no answer to them between two crashes that lie 100 ms apart; 40 hosts then reported such an answer within 50 ms.

Only its holder ends a trial now. A part that was answered or cleared in the last 2 s is not accused. The delay of these reports grows with the number of hosts.

--- a/core/evidence/evidence_test.go
+++ b/core/evidence/evidence_test.go
@@ -2,20 +2,38 @@
 
 import (
 	"fmt"
-	"reflect"
 	"testing"
+	"time"
 )
 
 // Guards against a part that is accused although an answer has begun since its last
-// crash, and against one that is excused by an older answer.
+// crash, and against one that is excused by an old answer.
 func TestSplit(t *testing.T) {
-	b := NewBegun()
-	b.Record([]string{"shared", "old"}, 5)
-	b.Record([]string{"shared"}, 9)
-	lastCrash := map[string]uint64{"shared": 9, "old": 6}
-	answered, accused := b.Split([]string{"shared", "old", "unknown"}, func(p string) uint64 { return lastCrash[p] })
-	if !reflect.DeepEqual(answered, []string{"shared"}) || !reflect.DeepEqual(accused, []string{"old", "unknown"}) {
-		t.Errorf("answered %v, accused %v", answered, accused)
+	now := time.Minute
+	for _, c := range []struct {
+		name       string
+		answeredAt time.Duration
+		index      uint64
+		crashes    Crashes
+		accused    bool
+	}{
+		{"never answered", 0, 0, Crashes{}, true},
+		{"answered long ago, no crash", time.Second, 1, Crashes{}, false},
+		{"answered since the last crash", time.Second, 9, Crashes{LastIndex: 9}, false},
+		{"answered before the last crash", time.Second, 8, Crashes{LastIndex: 9}, true},
+		{"answered just before the last crash", now - freshFor + 1, 8, Crashes{LastIndex: 9}, false},
+		{"cleared by another host", 0, 0, Crashes{LastIndex: 9, HasCleared: true, SinceCleared: freshFor - 1}, false},
+		{"cleared by another host long ago", 0, 0, Crashes{LastIndex: 9, HasCleared: true, SinceCleared: freshFor}, true},
+		{"cleared by a host whose clock is ahead", 0, 0, Crashes{LastIndex: 9, HasCleared: true, SinceCleared: -1}, true},
+	} {
+		b := NewBegun()
+		if c.answeredAt > 0 {
+			b.Record(c.answeredAt, []string{"part"}, c.index)
+		}
+		answered, accused := b.Split(now, []string{"part"}, func(string) Crashes { return c.crashes })
+		if len(accused) > 0 != c.accused || len(answered)+len(accused) != 1 {
+			t.Errorf("%s: answered %v, accused %v", c.name, answered, accused)
+		}
 	}
 }
 
@@ -24,7 +42,7 @@
 func TestMemoryIsBounded(t *testing.T) {
 	b := NewBegun()
 	for i := range 10 * maxParts {
-		b.Record([]string{"shared", fmt.Sprint(i)}, uint64(i))
+		b.Record(0, []string{"shared", fmt.Sprint(i)}, uint64(i))
 		if len(b.recent)+len(b.older) > 2*maxParts {
 			t.Fatalf("%d parts are remembered", len(b.recent)+len(b.older))
 		}
--- a/core/state/part.go
+++ b/core/state/part.go
@@ -20,6 +20,8 @@
 	// that began before a crash clears the part of that crash, but not of the next:
 	// a part may turn harmful.
 	RefutingIndex uint64 `json:"refuting_index,omitempty"`
+	// ClearedMS is when the part was last cleared, in Unix milliseconds.
+	ClearedMS int64 `json:"cleared_ms,omitempty"`
 	// Fingerprints are the hashes of different requests with the part that were in
 	// flight at a crash since the part was last cleared.
 	Fingerprints []string `json:"fingerprints,omitempty"`
@@ -73,20 +75,22 @@
 	var tried []string
 	for _, id := range c.Parts {
 		rec := s.partRecord(id)
-		if slices.Contains(rec.Crashes, crash) {
-			continue
+		if !slices.Contains(rec.Crashes, crash) {
+			rec.Part.Cleared = false
+			rec.Part.RefutingIndex = rec.LastIndex
+			rec.Part.UnclearedCrashes++
+			rec.addCrash(crash, s.Index)
 		}
 		rec.Part.addFingerprints(c.Fingerprints)
-		// Crashes by equal requests speak against the request rather than its parts.
-		conclusive := !rec.Part.TrialShared && len(rec.Part.Fingerprints) > 1
-		if c.Trial != nil && rec.Trial != nil && rec.Trial.Same(*c.Trial) && conclusive {
-			tried = append(tried, id)
+		// The crash of another server, or one that another host reports, leaves a trial
+		// open: its holder reports how it ends.
+		if c.endsTrial(rec.Trial) {
+			// Crashes by equal requests speak against the request rather than its parts.
+			if !rec.Part.TrialShared && len(rec.Part.Fingerprints) > 1 {
+				tried = append(tried, id)
+			}
+			rec.Trial, rec.Part.TrialShared = nil, false
 		}
-		rec.Part.Cleared, rec.Part.TrialShared = false, false
-		rec.Part.RefutingIndex = rec.LastIndex
-		rec.Part.UnclearedCrashes++
-		rec.Trial = nil
-		rec.addCrash(crash, s.Index)
 		s.Suspects[PartKey(id)] = rec
 	}
 	if len(tried) > 0 {
@@ -94,6 +98,11 @@
 	}
 }
 
+// endsTrial reports whether the process of a trial ended, as its holder reports it.
+func (c Suspect) endsTrial(t *Trial) bool {
+	return c.Trial != nil && t != nil && t.Same(*c.Trial) && t.Server == c.Server && t.Incarnation == c.Incarnation
+}
+
 // partRecord returns a copy of the record of a part, or a cleared one without crashes.
 func (s *State) partRecord(id string) SuspectRecord {
 	rec := s.Suspects[PartKey(id)]
@@ -229,7 +238,7 @@
 		if !ok || rec.Part == nil || rec.Part.Cleared || !c.Lift && c.SeenIndex < rec.Part.RefutingIndex {
 			continue
 		}
-		rec.Part = &PartRecord{Cleared: true}
+		rec.Part = &PartRecord{Cleared: true, ClearedMS: s.ClockMS}
 		rec.Trial, rec.Quarantined = nil, false
 		s.Suspects[PartKey(id)] = rec
 	}
--- a/core/state/part_test.go
+++ b/core/state/part_test.go
@@ -72,6 +72,18 @@
 			l.command(Command{ClearSuspect: &ClearSuspect{Parts: []string{"x"}, SeenIndex: l.Index}})
 			l.crash(2, "b", trial, "x")
 		}, map[string]string{"x": "tried"}},
+		{"crash of another server during the trial, then under it", func(l *partLog) {
+			l.crash(1, "a", nil, "x")
+			trial, _ := l.trial(2, "x")
+			l.crash(3, "b", nil, "x")
+			l.crash(2, "c", trial, "x")
+		}, map[string]string{"x": "refused"}},
+		{"crash under trial that another host reports first", func(l *partLog) {
+			l.crash(1, "a", nil, "x")
+			trial, _ := l.trial(2, "x")
+			l.crash(2, "b", nil, "x")
+			l.crash(2, "c", trial, "x")
+		}, map[string]string{"x": "refused"}},
 		{"crash beside the trial of another part", func(l *partLog) {
 			l.crash(1, "a", nil, "x")
 			l.crash(1, "b", nil, "y")
--- a/node/forward/suspect.go
+++ b/node/forward/suspect.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pollenwheel/pollenwheel/core/evidence"
 	"github.com/pollenwheel/pollenwheel/core/routing"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/decision"
@@ -27,10 +28,11 @@
 	// trialPollInterval is how often a request that waits for another trial looks for
 	// a server whose trial is over.
 	trialPollInterval = 50 * time.Millisecond
-	// maxRefutationDelay is the maximum random delay before a host reports that an
-	// answer to a suspect part has begun. Often all hosts know it, and the first report
-	// makes the others superfluous.
-	maxRefutationDelay = 30 * time.Millisecond
+	// refutationDelayPerHost, for each host, is the maximum random delay before a host
+	// reports that an answer to a suspect part has begun. Often all hosts know it, and
+	// the first report, which takes some tens of milliseconds, makes the others
+	// superfluous.
+	refutationDelayPerHost = 10 * time.Millisecond
 )
 
 // suspects is a copy of the replicated suspects. It is immutable.
@@ -212,7 +214,7 @@
 	}
 	view := f.view.Load()
 	f.mu.Lock()
-	f.begun.Record(c.request.PromptParts, view.appliedIndex)
+	f.begun.Record(f.opts.Now(), c.request.PromptParts, view.appliedIndex)
 	f.mu.Unlock()
 	if t := c.trial; t != nil {
 		c.trial = nil
@@ -239,6 +241,7 @@
 	if s == nil || len(s.records) == 0 {
 		return
 	}
+	maxDelay := time.Duration(max(1, f.opts.HostCount())) * refutationDelayPerHost
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, id := range parts {
@@ -251,7 +254,7 @@
 			clear(f.refuted)
 		}
 		f.refuted[id] = rec.LastIndex
-		delay := time.Duration(f.rng.Int64N(int64(maxRefutationDelay)))
+		delay := time.Duration(f.rng.Int64N(int64(maxDelay)))
 		time.AfterFunc(delay, func() { f.commitRefutation(id, index) })
 	}
 }
@@ -311,7 +314,7 @@
 	fields := decision.Fields{decision.FieldServer: attempt.Server, decision.FieldOutcome: "recorded"}
 	if request != nil {
 		end.Fingerprints, end.Trial = []string{request.fingerprint}, request.trial
-		end.Answered, end.Parts = f.begun.Split(request.promptParts, records.lastCrash)
+		end.Answered, end.Parts = f.begun.Split(f.opts.Now(), request.promptParts, records.crashes)
 		fields[decision.FieldRequest], fields[decision.FieldFingerprint] = request.id, request.fingerprint
 		fields[decision.FieldPromptParts], fields[decision.FieldAccused] = strings.Join(request.promptParts, " "), strings.Join(end.Parts, " ")
 		fields[decision.FieldTrial] = request.trial != nil
@@ -337,10 +340,16 @@
 	return err == nil || len(end.Parts) == 0
 }
 
-// lastCrash returns the log index of the newest crash with a prompt part, or zero.
-func (s *suspects) lastCrash(part string) uint64 {
+// crashes returns what is recorded of the crashes with a prompt part.
+func (s *suspects) crashes(id string) evidence.Crashes {
 	if s == nil {
-		return 0
+		return evidence.Crashes{}
 	}
-	return s.records[state.PartKey(part)].LastIndex
+	rec := s.records[state.PartKey(id)]
+	out := evidence.Crashes{LastIndex: rec.LastIndex}
+	if rec.Part != nil && rec.Part.ClearedMS > 0 {
+		out.HasCleared = true
+		out.SinceCleared = time.Duration(time.Now().UnixMilli()-rec.Part.ClearedMS) * time.Millisecond
+	}
+	return out
 }
