admin, pollenctl: list suspects and lift a quarantine

Operators could see only the number of quarantined requests, and a quarantine that was set wrongly could not be ended. GET /suspects and pollenctl suspects list requests and prompt parts with the servers that ended, the open trial and the end of the quarantine; POST /suspects/KEY/lift and pollenctl lift clear one.

--- a/cmd/pollenctl/pollenctl_test.go
+++ b/cmd/pollenctl/pollenctl_test.go
@@ -190,11 +190,13 @@
 	tl := newTool(t)
 	tl.run("apply", tl.writeFile("c.ini", configurationFile("2")), "--expected", "0")
 	tl.deployment.state.Placements[state.PlacementKey{Server: "engine-1", Model: "atlas"}] = state.Placement{Phase: state.PhaseReady}
+	tl.deployment.state.Suspects["77c0"] = state.SuspectRecord{Crashes: []string{"engine-1/1", "engine-2/1"}, Quarantined: true}
 	for name, c := range map[string]struct{ text, json string }{
-		"status": {"voters                    nord-1, sud-1\n", `"term": 3`},
-		"models": {"atlas  scribe   1        standard  1         2      0       0 of 0 ready  engine-1 (ready)\n", `"server": "engine-1"`},
-		"hosts":  {"present", `"caller_address"`},
-		"burn":   {"not counted, because they did not answer: sud-1", `"severity": "ok"`},
+		"status":   {"voters                    nord-1, sud-1\n", `"term": 3`},
+		"models":   {"atlas  scribe   1        standard  1         2      0       0 of 0 ready  engine-1 (ready)\n", `"server": "engine-1"`},
+		"hosts":    {"present", `"caller_address"`},
+		"suspects": {"77c0  quarantined  lifted  -         engine-1/1, engine-2/1\n", `"state": "quarantined"`},
+		"burn":     {"not counted, because they did not answer: sud-1", `"severity": "ok"`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			code, stdout, stderr := tl.run(name)
@@ -206,6 +208,10 @@
 			}
 		})
 	}
+	code, stdout, stderr := tl.run("lift", "77c0")
+	expect(t, code, stdout, stderr, exitOK, "77c0 is cleared\n")
+	code, stdout, stderr = tl.run("lift", "77c0")
+	expect(t, code, stdout, stderr, exitRefused, "no suspect has the key 77c0")
 	plot := filepath.Join(tl.folder, "burn.svg")
 	tl.run("burn", "--plot", plot)
 	if data, err := os.ReadFile(plot); err != nil || !strings.Contains(string(data), "scribe/availability") {
@@ -274,7 +280,7 @@
 func TestHelp(t *testing.T) {
 	code, stdout, stderr := newTool(t).run("--help")
 	for _, want := range []string{
-		"questionnaire", "generate", "validate", "diff", "apply", "status", "models", "hosts", "drain", "burn", "6  diff found differences",
+		"questionnaire", "generate", "validate", "diff", "apply", "status", "models", "hosts", "drain", "burn", "suspects", "lift", "6  diff found differences",
 	} {
 		expect(t, code, stdout, stderr, exitOK, want)
 	}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -250,7 +250,7 @@
 	// SeenIndex is the log index up to which the proposer had applied the log when the
 	// answer began: the answer is newer than the crashes recorded up to it.
 	SeenIndex uint64 `json:"seen_index,omitempty"`
-	// Lift clears the parts by decision of an operator.
+	// Lift clears the suspects by decision of an operator, also those in quarantine.
 	Lift bool `json:"lift,omitempty"`
 }
 
--- a/core/state/suspect.go
+++ b/core/state/suspect.go
@@ -162,6 +162,10 @@
 // trial, the command is a late duplicate and must not clear a crash that was recorded
 // since.
 func (s *State) clearSuspect(c ClearSuspect) Result {
+	if c.Lift {
+		delete(s.Suspects, c.Fingerprint)
+		return Result{}
+	}
 	if rec, ok := s.Suspects[c.Fingerprint]; ok && !rec.Quarantined && rec.Trial != nil {
 		delete(s.Suspects, c.Fingerprint)
 	}
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -123,6 +123,8 @@
 	group.GET("/hosts", a.hosts)
 	group.POST("/hosts/:host/drain", a.drain)
 	group.GET("/burn", a.burn)
+	group.GET("/suspects", a.suspects)
+	group.POST("/suspects/:key/lift", a.lift)
 }
 
 func (a *API) hosts(c echo.Context) error {
--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -345,6 +345,38 @@
 	}
 }
 
+// TestSuspectsAreListedAndLifted guards against a quarantine that operators can neither
+// see nor end, and against a lift of an unknown key that seems to succeed.
+func TestSuspectsAreListedAndLifted(t *testing.T) {
+	fake := &fakeHost{state: state.New()}
+	h := newHandler(fake)
+	fake.state.Suspects = map[string]state.SuspectRecord{
+		"4f1a":         {Crashes: []string{"engine-1/1"}, Trial: &state.Trial{Server: "engine-2"}},
+		"77c0":         {Crashes: []string{"engine-1/1", "engine-2/1"}, Quarantined: true},
+		"part:cleared": {Crashes: []string{"engine-3/1"}, Part: &state.PartRecord{Cleared: true}},
+		"part:harmful": {Crashes: []string{"engine-3/1"}, Quarantined: true, Part: &state.PartRecord{UntilMS: 1 << 42}},
+		"part:tried":   {Crashes: []string{"engine-3/1"}, Part: &state.PartRecord{}},
+	}
+	want := `{"suspects":[{"key":"77c0","state":"quarantined","crashes":["engine-1/1","engine-2/1"]},` +
+		`{"key":"part:harmful","state":"quarantined","crashes":["engine-3/1"],"until_ms":4398046511104},` +
+		`{"key":"4f1a","state":"tried","crashes":["engine-1/1"],"trial_server":"engine-2"},` +
+		`{"key":"part:tried","state":"tried","crashes":["engine-3/1"]}]}`
+	if status, body := send(t, h, "GET", "/suspects", "first", ""); status != http.StatusOK || strings.TrimSpace(body) != want {
+		t.Errorf("suspects: status %d, body %s\nwant %s", status, body, want)
+	}
+	if status, body := send(t, h, "POST", "/suspects/none/lift", "first", ""); status != http.StatusNotFound || decodeRefusal(t, body).Code != CodeUnknownSuspect {
+		t.Errorf("lift of an unknown suspect: status %d, body %s", status, body)
+	}
+	for _, key := range []string{"77c0", "part:harmful"} {
+		if status, body := send(t, h, "POST", "/suspects/"+key+"/lift", "first", ""); status != http.StatusOK {
+			t.Errorf("lift of %s: status %d, body %s", key, status, body)
+		}
+		if rec := fake.state.Suspects[key]; rec.Quarantined {
+			t.Errorf("%s is still in quarantine", key)
+		}
+	}
+}
+
 // FuzzDecodeApply guards against panics and errors of other types for any apply
 // body.
 func FuzzDecodeApply(f *testing.F) {
--- a/node/admin/message.go
+++ b/node/admin/message.go
@@ -27,6 +27,7 @@
 	CodeVersionConflict      = string(state.CodeVersionConflict)
 	CodeChangeIDReused       = "change_id_reused"
 	CodeUnknownHost          = "unknown_host"
+	CodeUnknownSuspect       = "unknown_suspect"
 	CodeUnavailable          = "unavailable"
 )
 
