--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -286,7 +286,10 @@
 	}
 	if t := c.trial; t != nil {
 		c.trial = nil
-		go f.releaseTrial(*t)
+		// The late record of a crash under trial must find the trial open.
+		if !c.crashUnrecorded {
+			go f.releaseTrial(*t)
+		}
 	}
 	return out
 }
@@ -300,18 +303,6 @@
 	}
 }
 
-// checkInterruption checks whether the server of an attempt whose connection broke has
-// crashed. It waits for the record of a crash if the request may have caused it, because
-// a repetition before could crash another server.
-func (c *call) checkInterruption(attempt routing.Attempt) {
-	if c.attemptBegun {
-		go c.forwarder.checkCrash(attempt, nil)
-		return
-	}
-	request := &interruptedRequest{id: c.request.ID, fingerprint: c.fingerprint, promptParts: c.request.PromptParts, trial: c.trial}
-	c.crashUnrecorded = !c.forwarder.checkCrash(attempt, request)
-}
-
 // acquireServer selects a server and waits for one if necessary. If no server is
 // expected in time, it ends the request and returns false.
 func (c *call) acquireServer() (routing.Attempt, bool) {
--- a/node/forward/suspect.go
+++ b/node/forward/suspect.go
@@ -18,6 +18,9 @@
 	// suspectTimeout is the maximum time for committing a suspect record, a trial or
 	// its end.
 	suspectTimeout = 3 * time.Second
+	// maxRecordWait is the maximum time that a request waits for the log, which is
+	// longer than the election of a leader takes.
+	maxRecordWait = time.Second
 	// trialTimeout is how long a trial blocks other trials of its parts if its host
 	// fails. It is longer than the time to the first event of most requests.
 	trialTimeout = 5 * time.Second
@@ -99,7 +102,7 @@
 		Parts: parts, Server: attempt.Server, Incarnation: attempt.Incarnation, Holder: f.opts.Self, Nonce: f.trials.Add(1),
 		ExpiresMS: time.Now().Add(expires).UnixMilli(),
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, suspectTimeout)
+	ctx, cancel := context.WithTimeout(c.ctx, maxRecordWait)
 	defer cancel()
 	result, err := f.opts.Log.Propose(ctx, state.Command{UnixMS: time.Now().UnixMilli(), Trial: &t})
 	if err != nil {
@@ -280,13 +283,42 @@
 type interruptedRequest struct {
 	id, fingerprint string
 	promptParts     []string
-	trial           *state.Trial
+	// answered and accused are the prompt parts that are known to be harmless, and the
+	// others.
+	answered, accused []string
+	trial             *state.Trial
+}
+
+// checkInterruption checks whether the server of an attempt whose connection broke has
+// crashed. It waits for the record of a crash if a prompt part may have caused it,
+// because a repetition before could crash another server.
+func (c *call) checkInterruption(attempt routing.Attempt) {
+	f := c.forwarder
+	if c.attemptBegun {
+		go f.checkCrash(attempt, nil)
+		return
+	}
+	request := &interruptedRequest{id: c.request.ID, fingerprint: c.fingerprint, promptParts: c.request.PromptParts, trial: c.trial}
+	records := f.view.Load().suspects
+	f.mu.Lock()
+	request.answered, request.accused = f.begun.Split(f.opts.Now(), request.promptParts, records.crashes)
+	f.mu.Unlock()
+	recorded := make(chan bool, 1)
+	go func() { recorded <- f.checkCrash(attempt, request) }()
+	if len(request.accused) == 0 {
+		return
+	}
+	select {
+	case ok := <-recorded:
+		c.crashUnrecorded = !ok
+	case <-time.After(maxRecordWait):
+		c.crashUnrecorded = true
+	}
 }
 
 // checkCrash connects to the server of an interrupted attempt. If the connection is
 // refused, the process has ended, and checkCrash reports the end, with the request as a
-// suspect if one is given. It returns false if the request may have crashed the server
-// and that could not be recorded.
+// suspect if one is given. It returns false if that could not be recorded.
 func (f *Forwarder) checkCrash(attempt routing.Attempt, request *interruptedRequest) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
@@ -303,23 +335,22 @@
 
 // reportProcessEnd reports to all hosts that a server process has ended, together
 // with the request that may have crashed it, if any. An end without a request is
-// reported only once after each announcement of the process. It returns false if a
-// request is given and the report could not be recorded.
+// reported only once after each announcement of the process. It returns false if the
+// report could not be recorded.
 func (f *Forwarder) reportProcessEnd(attempt routing.Attempt, request *interruptedRequest) bool {
-	records := f.view.Load().suspects
 	f.mu.Lock()
 	f.router.MarkEnded(attempt)
 	sequence, alreadyReported := f.markEndReported(attempt)
+	f.mu.Unlock()
 	end := state.Suspect{Server: attempt.Server, Incarnation: attempt.Incarnation, Sequence: sequence}
 	fields := decision.Fields{decision.FieldServer: attempt.Server, decision.FieldOutcome: "recorded"}
 	if request != nil {
 		end.Fingerprints, end.Trial = []string{request.fingerprint}, request.trial
-		end.Answered, end.Parts = f.begun.Split(f.opts.Now(), request.promptParts, records.crashes)
+		end.Answered, end.Parts = request.answered, request.accused
 		fields[decision.FieldRequest], fields[decision.FieldFingerprint] = request.id, request.fingerprint
 		fields[decision.FieldPromptParts], fields[decision.FieldAccused] = strings.Join(request.promptParts, " "), strings.Join(end.Parts, " ")
 		fields[decision.FieldTrial] = request.trial != nil
 	}
-	f.mu.Unlock()
 	if alreadyReported && request == nil {
 		return true
 	}
@@ -337,7 +368,7 @@
 	}
 	fields[decision.FieldTookMS] = (f.opts.Now() - proposedAt).Milliseconds()
 	f.opts.Decisions.RecordStateChange(decision.EventSuspect, fields)
-	return err == nil || len(end.Parts) == 0
+	return err == nil
 }
 
 // crashes returns what is recorded of the crashes with a prompt part.
