entry: refuse a prompt prefix that crashes servers over the own interface too

Ten requests with one first message, no two alike, crashed 16 server processes, because the quarantine knew whole requests only. The first message of a conversation is now a prompt part in the same replicated records: a crash before the answer begins accuses it, requests with it run alone as trials, an answer that begins clears it, and a crash under trial quarantines it.

--- a/node/entry/answer.go
+++ b/node/entry/answer.go
@@ -188,6 +188,7 @@
 		if err != nil {
 			return endInterrupted
 		}
+		attempt.recordBegin()
 		if attempt.receivedEvents < ans.sentEvents && !bytes.HasPrefix(event, terminalEvent) {
 			if attempt.receivedEvents >= len(ans.events) || !ans.skipComparison && !sameChoices(event, ans.events[attempt.receivedEvents]) {
 				return endPartial
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/pollenwheel/pollenwheel/core/admission"
+	"github.com/pollenwheel/pollenwheel/core/evidence"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/routing"
 	"github.com/pollenwheel/pollenwheel/core/state"
@@ -114,9 +115,13 @@
 	// uncommittedSuspects counts, by fingerprint, the crashes that are not
 	// committed yet.
 	uncommittedSuspects map[string]int
-	probes              map[process]*serverProbe
-	stopped             chan struct{}
-	nextID              uint64
+	// begun remembers the answers that have begun, and refuted the crashes after which
+	// the answers to a prompt part were reported to the other hosts.
+	begun   *evidence.Begun
+	refuted map[string]uint64
+	probes  map[process]*serverProbe
+	stopped chan struct{}
+	nextID  uint64
 	// serverStates is the state of each server, by name, at the last call of
 	// serverStateChanged.
 	serverStates map[string]serverState
@@ -148,7 +153,7 @@
 		opts: opts, rng: rng, queues: map[routing.Key]*modelQueue{}, arrivals: map[routing.Key]uint64{},
 		inFlight: map[process]map[*serverAttempt]struct{}{}, crashes: map[process]*crash{}, uncommittedSuspects: map[string]int{},
 		router: routing.New(opts.routerOptions(), rng), probes: map[process]*serverProbe{}, stopped: make(chan struct{}),
-		drained: make(chan struct{}), serverStates: map[string]serverState{},
+		drained: make(chan struct{}), serverStates: map[string]serverState{}, begun: evidence.NewBegun(), refuted: map[string]uint64{},
 	}
 	e.refresh()
 	return e
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -55,6 +55,9 @@
 	// prefix identifies the model and the first message, for routing to a server that
 	// may have them in its cache. It is 0 if unknown.
 	prefix uint64
+	// promptParts are the parts of the prompt that other requests may share: the first
+	// message, unless it is the only one.
+	promptParts []string
 
 	attempts int
 	// mayHaveRun is set once a backend server may have run an attempt.
@@ -91,6 +94,9 @@
 		var text string
 		if json.Unmarshal(fields.Messages[0].Content, &text) == nil {
 			req.prefix = backend.PrefixHash(fields.Model, text)
+			if len(fields.Messages) > 1 {
+				req.promptParts = []string{strconv.FormatUint(req.prefix, 16)}
+			}
 		}
 	}
 	req.fingerprint = fingerprint(req)
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -29,6 +29,11 @@
 	// maybeSent is set once the request may have reached the server.
 	maybeSent atomic.Bool
 	trial     *state.Trial
+	// promptParts are the parts of the prompt that other requests may share. begun is
+	// set once the server has begun to write the answer, and onBegin is called then.
+	promptParts []string
+	begun       atomic.Bool
+	onBegin     func()
 	// lastProgress is the time in nanoseconds at which the last part of the
 	// answer arrived.
 	lastProgress atomic.Int64
@@ -36,6 +41,13 @@
 	receivedEvents int
 }
 
+// recordBegin records that the server has begun to write the answer.
+func (a *serverAttempt) recordBegin() {
+	if !a.begun.Swap(true) {
+		a.onBegin()
+	}
+}
+
 // ending is how an attempt ended.
 type ending int
 
@@ -141,7 +153,7 @@
 	e.setUnserved(ctx, req, true)
 	defer e.setUnserved(ctx, req, false)
 	for {
-		if _, suspect := e.view.Load().suspects[req.fingerprint]; suspect && !e.opts.disabled.suspects {
+		if e.suspicionOf(req).suspect && !e.opts.disabled.suspects {
 			return e.beginTrial(ctx, req)
 		}
 		changed := e.opts.Replica.Changed()
@@ -188,7 +200,7 @@
 // there is none or if the request is a suspect, which needs a trial. The excluded server
 // is used only if there is no other.
 func (e *Entry) pickServer(req *request, exclude string) *serverAttempt {
-	if _, suspect := e.view.Load().suspects[req.fingerprint]; suspect && !e.opts.disabled.suspects {
+	if e.suspicionOf(req).suspect && !e.opts.disabled.suspects {
 		return nil
 	}
 	e.mu.Lock()
@@ -210,8 +222,9 @@
 	req.attempts++
 	attempt := &serverAttempt{
 		process: process{a.Server, a.Incarnation}, key: req.key, routed: a, fingerprint: req.fingerprint,
-		id: req.id + "-" + strconv.Itoa(req.attempts),
+		id: req.id + "-" + strconv.Itoa(req.attempts), promptParts: req.promptParts,
 	}
+	attempt.onBegin = func() { e.recordBegun(req.promptParts) }
 	set := e.inFlight[attempt.process]
 	if set == nil {
 		set = map[*serverAttempt]struct{}{}
@@ -336,6 +349,7 @@
 		defer func() { _ = resp.Body.Close() }()
 		end := e.relay(req, ans, attempt, resp, resume)
 		if end == endComplete {
+			attempt.recordBegin()
 			// The connection can be reused only if the answer is read to its end.
 			stop := time.AfterFunc(answerEndTimeout, cancel)
 			defer stop.Stop()
--- a/node/entry/suspect.go
+++ b/node/entry/suspect.go
@@ -23,8 +23,10 @@
 	// done is closed once the suspects are committed, or the commit has failed with err.
 	done chan struct{}
 	err  error
-	// fingerprints are those of the requests in flight when the crash was noticed.
+	// fingerprints are those of the requests in flight when the crash was noticed, and
+	// parts records the prompt parts of those whose answer had not begun.
 	fingerprints map[string]bool
+	parts        []state.Suspect
 }
 
 // recordCrash commits the requests in flight on an ended process as suspects. It returns
@@ -37,13 +39,17 @@
 	defer cancel()
 	crash, first := e.findOrAddCrash(attempt, true)
 	if first {
-		crash.err = e.commitSuspects(ctx, attempt.process, slices.Sorted(maps.Keys(crash.fingerprints)))
+		crash.err = e.commitCrash(ctx, attempt.process, crash)
 		close(crash.done)
 	}
 	<-crash.done
 	err := crash.err
 	if !crash.fingerprints[attempt.fingerprint] {
-		err = e.commitSuspects(ctx, attempt.process, []string{attempt.fingerprint})
+		e.mu.Lock()
+		parts := e.partSuspects(attempt.process, []*serverAttempt{attempt})
+		e.mu.Unlock()
+		own := crashRecord([]string{attempt.fingerprint}, parts)
+		err = e.commitCrash(ctx, attempt.process, own)
 	}
 	if err != nil {
 		return endCrashUncommitted
@@ -51,6 +57,26 @@
 	return endCrashed
 }
 
+// crashRecord returns the record of a crash with the fingerprints and parts.
+func crashRecord(fingerprints []string, parts []state.Suspect) *crash {
+	out := &crash{done: make(chan struct{}), fingerprints: map[string]bool{}, parts: parts}
+	for _, fp := range fingerprints {
+		out.fingerprints[fp] = true
+	}
+	return out
+}
+
+// commitCrash commits the requests and the prompt parts of a crash as suspects.
+func (e *Entry) commitCrash(ctx context.Context, p process, c *crash) error {
+	if len(c.fingerprints) == 0 {
+		return nil
+	}
+	if err := e.commitSuspects(ctx, p, slices.Sorted(maps.Keys(c.fingerprints))); err != nil {
+		return err
+	}
+	return e.commitPartSuspects(ctx, c.parts)
+}
+
 // suspectOthers commits the requests in flight on an ended process as suspects. The given
 // attempt noticed the end of the process but was not sent to it, so it is not a suspect.
 func (e *Entry) suspectOthers(attempt *serverAttempt) {
@@ -63,9 +89,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*proposeTimeout)
 	defer cancel()
-	if len(crash.fingerprints) > 0 {
-		crash.err = e.commitSuspects(ctx, attempt.process, slices.Sorted(maps.Keys(crash.fingerprints)))
-	}
+	crash.err = e.commitCrash(ctx, attempt.process, crash)
 	close(crash.done)
 }
 
@@ -83,14 +107,18 @@
 			break
 		}
 	}
-	found := &crash{done: make(chan struct{}), fingerprints: map[string]bool{}}
+	var suspects []*serverAttempt
 	for other := range e.inFlight[attempt.process] {
 		if other != attempt && other.maybeSent.Load() {
-			found.fingerprints[other.fingerprint] = true
+			suspects = append(suspects, other)
 		}
 	}
 	if includeOwn {
-		found.fingerprints[attempt.fingerprint] = true
+		suspects = append(suspects, attempt)
+	}
+	found := crashRecord(nil, e.partSuspects(attempt.process, suspects))
+	for _, a := range suspects {
+		found.fingerprints[a.fingerprint] = true
 	}
 	e.crashes[attempt.process] = found
 	return found, true
@@ -126,7 +154,7 @@
 // refuseSuspect refuses a request that is quarantined, or that is a suspect of a crash
 // that is not committed yet.
 func (e *Entry) refuseSuspect(req *request) *Refusal {
-	if rec, ok := e.view.Load().suspects[req.fingerprint]; ok && rec.Quarantined {
+	if e.suspicionOf(req).quarantined {
 		return quarantined()
 	}
 	e.mu.Lock()
@@ -151,15 +179,15 @@
 func (e *Entry) beginTrial(ctx context.Context, req *request) (*serverAttempt, *Refusal) {
 	for {
 		changed := e.opts.Replica.Changed()
-		rec, suspect := e.view.Load().suspects[req.fingerprint]
+		s := e.suspicionOf(req)
 		switch {
-		case !suspect:
-			return e.awaitServer(ctx, req, "")
-		case rec.Quarantined:
+		case s.quarantined:
 			return nil, quarantined()
+		case !s.suspect:
+			return e.awaitServer(ctx, req, "")
 		}
 		if attempt := e.pickTrialServer(req); attempt != nil {
-			granted, refusal := e.commitTrial(ctx, attempt)
+			granted, refusal := e.commitTrial(ctx, attempt, s.parts)
 			if refusal == nil && granted && e.awaitAlone(ctx, attempt) {
 				return attempt, nil
 			}
@@ -186,8 +214,9 @@
 	return e.registerAttempt(req, a)
 }
 
-// commitTrial commits a trial of the attempt's request and reports whether it was granted.
-func (e *Entry) commitTrial(ctx context.Context, attempt *serverAttempt) (bool, *Refusal) {
+// commitTrial commits a trial of the attempt's request, or of the parts of its prompt if
+// any are given, and reports whether it was granted.
+func (e *Entry) commitTrial(ctx context.Context, attempt *serverAttempt, parts []string) (bool, *Refusal) {
 	deadline, _ := ctx.Deadline()
 	e.mu.Lock()
 	e.nextID++
@@ -197,6 +226,9 @@
 		Fingerprint: attempt.fingerprint, Server: attempt.server, Incarnation: attempt.incarnation, Holder: e.opts.Self,
 		Nonce: nonce, ExpiresMS: deadline.Add(trialMargin).UnixMilli(),
 	}
+	if len(parts) > 0 {
+		attempt.trial.Fingerprint, attempt.trial.Parts = "", parts
+	}
 	res, err := e.propose(ctx, state.Command{Trial: attempt.trial})
 	if err != nil {
 		return false, unavailable("no_quorum", "the trial of the request could not be recorded")
@@ -218,7 +250,7 @@
 // holdsTrial reports whether the attempt's trial is still the open one of its request. The
 // trial ends when another attempt of an equal request crashes a server.
 func (e *Entry) holdsTrial(attempt *serverAttempt) bool {
-	rec := e.view.Load().suspects[attempt.fingerprint]
+	rec := e.view.Load().suspects[trialKey(attempt.trial)]
 	return rec.Trial != nil && rec.Trial.Same(*attempt.trial)
 }
 
@@ -273,6 +305,8 @@
 // successful answer, and otherwise the trial is released. A crash was already recorded.
 func (e *Entry) recordTrialResult(attempt *serverAttempt, end ending, result routing.Result) {
 	switch {
+	case len(attempt.trial.Parts) > 0 && attempt.begun.Load():
+		// The parts were cleared when the answer began.
 	case end == endComplete && result == routing.Success:
 		e.commit(state.Command{ClearSuspect: &state.ClearSuspect{Fingerprint: attempt.fingerprint}})
 	case end != endCrashed:
