forward: hold back requests with an accused prompt part before the crash is recorded

Without the log there is no trial, and such requests are refused after a second at most. The test also plays three harmful parts at once.

--- a/node/forward/crash_world_test.go
+++ b/node/forward/crash_world_test.go
@@ -22,23 +22,44 @@
 	"github.com/pollenwheel/pollenwheel/standin/memnet"
 )
 
-// harmfulPart crashes each server that begins to write an answer to a request with it.
-const harmfulPart = "harmful"
+// harmfulPrefix is how the parts begin that crash each server that begins to write an
+// answer to a request with one of them.
+const harmfulPrefix = "harmful-"
+
+// harmfulPartOf returns the harmful part of a request, or an empty text.
+func harmfulPartOf(parts []string) string {
+	for _, p := range parts {
+		if strings.HasPrefix(p, harmfulPrefix) {
+			return p
+		}
+	}
+	return ""
+}
+
+// harmfulEvent is the arrival of a harmful request at a server, or its crash.
+type harmfulEvent struct {
+	at   time.Duration
+	part string
+}
 
 // crashWorldOptions describe a load on several hosts before servers that crash.
 type crashWorldOptions struct {
 	seed           uint64
 	hosts, servers int
 	// perSecond is the number of requests a second, and harmfulShare the share of
-	// those with harmfulPart between harmfulFrom and harmfulUntil.
+	// those with a harmful part between harmfulFrom and harmfulUntil.
 	perSecond                 int
 	harmfulShare              float64
 	harmfulFrom, harmfulUntil time.Duration
 	duration                  time.Duration
-	// contentHarmful makes one request harmful as a whole, without harmfulPart. Its
+	// harmfulParts is the number of different harmful parts; zero means one.
+	harmfulParts int
+	// logDownFrom and logDownUntil are when the log accepts nothing.
+	logDownFrom, logDownUntil time.Duration
+	// contentHarmful makes one request harmful as a whole, without a harmful part. Its
 	// caller sends it again each time.
 	contentHarmful bool
-	// harmfulFirst puts harmfulPart before the part that the request shares with
+	// harmfulFirst puts the harmful part before the part that the request shares with
 	// sound ones.
 	harmfulFirst bool
 	// crashEvery crashes servers without any cause in a request at this interval, and
@@ -62,7 +83,7 @@
 	over bool
 	// crashes are the times at which harmful requests crashed servers, and arrivals
 	// those at which harmful requests reached servers.
-	crashes, arrivals []time.Duration
+	crashes, arrivals []harmfulEvent
 	calls             []worldCall
 }
 
@@ -104,13 +125,15 @@
 	proposals int
 	// barred are the prompt parts that were in quarantine at any time.
 	barred map[string]bool
+	// available reports whether the log accepts commands.
+	available func() bool
 }
 
 func (l *worldLog) Propose(ctx context.Context, c state.Command) (state.Result, error) {
-	select {
-	case <-time.After(worldCommitTime):
-	case <-ctx.Done():
-		return state.Result{}, ctx.Err()
+	for first := true; first || !l.available(); first = false {
+		if !pause(ctx, worldCommitTime) {
+			return state.Result{}, ctx.Err()
+		}
 	}
 	return l.apply(c), nil
 }
@@ -157,6 +180,10 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &crashWorld{opts: o, start: time.Now(), log: &worldLog{leader: state.New(), barred: map[string]bool{}}, changed: make(chan struct{})}
+	w.log.available = func() bool {
+		at := w.now() - time.Second
+		return at < o.logDownFrom || at >= o.logDownUntil
+	}
 	for i := range o.servers {
 		w.startServer(fmt.Sprintf("server-%d", i), fmt.Sprintf("10.0.0.%d:80", i+1), 1)
 	}
@@ -249,10 +276,11 @@
 
 func (s *worldServer) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	w := s.world
-	harmful := slices.Contains(strings.Fields(r.Header.Get("T-Parts")), harmfulPart) || r.Header.Get("T-Harmful") != ""
+	part := harmfulPartOf(strings.Fields(r.Header.Get("T-Parts")))
+	harmful := part != "" || r.Header.Get("T-Harmful") != ""
 	if harmful {
 		w.mu.Lock()
-		w.arrivals = append(w.arrivals, w.now())
+		w.arrivals = append(w.arrivals, harmfulEvent{w.now(), part})
 		w.mu.Unlock()
 	}
 	out.Header().Set("T-Id", r.Header.Get("T-Id"))
@@ -264,7 +292,7 @@
 	}
 	if harmful {
 		w.mu.Lock()
-		w.crashes = append(w.crashes, w.now())
+		w.crashes = append(w.crashes, harmfulEvent{w.now(), part})
 		w.mu.Unlock()
 		s.crash()
 		panic(http.ErrAbortHandler)
@@ -307,6 +335,7 @@
 		parts := []string{call.first, fmt.Sprintf("second-%d", rng.IntN(347))}
 		harmful := rng.Float64() < w.opts.harmfulShare && at >= w.opts.harmfulFrom && at < w.opts.harmfulUntil
 		body := fmt.Sprintf("body-%d", i)
+		harmfulPart := fmt.Sprint(harmfulPrefix, rng.IntN(max(1, w.opts.harmfulParts)))
 		switch {
 		case harmful && w.opts.contentHarmful:
 			parts, body, call.harmful = []string{call.first, "second-0"}, "harmful body", true
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -81,6 +81,9 @@
 	// the answers to a prompt part were reported to the other hosts.
 	begun   *evidence.Begun
 	refuted map[string]uint64
+	// unrecorded counts, by prompt part, the crashes that accuse it and are not recorded
+	// yet.
+	unrecorded map[string]int
 
 	refreshMu sync.Mutex
 	// trials is the number of trials that this process has begun.
@@ -129,7 +132,7 @@
 		}, rand.New(rand.NewPCG(seed, 1))),
 		budgets: map[string]*retry.Budget{}, demands: map[residency.Target]*targetDemand{},
 		rebuilt: make(chan struct{}), forecaster: newForecaster(),
-		sequences: map[string]uint64{}, reportedEnds: map[string]processEnd{}, begun: evidence.NewBegun(), refuted: map[string]uint64{},
+		sequences: map[string]uint64{}, reportedEnds: map[string]processEnd{}, begun: evidence.NewBegun(), refuted: map[string]uint64{}, unrecorded: map[string]int{},
 	}
 	f.view.Store(&admissionView{})
 	return f
--- a/node/forward/harmful_part_test.go
+++ b/node/forward/harmful_part_test.go
@@ -25,6 +25,8 @@
 	"beside unrelated crashes":   {seed: 6, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, crashEvery: 700 * time.Millisecond, crashTogether: 1},
 	"beside the loss of a rack":  {seed: 7, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, crashEvery: 4 * time.Second, crashTogether: 4},
 	"one host only":              {seed: 8, hosts: 1, servers: 9, perSecond: 36, harmfulShare: 0.05},
+	"three harmful parts":        {seed: 10, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.1, harmfulParts: 3},
+	"the log fails for 4 s":      {seed: 14, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.2, logDownFrom: 4 * time.Second, logDownUntil: 8 * time.Second},
 	"the same request each time": {seed: 9, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, contentHarmful: true},
 }
 
@@ -41,26 +43,46 @@
 	}
 }
 
-// checkHarmfulPartContained checks the two rules on requests with a harmful part.
+// checkHarmfulPartContained checks the two rules on requests with a harmful part. Hosts
+// without the log are not bound by them, but each stops after a crash that it has seen.
 func checkHarmfulPartContained(t *testing.T, w *crashWorld) {
 	t.Helper()
-	if len(w.crashes) >= allowedCrashes {
+	if len(w.crashes) == 0 {
+		t.Fatal("no server crashed")
+	}
+	logUp := w.opts.logDownUntil + time.Second
+	if n := len(w.crashes); w.opts.logDownUntil > 0 && n > w.opts.hosts+allowedCrashes {
+		t.Errorf("%d servers crashed while the log was down and after, want at most %d", n, w.opts.hosts+allowedCrashes)
+	}
+	known := time.Duration(0)
+	for i := range max(1, w.opts.harmfulParts) {
+		part := fmt.Sprint(harmfulPrefix, i)
+		if w.opts.contentHarmful {
+			part = ""
+		}
+		var crashes []time.Duration
+		for _, c := range w.crashes {
+			if c.part == part {
+				crashes = append(crashes, c.at)
+			}
+		}
+		if len(crashes) == 0 {
+			continue
+		}
+		knownPart := max(logUp, crashes[min(len(crashes), allowedCrashes)-1])
+		known = max(known, knownPart)
 		late := 0
-		for _, at := range w.arrivals {
-			if at > w.crashes[allowedCrashes-1]+inForceWithin {
+		for _, a := range w.arrivals {
+			if a.part == part && a.at > knownPart+inForceWithin {
 				late++
 			}
 		}
-		if late > allowedArrivals {
-			t.Errorf("harmful requests reached servers %d times later than %v after crash %d, want at most %d", late, inForceWithin, allowedCrashes, allowedArrivals)
+		if len(crashes) >= allowedCrashes && late > allowedArrivals {
+			t.Errorf("part %q reached servers %d times later than %v after crash %d, want at most %d", part, late, inForceWithin, allowedCrashes, allowedArrivals)
 		}
 	}
-	if len(w.crashes) == 0 {
-		t.Fatal("no server crashed")
-	}
 	before, begunBefore := w.sound(0, w.opts.harmfulFrom)
-	known := w.crashes[min(len(w.crashes), allowedCrashes)-1] - time.Second
-	beside, begunBeside := w.sound(known+2*inForceWithin, w.opts.harmfulUntil)
+	beside, begunBeside := w.sound(known-time.Second+2*inForceWithin, w.opts.harmfulUntil)
 	if begunBeside*before*2 < begunBefore*beside {
 		t.Errorf("of %d sound requests beside the harmful ones, %d began at the first attempt; of %d before, %d did", beside, begunBeside, before, begunBefore)
 	}
--- a/node/forward/suspect.go
+++ b/node/forward/suspect.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -18,6 +19,11 @@
 	// suspectTimeout is the maximum time for committing a suspect record, a trial or
 	// its end.
 	suspectTimeout = 3 * time.Second
+	// recordPeriod is how long a crash with accused prompt parts is proposed again if the
+	// log does not accept it, and recordPause the time between two proposals. It is
+	// longer than most outages of the control hosts.
+	recordPeriod = 30 * time.Second
+	recordPause  = 100 * time.Millisecond
 	// maxRecordWait is the maximum time that a request waits for the log, which is
 	// longer than the election of a leader takes.
 	maxRecordWait = time.Second
@@ -87,9 +93,64 @@
 	return out
 }
 
-// suspicionOf returns the suspicion of a request.
+// suspicionOf returns the suspicion of a request. Parts that this host has accused are
+// suspects before that is recorded, so that a host without the log puts no further
+// server at risk.
 func (f *Forwarder) suspicionOf(c *call) suspicion {
-	return f.view.Load().suspects.of(c.fingerprint, c.request.PromptParts)
+	out := f.view.Load().suspects.of(c.fingerprint, c.request.PromptParts)
+	if out.refused || len(c.request.PromptParts) == 0 {
+		return out
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range c.request.PromptParts {
+		if f.unrecorded[id] > 0 && !slices.Contains(out.parts, id) {
+			out.parts = append(out.parts, id)
+		}
+	}
+	return out
+}
+
+// countUnrecorded adds n to the number of crashes with each part that are not recorded
+// yet.
+func (f *Forwarder) countUnrecorded(parts []string, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range parts {
+		if f.unrecorded[id] += n; f.unrecorded[id] == 0 {
+			delete(f.unrecorded, id)
+		}
+	}
+}
+
+// recordEnd commits the end of a server process and waits until the view of this host
+// includes it. An end with accused parts is proposed again for recordPeriod.
+func (f *Forwarder) recordEnd(end state.Suspect) error {
+	f.countUnrecorded(end.Parts, 1)
+	defer f.countUnrecorded(end.Parts, -1)
+	stop := f.opts.Now() + recordPeriod
+	for {
+		err := f.proposeEnd(end)
+		if err == nil || len(end.Parts) == 0 || f.opts.Now() >= stop {
+			return err
+		}
+		time.Sleep(recordPause)
+	}
+}
+
+// proposeEnd commits the end of a server process once.
+func (f *Forwarder) proposeEnd(end state.Suspect) error {
+	ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
+	defer cancel()
+	result, err := f.opts.Log.Propose(ctx, state.Command{UnixMS: time.Now().UnixMilli(), Suspect: &end})
+	if err != nil || len(end.Fingerprints) == 0 {
+		return err
+	}
+	if err := f.opts.Replica.WaitIndex(ctx, result.Index); err != nil {
+		return err
+	}
+	f.Refresh()
+	return nil
 }
 
 // beginTrial commits the trial of a request with suspect parts on the server of attempt.
@@ -354,15 +415,8 @@
 	if alreadyReported && request == nil {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
-	defer cancel()
 	proposedAt := f.opts.Now()
-	result, err := f.opts.Log.Propose(ctx, state.Command{UnixMS: time.Now().UnixMilli(), Suspect: &end})
-	if err == nil && request != nil {
-		if err = f.opts.Replica.WaitIndex(ctx, result.Index); err == nil {
-			f.Refresh()
-		}
-	}
+	err := f.recordEnd(end)
 	if err != nil {
 		fields[decision.FieldOutcome] = "not recorded: " + err.Error()
 	}
