--- a/node/forward/accounting.go
+++ b/node/forward/accounting.go
@@ -154,24 +154,3 @@
 	}
 	f.router.EndAttempt(now, attempt, result)
 }
-
-// markEndReported marks the end of a process as reported to the other hosts. It
-// returns the sequence number of the process's newest announcement, and whether
-// the end was already marked. f.mu must be held.
-func (f *Forwarder) markEndReported(attempt routing.Attempt) (sequence uint64, alreadyReported bool) {
-	sequence = max(1, f.sequences[attempt.Server])
-	alreadyReported = f.reportedEnds[attempt.Server] == processEnd{attempt.Incarnation, sequence}
-	if len(f.reportedEnds) > maxReportedEnds {
-		clear(f.reportedEnds)
-	}
-	f.reportedEnds[attempt.Server] = processEnd{attempt.Incarnation, sequence}
-	return sequence, alreadyReported
-}
-
-// maxReportedEnds is the size above which the record of reported process ends is
-// cleared.
-const maxReportedEnds = 1024
-
-// processEnd identifies the end of a process after its announcement with the
-// given sequence number.
-type processEnd struct{ incarnation, sequence uint64 }
--- /dev/null
+++ b/node/forward/refute.go
@@ -0,0 +1,84 @@
+package forward
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/state"
+)
+
+const (
+	// refutationDelayPerHost, for each host, is the maximum random delay before a host
+	// reports that an answer to a suspect part has begun. Often all hosts know it, and
+	// the first report, which takes some tens of milliseconds, makes the others
+	// superfluous.
+	refutationDelayPerHost = 10 * time.Millisecond
+)
+
+// recordBegun records that a server has begun to write the answer to a request, which
+// clears its prompt parts.
+func (f *Forwarder) recordBegun(c *call) {
+	if len(c.request.PromptParts) == 0 {
+		return
+	}
+	view := f.view.Load()
+	f.mu.Lock()
+	f.begun.Record(f.opts.Now(), c.request.PromptParts, view.appliedIndex)
+	f.mu.Unlock()
+	if t := c.trial; t != nil {
+		c.trial = nil
+		go f.commitSuspicion(state.Command{ClearSuspect: &state.ClearSuspect{Parts: t.Parts, SeenIndex: view.appliedIndex}}, t.Parts, "cleared by trial")
+		return
+	}
+	f.refute(view.suspects, c.request.PromptParts)
+}
+
+// refuteAll reports the suspect parts of which this host knows an answer.
+func (f *Forwarder) refuteAll(s *suspects) {
+	var parts []string
+	for key := range s.records {
+		if id, ok := strings.CutPrefix(key, state.PartKey("")); ok {
+			parts = append(parts, id)
+		}
+	}
+	f.refute(s, parts)
+}
+
+// refute reports those of the parts that are suspects or in quarantine although this
+// host knows an answer to a request with them. Each is reported once for each crash.
+func (f *Forwarder) refute(s *suspects, parts []string) {
+	if s == nil || len(s.records) == 0 {
+		return
+	}
+	maxDelay := time.Duration(max(1, f.opts.HostCount())) * refutationDelayPerHost
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range parts {
+		rec := s.records[state.PartKey(id)]
+		index, answered := f.begun.Index(id)
+		if rec.Part == nil || rec.Part.Cleared || !answered || index < rec.Part.RefutingIndex || f.refuted[id] == rec.LastIndex {
+			continue
+		}
+		if len(f.refuted) >= maxRefuted {
+			clear(f.refuted)
+		}
+		f.refuted[id] = rec.LastIndex
+		delay := time.Duration(f.rng.Int64N(int64(maxDelay)))
+		time.AfterFunc(delay, func() { f.commitRefutation(id, index) })
+	}
+}
+
+// maxRefuted is the size above which the record of reported answers is cleared.
+const maxRefuted = 1024
+
+// commitRefutation clears a part, unless it has been cleared meanwhile.
+func (f *Forwarder) commitRefutation(id string, index uint64) {
+	cleared := true
+	f.opts.Replica.View(func(s *state.State) {
+		rec := s.Suspects[state.PartKey(id)]
+		cleared = rec.Part == nil || rec.Part.Cleared || index < rec.Part.RefutingIndex
+	})
+	if !cleared {
+		f.commitSuspicion(state.Command{ClearSuspect: &state.ClearSuspect{Parts: []string{id}, SeenIndex: index}}, []string{id}, "cleared by an answer")
+	}
+}
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"strconv"
 	"time"
@@ -142,64 +141,6 @@
 	return true
 }
 
-// readBody reads the request body within the limits on size and time. It refuses a
-// body that exceeds them and returns false.
-func (c *call) readBody(l route.Limits) bool {
-	limit := l.BodyBytes
-	if limit == 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if c.inbound.ContentLength > limit {
-		return c.refuseBody(http.StatusRequestEntityTooLarge, 0, "request body exceeds the size limit")
-	}
-	// A caller that sends its body slowly, or never ends it, is not waited for longer
-	// than for its answer. Errors mean that the connection has no deadlines.
-	controller := http.NewResponseController(c.w)
-	if c.inbound.ContentLength != 0 {
-		_ = controller.SetReadDeadline(time.Now().Add(c.deadline - c.arrivedAt))
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, countedBody{c}, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return c.refuseBody(http.StatusRequestEntityTooLarge, 0, "request body exceeds the size limit")
-	case errors.Is(err, errBodyMemory):
-		return c.refuseBody(http.StatusServiceUnavailable, unavailableRetryAfter, "request bodies in memory exceed 64 MiB")
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return c.refuseBody(http.StatusRequestTimeout, 0, "request body was not complete at the deadline")
-	case err != nil:
-		c.logEvent(decision.EventCallerLeft, decision.Fields{decision.FieldReason: "request body interrupted: " + errorReason(err)})
-		panic(http.ErrAbortHandler)
-	}
-	_ = controller.SetReadDeadline(time.Time{})
-	c.body = body
-	return true
-}
-
-// refuseBody refuses a request whose body was not read completely, and closes its
-// connection.
-func (c *call) refuseBody(status int, retryAfter time.Duration, reason string) bool {
-	c.w.Header().Set("Connection", "close")
-	return c.refuse(status, retryAfter, reason)
-}
-
-var errBodyMemory = errors.New("forward: the request bodies in memory exceed their limit")
-
-// countedBody reads the body of a request and counts its bytes while they arrive, so
-// that many callers that send at the same time cannot exceed maxInFlightBodyBytes.
-type countedBody struct{ call *call }
-
-func (b countedBody) Read(p []byte) (int, error) {
-	n, err := b.call.inbound.Body.Read(p)
-	b.call.countedBytes += int64(n)
-	if b.call.forwarder.bodyBytes.Add(int64(n)) > maxInFlightBodyBytes {
-		return n, errBodyMemory
-	}
-	return n, err
-}
-
-func (b countedBody) Close() error { return b.call.inbound.Body.Close() }
-
 // logPanic logs an unexpected panic of the handling of a request and passes it on, so
 // that the server closes the connection. The process and its other requests continue.
 func (c *call) logPanic() {
