--- a/core/evidence/evidence.go
+++ b/core/evidence/evidence.go
@@ -19,8 +19,14 @@
 type Begun struct {
 	// recent and older hold the newest answer by part. A part is in either.
 	recent, older map[string]answer
+	// reported holds, by part, the newest crash that Refutes has been true for.
+	reported map[string]uint64
 }
 
+// maxReported is the size above which the memory of Refutes is cleared. A report that is
+// then repeated changes nothing.
+const maxReported = 1024
+
 // answer is when an answer began: the log index that this host had applied before, and
 // the time.
 type answer struct {
@@ -30,7 +36,7 @@
 
 // NewBegun returns an empty Begun.
 func NewBegun() *Begun {
-	return &Begun{recent: map[string]answer{}, older: map[string]answer{}}
+	return &Begun{recent: map[string]answer{}, older: map[string]answer{}, reported: map[string]uint64{}}
 }
 
 // Record records that an answer to a request with the parts has begun now. The index is
@@ -60,6 +66,22 @@
 	return a, ok
 }
 
+// Refutes reports whether this host is to report an answer against the suspicion of a
+// part: it knows one that began after refutingIndex was applied, and has not reported
+// one since the newest crash, which has the index lastIndex. It returns the index of the
+// answer as well.
+func (b *Begun) Refutes(part string, refutingIndex, lastIndex uint64) (uint64, bool) {
+	a, ok := b.find(part)
+	if !ok || a.index < refutingIndex || b.reported[part] == lastIndex {
+		return 0, false
+	}
+	if len(b.reported) >= maxReported {
+		clear(b.reported)
+	}
+	b.reported[part] = lastIndex
+	return a.index, true
+}
+
 // Crashes is what is recorded of the crashes with a part.
 type Crashes struct {
 	// LastIndex is the log index of the newest crash, or zero.
--- a/core/evidence/evidence_test.go
+++ b/core/evidence/evidence_test.go
@@ -54,3 +54,26 @@
 		t.Error("the oldest part is still remembered")
 	}
 }
+
+// Guards against a sound part that stays a suspect although this host knows an answer,
+// against an old answer that clears a harmful part, and against repeated reports.
+func TestRefutes(t *testing.T) {
+	b := NewBegun()
+	b.Record(0, []string{"part"}, 5)
+	for _, c := range []struct {
+		name                     string
+		part                     string
+		refutingIndex, lastIndex uint64
+		want                     bool
+	}{
+		{"unknown part", "other", 0, 7, false},
+		{"answer before the crash that it would have to follow", "part", 6, 7, false},
+		{"answer after it", "part", 5, 7, true},
+		{"same crash again", "part", 5, 7, false},
+		{"next crash", "part", 5, 8, true},
+	} {
+		if index, ok := b.Refutes(c.part, c.refutingIndex, c.lastIndex); ok != c.want || ok && index != 5 {
+			t.Errorf("%s: index %d, %v, want %v", c.name, index, ok, c.want)
+		}
+	}
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -115,10 +115,8 @@
 	// uncommittedSuspects counts, by fingerprint, the crashes that are not
 	// committed yet.
 	uncommittedSuspects map[string]int
-	// begun remembers the answers that have begun, and refuted the crashes after which
-	// the answers to a prompt part were reported to the other hosts.
+	// begun remembers the answers that have begun.
 	begun   *evidence.Begun
-	refuted map[string]uint64
 	probes  map[process]*serverProbe
 	stopped chan struct{}
 	nextID  uint64
@@ -153,7 +151,7 @@
 		opts: opts, rng: rng, queues: map[routing.Key]*modelQueue{}, arrivals: map[routing.Key]uint64{},
 		inFlight: map[process]map[*serverAttempt]struct{}{}, crashes: map[process]*crash{}, uncommittedSuspects: map[string]int{},
 		router: routing.New(opts.routerOptions(), rng), probes: map[process]*serverProbe{}, stopped: make(chan struct{}),
-		drained: make(chan struct{}), serverStates: map[string]serverState{}, begun: evidence.NewBegun(), refuted: map[string]uint64{},
+		drained: make(chan struct{}), serverStates: map[string]serverState{}, begun: evidence.NewBegun(),
 	}
 	e.refresh()
 	return e
--- a/node/entry/part.go
+++ b/node/entry/part.go
@@ -8,9 +8,6 @@
 	"github.com/pollenwheel/pollenwheel/core/state"
 )
 
-// maxRefuted limits the crashes after which the answers to a part were reported.
-const maxRefuted = 1024
-
 // suspicion is what the replicated suspects say of a request.
 type suspicion struct {
 	// quarantined is set if the request is refused, and suspect if it needs a trial.
@@ -63,14 +60,14 @@
 	e.begun.Record(e.opts.Now(), parts, v.index)
 	for _, id := range parts {
 		rec := v.suspects[state.PartKey(id)]
-		if rec.Part == nil || rec.Part.Cleared || v.index < rec.Part.RefutingIndex || e.refuted[id] == rec.LastIndex {
+		if rec.Part == nil || rec.Part.Cleared {
 			continue
 		}
-		if len(e.refuted) >= maxRefuted {
-			clear(e.refuted)
+		index, refutes := e.begun.Refutes(id, rec.Part.RefutingIndex, rec.LastIndex)
+		if !refutes {
+			continue
 		}
-		e.refuted[id] = rec.LastIndex
-		command := state.Command{ClearSuspect: &state.ClearSuspect{Parts: []string{id}, SeenIndex: v.index}}
+		command := state.Command{ClearSuspect: &state.ClearSuspect{Parts: []string{id}, SeenIndex: index}}
 		go e.commit(command)
 	}
 }
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -77,10 +77,8 @@
 	// and reportedEnds the process end last reported for each server.
 	sequences    map[string]uint64
 	reportedEnds map[string]processEnd
-	// begun remembers the answers that have begun, and refuted the crashes after which
-	// the answers to a prompt part were reported to the other hosts.
-	begun   *evidence.Begun
-	refuted map[string]uint64
+	// begun remembers the answers that have begun.
+	begun *evidence.Begun
 	// unrecorded counts, by prompt part, the crashes that accuse it and are not recorded
 	// yet.
 	unrecorded map[string]int
@@ -132,7 +130,7 @@
 		}, rand.New(rand.NewPCG(seed, 1))),
 		budgets: map[string]*retry.Budget{}, demands: map[residency.Target]*targetDemand{},
 		rebuilt: make(chan struct{}), forecaster: newForecaster(),
-		sequences: map[string]uint64{}, reportedEnds: map[string]processEnd{}, begun: evidence.NewBegun(), refuted: map[string]uint64{}, unrecorded: map[string]int{},
+		sequences: map[string]uint64{}, reportedEnds: map[string]processEnd{}, begun: evidence.NewBegun(), unrecorded: map[string]int{},
 	}
 	f.view.Store(&admissionView{})
 	return f
--- a/node/forward/refute.go
+++ b/node/forward/refute.go
@@ -55,22 +55,18 @@
 	defer f.mu.Unlock()
 	for _, id := range parts {
 		rec := s.records[state.PartKey(id)]
-		index, answered := f.begun.Index(id)
-		if rec.Part == nil || rec.Part.Cleared || !answered || index < rec.Part.RefutingIndex || f.refuted[id] == rec.LastIndex {
+		if rec.Part == nil || rec.Part.Cleared {
 			continue
 		}
-		if len(f.refuted) >= maxRefuted {
-			clear(f.refuted)
+		index, refutes := f.begun.Refutes(id, rec.Part.RefutingIndex, rec.LastIndex)
+		if !refutes {
+			continue
 		}
-		f.refuted[id] = rec.LastIndex
 		delay := time.Duration(f.rng.Int64N(int64(maxDelay)))
 		time.AfterFunc(delay, func() { f.commitRefutation(id, index) })
 	}
 }
 
-// maxRefuted is the size above which the record of reported answers is cleared.
-const maxRefuted = 1024
-
 // commitRefutation clears a part, unless it has been cleared meanwhile.
 func (f *Forwarder) commitRefutation(id string, index uint64) {
 	cleared := true
