--- a/node/forward/harmful_part_test.go
+++ b/node/forward/harmful_part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -108,3 +109,19 @@
 		})
 	}
 }
+
+// Guards against a caller that fills the records of all hosts with one request.
+func TestPartsOfOnePromptAreBounded(t *testing.T) {
+	var parts []string
+	for i := range 10 * maxPromptParts {
+		parts = append(parts, fmt.Sprint("part-", i))
+	}
+	parts = append(parts, strings.Repeat("x", maxPartBytes+1), "last")
+	got := judgedParts(parts)
+	if len(got) >= maxPromptParts+1 || got[len(got)-1] != "last" || len(got[len(got)-2]) > maxPartBytes {
+		t.Errorf("%d of %d parts can be suspects, the last ones are %q", len(got), len(parts), got[len(got)-2:])
+	}
+	if got := judgedParts(nil); len(got) != 0 {
+		t.Errorf("parts %q of a prompt without parts", got)
+	}
+}
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -104,6 +104,7 @@
 	f := c.forwarder
 	var err error
 	c.request, err = f.opts.Protocol.ParseRequest(c.inbound.Header)
+	c.request.PromptParts = judgedParts(c.request.PromptParts)
 	v := f.view.Load()
 	if v.index == nil || !f.opts.Ready() || f.admissionStopped.Load() {
 		return c.refuse(http.StatusServiceUnavailable, unavailableRetryAfter, "host is not ready or no longer accepts requests")
--- a/node/forward/suspect.go
+++ b/node/forward/suspect.go
@@ -38,6 +38,25 @@
 	return out
 }
 
+const (
+	// maxPromptParts is the number of parts of one prompt that can be suspects, and
+	// maxPartBytes the length of their IDs, so that a caller cannot fill the records.
+	maxPromptParts = 64
+	maxPartBytes   = 64
+)
+
+// judgedParts returns the parts of a prompt that can be suspects: the last ones, which
+// fewer requests share.
+func judgedParts(parts []string) []string {
+	out := make([]string, 0, min(len(parts), maxPromptParts))
+	for _, id := range parts[max(0, len(parts)-maxPromptParts):] {
+		if len(id) <= maxPartBytes {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // suspicion is what the suspects say of one request.
 type suspicion struct {
 	// refused is set if the request is in quarantine, for retryAfter if that is known.
