--- a/node/forward/crash_world_test.go
+++ b/node/forward/crash_world_test.go
@@ -102,7 +102,6 @@
 	world       *crashWorld
 	status      membership.Server
 	http        *http.Server
-	ended       bool
 	crashedOnce sync.Once
 }
 
