--- a/cmd/pollenwheel/calls_test.go
+++ b/cmd/pollenwheel/calls_test.go
@@ -205,13 +205,28 @@
 // call must be executed only once.
 func (d *deployment) killEntryHost(ctx context.Context, journal *plain.Journal, p *process, keySuffix string) {
 	d.t.Helper()
-	key := newIdempotencyKey(keySuffix)
+	var key string
+	var refused []string
 	returned := make(chan struct{})
-	go func() {
-		_, _, _, _ = d.sendCall(ctx, p, key)
-		close(returned)
-	}()
-	d.await("the call runs", func() bool { return countRuns(journal, key) > 0 })
+	close(returned)
+	// During an election, the host refuses a call without running it. The call is then
+	// made anew.
+	d.await("the call runs", func() bool {
+		if key != "" && countRuns(journal, key) > 0 {
+			return true
+		}
+		select {
+		case <-returned:
+			refused = append(refused, key)
+			key, returned = newIdempotencyKey(keySuffix), make(chan struct{})
+			go func(key string, returned chan struct{}) {
+				_, _, _, _ = d.sendCall(ctx, p, key)
+				close(returned)
+			}(key, returned)
+		default:
+		}
+		return false
+	})
 	d.kill(p)
 	<-returned
 	for range 2 {
@@ -232,4 +247,7 @@
 	}
 	time.Sleep(2 * callDuration)
 	d.checkRuns(journal, key, 1)
+	for _, k := range refused {
+		d.checkRuns(journal, k, 0)
+	}
 }
