forward, platform: read and log what servers say of themselves in their answers

Cause: no header with which a server speaks of itself was read, so no log could tell why a server got more requests than it had named. Change: core/notice holds the limit, the departure and the pause that a server names, by server process; the decision log has a line for each change and for each request that is sent to a server with a limit. Nothing is decided by it yet.

--- /dev/null
+++ b/core/notice/notice.go
@@ -0,0 +1,235 @@
+// Package notice holds what backend servers say of themselves in their answers: the
+// request rate that they take, that they are leaving, and that they want nothing for some
+// time. It performs no I/O and reads no clock.
+package notice
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/ratelimit"
+)
+
+// Process identifies one run of a backend server.
+type Process = ratelimit.Process
+
+// Notice is what the head of one answer says of the server.
+type Notice struct {
+	// LimitNamed is set if the answer names a limit, and PerSecond is that limit: the
+	// requests per second that the server takes from all hosts together.
+	LimitNamed bool
+	PerSecond  float64
+	// Leaving is set if the server says that it is leaving.
+	Leaving bool
+	// Pause is how long the server wants no request from this host. Zero means none.
+	Pause time.Duration
+	// Invalid holds the values that cannot be read. They are no statement at all: a limit
+	// that cannot be read neither names a limit nor ends one.
+	Invalid []InvalidValue
+	// LimitInvalid is set if a limit is among the invalid values.
+	LimitInvalid bool
+}
+
+// InvalidValue is a header whose value cannot be read.
+type InvalidValue struct{ Name, Value string }
+
+// Kind is the kind of a change.
+type Kind string
+
+// Kinds of changes. The values are those of the decision log.
+const (
+	KindLimit   Kind = "limit"
+	KindLeaving Kind = "leaving"
+	KindPause   Kind = "pause"
+	KindInvalid Kind = "invalid"
+)
+
+// Change is a change of what is believed about a server process.
+type Change struct {
+	Process
+	Kind Kind
+	// Limited and PerSecond are set for a limit.
+	Limited   bool
+	PerSecond float64
+	// Pause is set for a pause.
+	Pause time.Duration
+	// Invalid is set for a value that cannot be read.
+	Invalid InvalidValue
+}
+
+const (
+	// MaxPause is the longest pause that is honoured. A longer one is cut to it, so that a
+	// faulty server is tried again.
+	MaxPause = time.Minute
+	// maxServers bounds the server processes of which notices are kept.
+	maxServers = 4096
+	// countWindow is the time over which requests to a server with a limit are counted.
+	countWindow = 4 * time.Second
+	// retention is how long a notice of a server is kept after its last answer. A process
+	// that was not heard from for that long has most likely ended.
+	retention = 10 * time.Minute
+)
+
+// Table holds the notices of all servers as one host knows them. It is not safe for
+// concurrent use.
+type Table struct {
+	// Limits holds the limits and the permits to send to servers that name one.
+	Limits  *ratelimit.Client
+	servers map[Process]*server
+}
+
+// server is what one server process says of itself, besides its limit.
+type server struct {
+	leaving     bool
+	pausedUntil time.Duration
+	// heardAt is when the newest answer arrived that says something.
+	heardAt time.Duration
+	// invalidAt is when an invalid value was last reported.
+	invalidAt       time.Duration
+	invalidReported bool
+	// sentAt holds when requests were sent to the server within countWindow.
+	sentAt []time.Duration
+}
+
+// NewTable returns a table without notices.
+func NewTable(limits *ratelimit.Client) *Table {
+	return &Table{Limits: limits, servers: map[Process]*server{}}
+}
+
+// Record merges the notice of an answer that arrived now, to a request that was sent at
+// sentAt. It returns what changed.
+func (t *Table) Record(now, sentAt time.Duration, p Process, n Notice) []Change {
+	var changes []Change
+	if !n.LimitInvalid {
+		s := ratelimit.Sighting{Process: p, Named: n.LimitNamed, PerSecond: n.PerSecond, SentAt: sentAt, ReceivedAt: now}
+		if c, ok := t.Limits.Record(s); ok {
+			changes = append(changes, limitChange(c))
+		}
+	}
+	if n.Leaving || n.Pause > 0 || n.LimitNamed || len(n.Invalid) > 0 {
+		changes = append(changes, t.recordStatements(now, p, n)...)
+	}
+	return changes
+}
+
+func (t *Table) recordStatements(now time.Duration, p Process, n Notice) []Change {
+	s := t.server(now, p)
+	if s == nil {
+		return nil
+	}
+	var changes []Change
+	s.heardAt = now
+	if n.Leaving && !s.leaving {
+		s.leaving = true
+		changes = append(changes, Change{Process: p, Kind: KindLeaving})
+	}
+	if pause := min(n.Pause, MaxPause); pause > 0 && now+pause > s.pausedUntil {
+		s.pausedUntil = now + pause
+		changes = append(changes, Change{Process: p, Kind: KindPause, Pause: pause})
+	}
+	if len(n.Invalid) > 0 && (!s.invalidReported || now-s.invalidAt > retention) {
+		s.invalidReported, s.invalidAt = true, now
+		changes = append(changes, Change{Process: p, Kind: KindInvalid, Invalid: n.Invalid[0]})
+	}
+	return changes
+}
+
+// server returns the entry of a server process, which it creates if there is room. It is
+// nil otherwise.
+func (t *Table) server(now time.Duration, p Process) *server {
+	if s := t.servers[p]; s != nil {
+		return s
+	}
+	if len(t.servers) >= maxServers {
+		maps.DeleteFunc(t.servers, func(_ Process, s *server) bool { return now-s.heardAt > retention })
+	}
+	if len(t.servers) >= maxServers {
+		return nil
+	}
+	s := &server{heardAt: now}
+	t.servers[p] = s
+	return s
+}
+
+// ApplyReply merges the leader's reply to the request for permits sent at sentAt. It
+// returns the limits that changed, and whether there are new permits.
+func (t *Table) ApplyReply(now, sentAt time.Duration, r ratelimit.Reply) ([]Change, bool) {
+	list, granted := t.Limits.ApplyReply(now, sentAt, r)
+	var changes []Change
+	for _, c := range list {
+		changes = append(changes, limitChange(c))
+	}
+	return changes, granted
+}
+
+func limitChange(c ratelimit.Change) Change {
+	return Change{Process: c.Process, Kind: KindLimit, Limited: c.Limited, PerSecond: c.PerSecond}
+}
+
+// RecordSent counts a request that is sent to a server process that has said something.
+func (t *Table) RecordSent(now time.Duration, p Process) {
+	if s := t.servers[p]; s != nil {
+		s.dropOld(now)
+		s.sentAt = append(s.sentAt, now)
+	}
+}
+
+// SentLately returns the number of requests that this host sent to a server process within
+// countWindow.
+func (t *Table) SentLately(now time.Duration, p Process) int {
+	s := t.servers[p]
+	if s == nil {
+		return 0
+	}
+	s.dropOld(now)
+	return len(s.sentAt)
+}
+
+func (s *server) dropOld(now time.Duration) {
+	s.sentAt = slices.DeleteFunc(s.sentAt, func(at time.Duration) bool { return now-at >= countWindow })
+}
+
+// Keep removes the notices of the server processes for which known returns false.
+func (t *Table) Keep(known func(Process) bool) {
+	maps.DeleteFunc(t.servers, func(p Process, _ *server) bool { return !known(p) })
+}
+
+// Statement is what one server process says of itself.
+type Statement struct {
+	Process
+	Limited   bool
+	PerSecond float64
+	Leaving   bool
+	// Paused is how much longer the server wants nothing from this host.
+	Paused time.Duration
+	// Sent is the number of requests that this host sent to it within 4 s.
+	Sent int
+}
+
+// Statements returns what all server processes say of themselves, by server.
+func (t *Table) Statements(now time.Duration) []Statement {
+	byProcess := map[Process]*Statement{}
+	for _, l := range t.Limits.Limits() {
+		byProcess[l.Process] = &Statement{Process: l.Process, Limited: true, PerSecond: l.PerSecond}
+	}
+	for p, s := range t.servers {
+		paused := max(0, s.pausedUntil-now)
+		if byProcess[p] == nil && !s.leaving && paused == 0 {
+			continue
+		}
+		if byProcess[p] == nil {
+			byProcess[p] = &Statement{Process: p}
+		}
+		byProcess[p].Leaving, byProcess[p].Paused, byProcess[p].Sent = s.leaving, paused, t.SentLately(now, p)
+	}
+	var out []Statement
+	for _, s := range byProcess {
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(a, b Statement) int {
+		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return out
+}
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -57,12 +57,20 @@
 	FieldPromptParts = "prompt_parts"
 	FieldAccused     = "accused"
 	FieldTrial       = "trial"
+	// FieldPerSecond is the limit that a server names, in requests per second of all
+	// hosts, FieldSent the number of requests that this host sent to it within 4 s, and
+	// FieldPauseAsked the time for which it wants none.
+	FieldPerSecond  = "per_second"
+	FieldSent       = "sent_4s"
+	FieldPauseAsked = "pause_asked_ms"
 )
 
-// Events of a request. EventAttempt is logged for each attempt that failed.
+// Events of a request. EventAttempt is logged for each attempt that failed, and EventSent
+// for each one that is sent to a server with a limit.
 // EventAnswered is sampled; the others are always logged.
 const (
 	EventAttempt    = "attempt"
+	EventSent       = "sent"
 	EventAnswered   = "answered"
 	EventLate       = "late"
 	EventRefused    = "refused"
@@ -72,7 +80,7 @@
 )
 
 // RequestEvents lists all events of a request.
-var RequestEvents = []string{EventAttempt, EventAnswered, EventLate, EventRefused, EventFailed, EventAborted, EventCallerLeft}
+var RequestEvents = []string{EventAttempt, EventSent, EventAnswered, EventLate, EventRefused, EventFailed, EventAborted, EventCallerLeft}
 
 // Events that change a process's view of the cluster.
 const (
@@ -88,6 +96,8 @@
 	EventPublish      = "publication"
 	EventLinesDropped = "lines_dropped"
 	EventSettings     = "settings"
+	// EventNotice is logged if what a server says of itself in its answers changes.
+	EventNotice = "notice"
 )
 
 // Fields holds the fields of one line by name.
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -109,6 +109,7 @@
 	traceContext := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
 	})
+	sentAt := c.forwarder.recordSent(c, attempt)
 	resp, err := c.forwarder.transport.RoundTrip(c.backendRequest(traceContext, attempt))
 	if err != nil {
 		if !connected {
@@ -119,6 +120,9 @@
 	defer func() { _ = resp.Body.Close() }()
 	answer := c.forwarder.opts.Protocol.ParseAnswer(resp.Header)
 	if refused, refusal := c.classifyRefusal(resp, answer, attempt); refused {
+		if refusal.outcome == exchange.Refused {
+			c.forwarder.recordNotice(c, attempt, sentAt, answer.Notice)
+		}
 		return refusal
 	}
 	switch {
@@ -129,6 +133,7 @@
 	case !answer.Signed:
 		return lostAnswer("answer is not signed by a backend server")
 	}
+	c.forwarder.recordNotice(c, attempt, sentAt, answer.Notice)
 	c.forwarder.recordAnswerStart(attempt)
 	if resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return c.forwardEvents(ctx, resp)
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -11,6 +11,8 @@
 
 	"github.com/pollenwheel/pollenwheel/core/evidence"
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/notice"
+	"github.com/pollenwheel/pollenwheel/core/ratelimit"
 	"github.com/pollenwheel/pollenwheel/core/residency"
 	"github.com/pollenwheel/pollenwheel/core/retry"
 	"github.com/pollenwheel/pollenwheel/core/route"
@@ -79,6 +81,8 @@
 	reportedEnds map[string]processEnd
 	// begun remembers the answers that have begun.
 	begun *evidence.Begun
+	// notices holds what servers say of themselves in their answers.
+	notices *notice.Table
 	// unrecorded counts, by prompt part, the crashes that accuse it and are not recorded
 	// yet.
 	unrecorded map[string]int
@@ -124,7 +128,8 @@
 		o.Dial = newDialer().DialContext
 	}
 	f := &Forwarder{
-		opts: o, transport: newTransport(o.Dial), rng: rand.New(rand.NewPCG(seed, 2)),
+		notices: notice.NewTable(ratelimit.NewClient(o.HostCount, rand.New(rand.NewPCG(seed, 3)))),
+		opts:    o, transport: newTransport(o.Dial), rng: rand.New(rand.NewPCG(seed, 2)),
 		router: routing.New(routing.Options{
 			DataCentre: o.DataCentre, RemoteLoadThreshold: remoteLoadThreshold, BreakerFailures: breakerFailures,
 		}, rand.New(rand.NewPCG(seed, 1))),
--- /dev/null
+++ b/node/forward/notice.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/notice"
+	"github.com/pollenwheel/pollenwheel/core/routing"
+	"github.com/pollenwheel/pollenwheel/node/decision"
+)
+
+func processOf(a routing.Attempt) notice.Process {
+	return notice.Process{Server: a.Server, Incarnation: a.Incarnation}
+}
+
+// recordSent counts an attempt that is sent now, and returns the time. If its server has a
+// limit, it is logged, so that the log shows which requests the limit was used for.
+func (f *Forwarder) recordSent(c *call, attempt routing.Attempt) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.opts.Now()
+	p := processOf(attempt)
+	f.notices.RecordSent(now, p)
+	if f.notices.Limits.Limited(p) {
+		c.logEvent(decision.EventSent, decision.Fields{
+			decision.FieldServer: attempt.Server, decision.FieldSent: f.notices.SentLately(now, p),
+			decision.FieldAttempt: c.exchange.ReachedServers() + 1, decision.FieldOtherReplicas: f.router.AvailableServers(c.key) - 1,
+		})
+	}
+	return now
+}
+
+// recordNotice records what the answer to a request that was sent at sentAt says of the
+// server, and logs what changed.
+func (f *Forwarder) recordNotice(c *call, attempt routing.Attempt, sentAt time.Duration, n notice.Notice) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.opts.Now()
+	changes := f.notices.Record(now, sentAt, processOf(attempt), n)
+	f.logNotices(now, changes, c.request.ID)
+}
+
+// logNotices logs changes of what servers say of themselves. source is the request whose
+// answer says so, or the host that told it. f.mu must be held.
+func (f *Forwarder) logNotices(now time.Duration, changes []notice.Change, source string) {
+	for _, change := range changes {
+		fields := noticeFields(change)
+		fields[decision.FieldSource], fields[decision.FieldSent] = source, f.notices.SentLately(now, change.Process)
+		f.opts.Decisions.RecordStateChange(decision.EventNotice, fields)
+	}
+}
+
+// noticeFields returns the fields of the decision log for a change.
+func noticeFields(c notice.Change) decision.Fields {
+	fields := decision.Fields{decision.FieldServer: c.Server, decision.FieldOutcome: string(c.Kind)}
+	switch {
+	case c.Kind == notice.KindLimit && c.Limited:
+		fields[decision.FieldPerSecond] = c.PerSecond
+	case c.Kind == notice.KindLimit:
+		fields[decision.FieldOutcome] = "limit ended"
+	case c.Kind == notice.KindPause:
+		fields[decision.FieldPauseAsked] = c.Pause.Milliseconds()
+	case c.Kind == notice.KindInvalid:
+		fields[decision.FieldReason] = c.Invalid.Name + ": " + c.Invalid.Value
+	}
+	return fields
+}
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -6,6 +6,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/notice"
 )
 
 // Request holds the values from the headers of a caller's request.
@@ -49,6 +51,8 @@
 	NotRun bool
 	// Server is the name of the server that answered, if given.
 	Server string
+	// Notice is what the server says of itself.
+	Notice notice.Notice
 }
 
 // Protocol reads and writes the headers of the protocol that callers and backend
