--- a/node/forward/forwarder_test.go
+++ b/node/forward/forwarder_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/notice"
 	"github.com/pollenwheel/pollenwheel/core/retry"
 	"github.com/pollenwheel/pollenwheel/core/route"
 	"github.com/pollenwheel/pollenwheel/core/state"
@@ -44,7 +45,13 @@
 }
 
 func (testProtocol) ParseAnswer(h http.Header) Answer {
-	return Answer{ID: h.Get("T-Id"), Signed: h.Get("T-Signed") != "", NotRun: h.Get("T-Not-Run") != "", Server: h.Get("T-Server")}
+	return Answer{
+		ID: h.Get("T-Id"), Signed: h.Get("T-Signed") != "", NotRun: h.Get("T-Not-Run") != "", Server: h.Get("T-Server"),
+		Notice: notice.Read(notice.Fields{
+			Limit: notice.Field{Name: "T-Limit", Values: h.Values("T-Limit")}, Leaving: notice.Field{Name: "T-Leaving", Values: h.Values("T-Leaving")},
+			Pause: notice.Field{Name: "T-Pause", Values: h.Values("T-Pause")}, Refused: h.Get("T-Not-Run") != "",
+		}),
+	}
 }
 
 // unavailableLog fails all proposals.
--- /dev/null
+++ b/node/forward/limit_world_test.go
@@ -0,0 +1,218 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/retry"
+	"github.com/pollenwheel/pollenwheel/core/route"
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/standin/memnet"
+)
+
+const (
+	// limitWindow, limitFactor and limitSlack are the published allowance: in each window,
+	// a server may get limitFactor times what its limit allows and limitSlack more.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	// limitGrace is how long after a server first named its limit the allowance begins to
+	// hold in these tests. The published time is longer.
+	limitGrace = time.Second
+)
+
+// limitWorldOptions describe a load on hosts before servers that name a limit.
+type limitWorldOptions struct {
+	seed           uint64
+	hosts, servers int
+	// limits are what the first servers name between limitFrom and limitUntil.
+	limits                []string
+	limitFrom, limitUntil time.Duration
+	// perSecond is the number of requests a second, of which soleShare need a model that
+	// only the first server holds. busyShare of the requests come to the first host.
+	perSecond            int
+	soleShare, busyShare float64
+	duration             time.Duration
+	// plain makes the servers a plain service.
+	plain bool
+}
+
+// limitWorld runs forwarders and fake servers in memory and in virtual time.
+type limitWorld struct {
+	opts  limitWorldOptions
+	net   memnet.Network
+	start time.Time
+	log   *worldLog
+	hosts []*Forwarder
+
+	mu      sync.Mutex
+	servers []membership.ServerStatus
+	// arrivals holds when requests reached each server, and statuses counts the answers
+	// of callers.
+	arrivals [][]time.Duration
+	statuses map[int]int
+	// slowest is the longest time until a refusal.
+	slowestRefusal time.Duration
+}
+
+func (w *limitWorld) now() time.Duration { return time.Since(w.start) }
+
+// runLimitWorld plays the load and returns the world after it. It must run in a synctest
+// bubble.
+func runLimitWorld(t *testing.T, o limitWorldOptions) *limitWorld {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &limitWorld{
+		opts: o, start: time.Now(), statuses: map[int]int{}, arrivals: make([][]time.Duration, o.servers),
+		log: &worldLog{leader: state.New(), barred: map[string]bool{}, available: func() bool { return true }},
+	}
+	var running []*http.Server
+	for i := range o.servers {
+		running = append(running, w.startServer(i))
+	}
+	for i := range o.hosts {
+		w.startHost(ctx, i)
+	}
+	service := route.Service{Name: "models"}
+	if !o.plain {
+		service.Engine = &route.Engine{Slots: 96, MemoryMiB: 1000, Models: []route.Model{{Name: "m"}, {Name: "rare", StoreLoad: 6 * time.Second}}}
+	}
+	w.log.apply(state.Command{Publish: &state.Publish{Table: route.Table{
+		Version: 1, Services: []route.Service{service}, Limits: route.Limits{BodyBytes: 1000},
+		Routes: []route.Route{{
+			Name: "help", Host: "h", Prefix: "/help/", Kind: route.Safe, Timeout: 12 * time.Second, WaitLimit: 2 * time.Second,
+			MaxAttempts: 2, Targets: []route.Target{{Service: "models", Weight: 1}},
+		}},
+	}}})
+	time.Sleep(time.Second)
+	w.playLoad(ctx)
+	cancel()
+	for _, s := range running {
+		_ = s.Close()
+	}
+	time.Sleep(time.Minute)
+	return w
+}
+
+func (w *limitWorld) startHost(ctx context.Context, i int) {
+	f := New(Options{
+		Protocol: testProtocol{}, Replica: w.log.follow(ctx), Log: w.log, Holdings: NewHoldings(), Self: state.HostProcess{Host: fmt.Sprint(i)},
+		Servers: func() []membership.ServerStatus { return w.servers }, ServersChanged: func() <-chan struct{} { return nil },
+		HostCount: func() int { return w.opts.hosts }, Now: func() time.Duration { return w.now() + time.Second },
+		Ready: func() bool { return true }, Dial: w.net.Dial,
+		RetryLimit: retry.Limit{Ratio: 0.2, Window: 10 * time.Second, Slack: 56}, DemandChanged: func() {},
+	})
+	w.hosts = append(w.hosts, f)
+	go func() { _ = f.Run(ctx) }()
+}
+
+func (w *limitWorld) startServer(i int) *http.Server {
+	status := membership.Server{Name: fmt.Sprint("server-", i), Service: "models", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Incarnation: 1, Sequence: 1}
+	if !w.opts.plain {
+		status.Models = []membership.ModelReport{{Model: "m", Phase: membership.ReportReady}}
+	}
+	if !w.opts.plain && i == 0 {
+		status.Models = append(status.Models, membership.ModelReport{Model: "rare", Phase: membership.ReportReady})
+	}
+	w.servers = append(w.servers, membership.ServerStatus{Server: status})
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		w.arrivals[i] = append(w.arrivals[i], w.now())
+		w.mu.Unlock()
+		pause(r.Context(), 100*time.Millisecond)
+		out.Header().Set("T-Id", r.Header.Get("T-Id"))
+		out.Header().Set("T-Signed", "yes")
+		if at := w.now(); i < len(w.opts.limits) && at >= w.opts.limitFrom && at < w.opts.limitUntil {
+			out.Header().Set("T-Limit", w.opts.limits[i])
+		}
+		_, _ = out.Write([]byte("ok"))
+	})}
+	l := w.net.Listen(status.Address)
+	go func() { _ = server.Serve(l) }()
+	return server
+}
+
+// playLoad sends the requests of callers.
+func (w *limitWorld) playLoad(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(w.opts.seed, 0))
+	var group sync.WaitGroup
+	interval := time.Second / time.Duration(w.opts.perSecond)
+	for i := range int(w.opts.duration / interval) {
+		time.Sleep(interval)
+		model, host := "m", w.hosts[rng.IntN(len(w.hosts))]
+		if rng.Float64() < w.opts.soleShare {
+			model = "rare"
+		}
+		if rng.Float64() < w.opts.busyShare {
+			host = w.hosts[0]
+		}
+		group.Go(func() { w.call(ctx, host, model, i) })
+	}
+	group.Wait()
+}
+
+func (w *limitWorld) call(ctx context.Context, host *Forwarder, model string, i int) {
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h/help/x", strings.NewReader(strconv.Itoa(i)))
+	r.Header = http.Header{"T-Id": {fmt.Sprint("request-", i)}, "T-Model": {model}, "T-Deadline": {"12000"}}
+	out, sentAt := httptest.NewRecorder(), w.now()
+	host.ServeHTTP(out, r)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.statuses[out.Code]++
+	if out.Code == http.StatusServiceUnavailable {
+		w.slowestRefusal = max(w.slowestRefusal, w.now()-sentAt)
+	}
+}
+
+// worstWindow returns the most requests that a server got in one window that begins
+// between from and until.
+func (w *limitWorld) worstWindow(server int, from, until time.Duration) int {
+	most := 0
+	for first, begin := range w.arrivals[server] {
+		if begin < from || begin >= until {
+			continue
+		}
+		n := 0
+		for _, at := range w.arrivals[server][first:] {
+			if at >= begin+limitWindow || at >= until {
+				break
+			}
+			n++
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// checkLimits checks each limit over all windows, and returns how many requests the limited
+// servers got and how many their limits allow.
+func (w *limitWorld) checkLimits(t *testing.T) (got, allowed float64) {
+	t.Helper()
+	from := w.opts.limitFrom + limitGrace
+	for i, text := range w.opts.limits {
+		limit, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		most, most4s := w.worstWindow(i, from, w.opts.limitUntil), limitFactor*limit*limitWindow.Seconds()+limitSlack
+		if float64(most) > most4s {
+			t.Errorf("server %d with a limit of %s a second got %d requests in %s, allowed %.0f", i, text, most, limitWindow, most4s)
+		}
+		for _, at := range w.arrivals[i] {
+			if at >= from && at < w.opts.limitUntil {
+				got++
+			}
+		}
+		allowed += limit * (w.opts.limitUntil - from).Seconds()
+	}
+	return got, allowed
+}
