routing, forward: send to a server with a limit only with a permit that the leader grants

Callers saw nothing yet: servers in need got up to six times the requests that they had named, and ran them. Cause: each host decided alone how many requests a server gets, and no host read the limit. A rate that all hosts owe together cannot be kept by one that sees only its own requests. Change: hosts tell the leader which limits answers name (core/ratelimit, node/permits), the leader keeps one token bucket for each server process and grants permits to hosts that want to send, first for requests that no other server can take. Hosts that the leader does not answer use an equal share each, the leader leaves out the share of hosts that it does not hear from. A missing limit ends it only in an answer to a request that was sent after the newest answer that names one. A request that can get no permit in time is refused at once with the expected delay.

--- a/core/ratelimit/client.go
+++ b/core/ratelimit/client.go
@@ -31,6 +31,8 @@
 	hosts   func() int
 	rng     *rand.Rand
 	servers map[Process]*limit
+	// limited is the number of servers with a limit.
+	limited int
 	// version is the version of the limits that the leader told last.
 	version uint64
 	// unansweredSince is when the first request was sent that wants permits and that the
@@ -78,10 +80,12 @@
 		l = &limit{wants: map[uint64]want{}}
 		c.servers[s.Process] = l
 	}
+	before := l.belief.limited
 	if !l.belief.apply(s) {
 		return Change{}, false
 	}
 	c.news = true
+	c.countLimited(before, l.belief.limited)
 	if !l.belief.limited {
 		l.permits, l.delayKnown, l.ownShare = nil, false, false
 		clear(l.wants)
@@ -89,6 +93,16 @@
 	return Change{Process: s.Process, Limited: l.belief.limited, PerSecond: l.belief.perSecond}, true
 }
 
+// countLimited updates the number of servers with a limit.
+func (c *Client) countLimited(before, after bool) {
+	switch {
+	case before && !after:
+		c.limited--
+	case !before && after:
+		c.limited++
+	}
+}
+
 // Limited reports whether a server process has a limit.
 func (c *Client) Limited(p Process) bool {
 	l := c.servers[p]
@@ -96,14 +110,7 @@
 }
 
 // HasLimits reports whether any server has a limit.
-func (c *Client) HasLimits() bool {
-	for _, l := range c.servers {
-		if l.belief.limited {
-			return true
-		}
-	}
-	return false
-}
+func (c *Client) HasLimits() bool { return c.limited > 0 }
 
 // MaySend reports whether a request may be sent to a server process now: it has no limit,
 // or the host has a permit.
@@ -149,7 +156,8 @@
 		if len(l.wants) >= maxWants {
 			return
 		}
-		c.news = true
+		// The leader knows as many optional wants as it is told at most.
+		c.news = c.news || sole || len(l.wants) < maxOptional
 	}
 	l.wants[request] = want{at: now, sole: sole}
 }
@@ -181,6 +189,7 @@
 	for _, p := range slices.SortedFunc(maps.Keys(c.servers), compareProcess) {
 		l := c.servers[p]
 		if now-l.belief.newest() > retention {
+			c.countLimited(l.belief.limited, false)
 			delete(c.servers, p)
 			continue
 		}
--- /dev/null
+++ b/core/routing/limit.go
@@ -0,0 +1,54 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/notice"
+)
+
+func (s *server) process() notice.Process {
+	return notice.Process{Server: s.Name, Incarnation: s.Incarnation}
+}
+
+// permitted reports whether a candidate has no limit on requests, or this host has a permit
+// for it.
+func (r *Router) permitted(now time.Duration, c *candidate) bool {
+	return r.opts.Notices == nil || r.opts.Notices.Limits.MaySend(now, c.server.process())
+}
+
+// usableAndPermitted reports whether a candidate may receive an attempt now.
+func (r *Router) usableAndPermitted(now time.Duration, c *candidate, exclude string) bool {
+	return r.usable(now, c, exclude) && r.permitted(now, c)
+}
+
+// candidateWithPermit returns a usable candidate with a limit for which this host has a
+// permit, or nil. A permit that is not used soon is lost to all hosts.
+func (r *Router) candidateWithPermit(now time.Duration, t *target, q Query) *candidate {
+	if r.opts.Notices == nil || !r.opts.Notices.Limits.HasLimits() {
+		return nil
+	}
+	for _, c := range t.candidates[:min(len(t.candidates), maxScanned)] {
+		if r.opts.Notices.Limits.HasPermit(now, c.server.process()) && r.usable(now, c, q.Exclude) && !c.demoted(now) {
+			return c
+		}
+	}
+	return nil
+}
+
+// PermitDelay returns how long a request is expected to wait until this host has a permit
+// for one of the servers for a key, and false if none of the usable ones has a limit.
+func (r *Router) PermitDelay(now time.Duration, q Query) (time.Duration, bool) {
+	t := r.targets[q.Key]
+	if t == nil || r.opts.Notices == nil || !r.opts.Notices.Limits.HasLimits() {
+		return 0, false
+	}
+	shortest, any := time.Duration(0), false
+	for _, c := range t.candidates[:min(len(t.candidates), maxScanned)] {
+		if p := c.server.process(); r.usable(now, c, q.Exclude) && r.opts.Notices.Limits.Limited(p) {
+			if d := r.opts.Notices.Limits.Delay(now, p); !any || d < shortest {
+				shortest, any = d, true
+			}
+		}
+	}
+	return shortest, any
+}
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -5,6 +5,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/notice"
 )
 
 // Key is what a request needs: a model, a model with an adapter, or a plain
@@ -48,6 +50,8 @@
 	// DisableDemotion disables the demotion of servers that answer slowly or with
 	// errors.
 	DisableDemotion bool
+	// Notices holds what servers say of themselves. It may be nil.
+	Notices *notice.Table
 }
 
 // Router chooses servers for attempts. It is not safe for concurrent use.
@@ -266,6 +270,9 @@
 	Prefix uint64
 	// Exclude is the name of the server on which the request has just failed.
 	Exclude string
+	// Request identifies the request among those of this host that want a permit for a
+	// server with a limit.
+	Request uint64
 }
 
 // Attempt is one attempt on the chosen server. Each attempt must be ended exactly
@@ -298,27 +305,47 @@
 )
 
 // Pick chooses a server for an attempt: one that has the prefix cached and whose
-// load is within the affinity limit, else the less loaded of two random servers.
+// load is within the affinity limit, else the less loaded of two random servers. If the
+// choice has a limit and this host has no permit for it, the request is recorded as wanting
+// one, and another server is chosen.
 // It returns false if no server may receive the attempt.
 func (r *Router) Pick(now time.Duration, q Query) (Attempt, bool) {
 	t := r.targets[q.Key]
 	if t == nil {
 		return Attempt{}, false
 	}
-	best := r.sample(now, t.candidates[:t.localCount], q.Exclude)
+	best := r.candidateWithPermit(now, t, q)
+	if best == nil {
+		best = r.choose(now, t, q, r.usable)
+	}
+	if best != nil && !r.permitted(now, best) {
+		wanted := best
+		best = r.choose(now, t, q, r.usableAndPermitted)
+		r.opts.Notices.Limits.Want(now, wanted.server.process(), q.Request, best == nil)
+	}
+	if best == nil {
+		return Attempt{}, false
+	}
+	return r.startAttempt(now, best, q.Request), true
+}
+
+// choose returns the preferred one of the candidates of a target that are eligible, or nil.
+func (r *Router) choose(now time.Duration, t *target, q Query, eligible eligibility) *candidate {
+	best := r.sample(now, t.candidates[:t.localCount], q.Exclude, eligible)
 	if best == nil || best.server.load() >= r.opts.RemoteLoadThreshold || best.demoted(now) {
-		remote := r.sample(now, t.candidates[t.localCount:], q.Exclude)
+		remote := r.sample(now, t.candidates[t.localCount:], q.Exclude, eligible)
 		if best == nil || remote != nil && remote.preferredToLocal(now, best) {
 			best = remote
 		}
 	}
 	if best == nil {
-		return Attempt{}, false
+		return nil
 	}
-	if c := r.cachedCandidate(now, q); c != nil && !c.demoted(now) && c.server.load() <= int(affinityFactor*float64(best.server.load()))+affinitySlack {
+	if c := r.cachedCandidate(now, q); c != nil && !c.demoted(now) && eligible(now, c, q.Exclude) &&
+		c.server.load() <= int(affinityFactor*float64(best.server.load()))+affinitySlack {
 		best = c
 	}
-	return r.startAttempt(now, best), true
+	return best
 }
 
 // preferredToLocal reports whether a server of another data centre is preferred to a
@@ -342,14 +369,14 @@
 
 // sample returns the preferred one of two random usable candidates. If it finds only
 // one usable candidate it returns that one, and if it finds none, nil.
-func (r *Router) sample(now time.Duration, list []*candidate, exclude string) *candidate {
+func (r *Router) sample(now time.Duration, list []*candidate, exclude string, eligible eligibility) *candidate {
 	if len(list) == 0 {
 		return nil
 	}
 	var first *candidate
 	for range maxSamples {
 		c := list[r.rng.IntN(len(list))]
-		if c == first || !r.usable(now, c, exclude) {
+		if c == first || !eligible(now, c, exclude) {
 			continue
 		}
 		if first == nil {
@@ -366,14 +393,19 @@
 	}
 	start := r.rng.IntN(len(list))
 	for i := range min(len(list), maxScanned) {
-		if c := list[(start+i)%len(list)]; r.usable(now, c, exclude) {
+		if c := list[(start+i)%len(list)]; eligible(now, c, exclude) {
 			return c
 		}
 	}
 	return nil
 }
 
-// usable reports whether a candidate may receive an attempt now.
+// eligibility reports whether a candidate may be chosen for a request that is not sent to
+// the excluded server.
+type eligibility func(now time.Duration, c *candidate, exclude string) bool
+
+// usable reports whether a candidate may receive an attempt now, if it has no limit or this
+// host has a permit.
 func (r *Router) usable(now time.Duration, c *candidate, exclude string) bool {
 	s := c.server
 	atLimit := r.opts.MaxAttemptsPerServer > 0 && c.running >= r.opts.MaxAttemptsPerServer
@@ -381,7 +413,10 @@
 	return available && !atLimit && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
 }
 
-func (r *Router) startAttempt(now time.Duration, c *candidate) Attempt {
+func (r *Router) startAttempt(now time.Duration, c *candidate, request uint64) Attempt {
+	if r.opts.Notices != nil {
+		r.opts.Notices.Limits.Take(now, c.server.process(), request)
+	}
 	c.server.currentAttempts++
 	c.running++
 	c.breaker.recordAttempt(now)
@@ -396,26 +431,6 @@
 	}
 }
 
-// PickLeastLoaded begins an attempt on the least loaded usable server for a key that is
-// not excluded. It is used for the trial of a suspect request, and returns false if no
-// server is usable.
-func (r *Router) PickLeastLoaded(now time.Duration, k Key, excluded func(server string) bool) (Attempt, bool) {
-	t := r.targets[k]
-	if t == nil {
-		return Attempt{}, false
-	}
-	var best *candidate
-	for _, c := range t.candidates {
-		if r.usable(now, c, "") && !excluded(c.server.Name) && (best == nil || c.server.load() < best.server.load()) {
-			best = c
-		}
-	}
-	if best == nil {
-		return Attempt{}, false
-	}
-	return r.startAttempt(now, best), true
-}
-
 // Result is the outcome of an attempt.
 type Result int
 
--- a/core/waitpolicy/waitpolicy.go
+++ b/core/waitpolicy/waitpolicy.go
@@ -62,6 +62,15 @@
 	FastestLoad time.Duration
 }
 
+// OrPermit returns the forecast for a request that can also be sent once a permit for a
+// server with a limit arrives, which is expected at the given time.
+func (f Forecast) OrPermit(at time.Duration) Forecast {
+	if f.Known && f.ReadyAt < at {
+		return f
+	}
+	return Forecast{Known: true, ReadyAt: at}
+}
+
 // Decision is what to do with a request.
 type Decision struct {
 	// Wait is set if the request keeps waiting until Until, when Decide must
--- a/node/forward/accounting.go
+++ b/node/forward/accounting.go
@@ -89,13 +89,14 @@
 func (f *Forwarder) pickServer(c *call, trial bool) (attempt routing.Attempt, rebuilt <-chan struct{}, forecast waitpolicy.Forecast, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	defer f.permits.NotifyLocked()
 	now := f.opts.Now()
+	q := routing.Query{Key: c.key, Prefix: c.request.Prefix, Exclude: c.avoidServer, Request: c.serial}
 	if trial {
-		if attempt, ok = f.router.PickLeastLoaded(now, c.key, f.excludedFromTrial(c)); ok {
+		if attempt, ok = f.router.PickLeastLoaded(now, q, f.excludedFromTrial(c)); ok {
 			return attempt, nil, forecast, true
 		}
 	}
-	q := routing.Query{Key: c.key, Prefix: c.request.Prefix, Exclude: c.avoidServer}
 	if attempt, ok = f.router.Pick(now, q); ok {
 		return attempt, nil, forecast, true
 	}
@@ -105,11 +106,17 @@
 			return attempt, nil, forecast, true
 		}
 	}
+	forecast = f.forecaster.forecast(c.key)
+	c.awaitsPermit = false
+	if delay, limited := f.router.PermitDelay(now, q); limited {
+		c.awaitsPermit = true
+		return attempt, f.rebuilt, forecast.OrPermit(now + delay), false
+	}
 	if c.mustAvoid && f.router.AvailableServers(c.key) > 0 {
 		// Only the server that has just refused the request holds the target.
 		return attempt, nil, forecast, false
 	}
-	return attempt, f.rebuilt, f.forecaster.forecast(c.key), false
+	return attempt, f.rebuilt, forecast, false
 }
 
 func (f *Forwarder) recordAttemptStart(target residency.Target, server string) {
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -19,6 +19,7 @@
 	"github.com/pollenwheel/pollenwheel/core/routing"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/decision"
+	"github.com/pollenwheel/pollenwheel/node/permits"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 )
 
@@ -50,6 +51,9 @@
 	RetryLimit retry.Limit
 	// Dial opens a connection to a backend server; nil means one over TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// AskPermits asks the leader for permits to send requests to servers that name a
+	// limit. If it is nil, the host uses its own share of each limit.
+	AskPermits permits.Ask
 	// DemandChanged is called when a request begins to wait or is refused because no
 	// server holds its target.
 	DemandChanged func()
@@ -81,8 +85,12 @@
 	reportedEnds map[string]processEnd
 	// begun remembers the answers that have begun.
 	begun *evidence.Begun
-	// notices holds what servers say of themselves in their answers.
+	// notices holds what servers say of themselves in their answers, and permits asks the
+	// leader for permits to send to those with a limit.
 	notices *notice.Table
+	permits *permits.Client
+	// requestSerial numbers the requests.
+	requestSerial atomic.Uint64
 	// unrecorded counts, by prompt part, the crashes that accuse it and are not recorded
 	// yet.
 	unrecorded map[string]int
@@ -127,16 +135,19 @@
 	if o.Dial == nil {
 		o.Dial = newDialer().DialContext
 	}
+	notices := notice.NewTable(ratelimit.NewClient(o.HostCount, rand.New(rand.NewPCG(seed, 3))))
 	f := &Forwarder{
-		notices: notice.NewTable(ratelimit.NewClient(o.HostCount, rand.New(rand.NewPCG(seed, 3)))),
-		opts:    o, transport: newTransport(o.Dial), rng: rand.New(rand.NewPCG(seed, 2)),
+		opts: o, transport: newTransport(o.Dial), rng: rand.New(rand.NewPCG(seed, 2)), notices: notices,
 		router: routing.New(routing.Options{
-			DataCentre: o.DataCentre, RemoteLoadThreshold: remoteLoadThreshold, BreakerFailures: breakerFailures,
+			DataCentre: o.DataCentre, RemoteLoadThreshold: remoteLoadThreshold, BreakerFailures: breakerFailures, Notices: notices,
 		}, rand.New(rand.NewPCG(seed, 1))),
 		budgets: map[string]*retry.Budget{}, demands: map[residency.Target]*targetDemand{},
 		rebuilt: make(chan struct{}), forecaster: newForecaster(),
 		sequences: map[string]uint64{}, reportedEnds: map[string]processEnd{}, begun: evidence.NewBegun(), unrecorded: map[string]int{},
 	}
+	f.permits = permits.NewClient(permits.ClientOptions{
+		Lock: &f.mu, Table: notices, Ask: o.AskPermits, Now: o.Now, Applied: f.permitsApplied,
+	})
 	f.view.Store(&admissionView{})
 	return f
 }
@@ -144,6 +155,9 @@
 // Run calls Refresh on each change of the route table, the servers or their holdings,
 // and when a holding becomes ready, until ctx ends.
 func (f *Forwarder) Run(ctx context.Context) error {
+	if f.opts.AskPermits != nil {
+		go f.permits.Run(ctx)
+	}
 	for {
 		committed, serversChanged, holdingsChanged := f.opts.Replica.Changed(), f.opts.ServersChanged(), f.opts.Holdings.Changed()
 		f.Refresh()
--- a/node/forward/limit_world_test.go
+++ b/node/forward/limit_world_test.go
@@ -13,9 +13,11 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/ratelimit"
 	"github.com/pollenwheel/pollenwheel/core/retry"
 	"github.com/pollenwheel/pollenwheel/core/route"
 	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/permits"
 	"github.com/pollenwheel/pollenwheel/standin/memnet"
 )
 
@@ -44,8 +46,14 @@
 	duration             time.Duration
 	// plain makes the servers a plain service.
 	plain bool
+	// leaderDownFrom and leaderDownUntil are when no leader answers. After that, another
+	// one leads that knows nothing.
+	leaderDownFrom, leaderDownUntil time.Duration
 }
 
+// worldLinkDelay is the time of a message between two hosts.
+const worldLinkDelay = 2 * time.Millisecond
+
 // limitWorld runs forwarders and fake servers in memory and in virtual time.
 type limitWorld struct {
 	opts  limitWorldOptions
@@ -53,6 +61,8 @@
 	start time.Time
 	log   *worldLog
 	hosts []*Forwarder
+	// permits is the leader's side of the limits.
+	permits *permits.Server
 
 	mu      sync.Mutex
 	servers []membership.ServerStatus
@@ -75,6 +85,9 @@
 		opts: o, start: time.Now(), statuses: map[int]int{}, arrivals: make([][]time.Duration, o.servers),
 		log: &worldLog{leader: state.New(), barred: map[string]bool{}, available: func() bool { return true }},
 	}
+	w.permits = permits.NewServer(permits.ServerOptions{
+		Term: w.term, Leader: func() string { return "" }, Reachable: func() float64 { return 1 }, Now: w.now,
+	})
 	var running []*http.Server
 	for i := range o.servers {
 		running = append(running, w.startServer(i))
@@ -103,6 +116,34 @@
 	return w
 }
 
+// term returns the leader's term, and false while there is no leader.
+func (w *limitWorld) term() (uint64, bool) {
+	switch at := w.now(); {
+	case at < w.opts.leaderDownFrom:
+		return 1, true
+	case at < w.opts.leaderDownUntil:
+		return 0, false
+	}
+	return 2, true
+}
+
+// askPermits returns how a host asks the leader.
+func (w *limitWorld) askPermits(host string) permits.Ask {
+	return func(ctx context.Context, r ratelimit.Request, timeout time.Duration) (ratelimit.Reply, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		r.Host = host
+		if !pause(ctx, worldLinkDelay) {
+			return ratelimit.Reply{}, ctx.Err()
+		}
+		reply, err := w.permits.Handle(ctx, r)
+		if err == nil && !pause(ctx, worldLinkDelay) {
+			return ratelimit.Reply{}, ctx.Err()
+		}
+		return reply, err
+	}
+}
+
 func (w *limitWorld) startHost(ctx context.Context, i int) {
 	f := New(Options{
 		Protocol: testProtocol{}, Replica: w.log.follow(ctx), Log: w.log, Holdings: NewHoldings(), Self: state.HostProcess{Host: fmt.Sprint(i)},
@@ -110,6 +151,7 @@
 		HostCount: func() int { return w.opts.hosts }, Now: func() time.Duration { return w.now() + time.Second },
 		Ready: func() bool { return true }, Dial: w.net.Dial,
 		RetryLimit: retry.Limit{Ratio: 0.2, Window: 10 * time.Second, Slack: 56}, DemandChanged: func() {},
+		AskPermits: w.askPermits(fmt.Sprint(i)),
 	})
 	w.hosts = append(w.hosts, f)
 	go func() { _ = f.Run(ctx) }()
--- a/node/forward/notice.go
+++ b/node/forward/notice.go
@@ -37,6 +37,16 @@
 	now := f.opts.Now()
 	changes := f.notices.Record(now, sentAt, processOf(attempt), n)
 	f.logNotices(now, changes, c.request.ID)
+	f.permits.NotifyLocked()
+}
+
+// permitsApplied handles a reply of the leader: limits that other hosts were told, and new
+// permits. f.mu must be held.
+func (f *Forwarder) permitsApplied(changes []notice.Change, granted bool) {
+	f.logNotices(f.opts.Now(), changes, "leader")
+	if granted || len(changes) > 0 {
+		f.wakeWaiting()
+	}
 }
 
 // logNotices logs changes of what servers say of themselves. source is the request whose
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -71,6 +71,10 @@
 	attemptBegun bool
 	// trial is the open trial as which the current attempt runs, if any.
 	trial *state.Trial
+	// serial identifies the request within this process, and awaitsPermit is set while it
+	// waits for a permit for a server with a limit.
+	serial       uint64
+	awaitsPermit bool
 	// crashUnrecorded is set if the request may have crashed a server and that could
 	// not be recorded. It is not sent again.
 	crashUnrecorded bool
@@ -86,7 +90,7 @@
 	if f.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{forwarder: f, w: w, inbound: r, arrivedAt: f.opts.Now()}
+	c := &call{forwarder: f, w: w, inbound: r, arrivedAt: f.opts.Now(), serial: f.requestSerial.Add(1)}
 	defer func() { f.bodyBytes.Add(-c.countedBytes) }()
 	defer c.logPanic()
 	if !c.admit() {
@@ -281,7 +285,7 @@
 		decided := waitpolicy.Decide(now, c.waitRequest(), forecast)
 		if !decided.Wait {
 			f.recordRefusal(target, decided.RetryAfter)
-			c.endWithoutServer(decided.RetryAfter, "no backend server holds the target in time")
+			c.endWithoutServer(decided.RetryAfter, c.noServerReason())
 			return attempt, false
 		}
 		if !waiting {
@@ -289,6 +293,9 @@
 			f.beginWait(target, c)
 		}
 		waitStart := now
+		if c.awaitsPermit {
+			decided.Until = min(decided.Until, now+permitPollInterval)
+		}
 		timer := time.NewTimer(decided.Until - now)
 		select {
 		case <-rebuilt:
@@ -304,6 +311,18 @@
 	}
 }
 
+// permitPollInterval is how often a request that waits for a permit asks again. It is
+// shorter than the time after which its want is forgotten.
+const permitPollInterval = 150 * time.Millisecond
+
+// noServerReason returns why a request found no server in time.
+func (c *call) noServerReason() string {
+	if c.awaitsPermit {
+		return "the servers that hold the target have reached their limit on requests"
+	}
+	return "no backend server holds the target in time"
+}
+
 // waitRequest returns the request's time limits for core/waitpolicy. For a stream
 // whose headers were sent, the wait limit counts from the last event.
 func (c *call) waitRequest() waitpolicy.Request {
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -25,6 +25,7 @@
 	"github.com/pollenwheel/pollenwheel/node/decision"
 	"github.com/pollenwheel/pollenwheel/node/forward"
 	"github.com/pollenwheel/pollenwheel/node/peer"
+	"github.com/pollenwheel/pollenwheel/node/permits"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 	"github.com/pollenwheel/pollenwheel/node/settings"
 )
@@ -74,6 +75,8 @@
 	requestForwarder *forward.Forwarder
 	holdings         *forward.Holdings
 	placer           *placer
+	// permitServer is nil without the control role.
+	permitServer  *permits.Server
 	demandChanged    chan struct{}
 
 	ready          atomic.Bool
@@ -110,6 +113,9 @@
 		}
 		h.group = g
 	}
+	if h.group != nil {
+		h.permitServer = newPermitServer(h.group, h.members, h.now, h.decisions)
+	}
 	h.leaderClient = peer.NewProposer(o.Settings.Host, h.peerGroup(), h.peers, h.members)
 	rng := rand.New(rand.NewSource(int64(h.sender.Incarnation)))
 	h.follower = peer.NewFollower(h.peers, h.members, h.replica, h.logger, rng, o.Settings.Host, h.peerGroup())
@@ -118,6 +124,7 @@
 		Protocol: o.Protocol, Replica: h.replica, Log: h.leaderClient, DataCentre: o.Settings.DataCentre, Self: h.sender,
 		Servers: h.members.Servers, ServersChanged: h.members.serversChanged, Holdings: h.holdings,
 		HostCount: h.callerHostCount, Now: h.now, Ready: h.Ready, RetryLimit: o.RetryLimit, DemandChanged: h.signalDemandChange, Decisions: h.decisions,
+		AskPermits: askPermits(h.leaderClient, permitHandler(h.permitServer), h.sender.Incarnation),
 	})
 	return h, h.listen()
 }
@@ -290,7 +297,7 @@
 func (h *RoutedHost) servePeers(g *runGroup) {
 	server := peer.NewServer(peer.Handlers{
 		Host: h.opts.Settings.Host, LogMember: h.peerGroup(), Gossip: h.members.receive, Demand: h.placer.acceptDemandReport,
-		Holdings: h.placer.streamHoldings, Drain: h.beginDeparture, Burn: func() burn.Snapshot { return burn.Snapshot{} },
+		Holdings: h.placer.streamHoldings, Permits: permitHandler(h.permitServer), Drain: h.beginDeparture, Burn: func() burn.Snapshot { return burn.Snapshot{} },
 	})
 	g.Add(func() error { return server.Serve(h.peerListener) }, func(error) { server.Stop() })
 }
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -131,7 +131,14 @@
 // callUnary runs one unary call. It drops the connection if there is no answer
 // before the deadline, which is callTimeout from now or an earlier one of ctx.
 func (c *Client) callUnary(ctx context.Context, op Op, address string, invoke func(context.Context, peerpb.PeerClient) error) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	return c.callWithin(ctx, callTimeout, op, address, invoke)
+}
+
+// callWithin runs one unary call like callUnary, for at most timeout.
+func (c *Client) callWithin(
+	ctx context.Context, timeout time.Duration, op Op, address string, invoke func(context.Context, peerpb.PeerClient) error,
+) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	stub, err := c.connectedStub(ctx, op, address)
 	if err != nil {
--- a/node/peer/errors.go
+++ b/node/peer/errors.go
@@ -22,6 +22,7 @@
 	OpDrain     Op = "drain"
 	OpBurn      Op = "burn"
 	OpHoldings  Op = "holdings"
+	OpPermits   Op = "permits"
 )
 
 // Delivery states whether a failed call may have reached the other host.
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -47,8 +47,10 @@
 	// hold, until ctx ends or this host no longer leads. It is nil on hosts that
 	// send no load and unload orders to servers.
 	Holdings func(ctx context.Context, send func(HoldingsUpdate) error) error
-	Drain    func()
-	Burn     func() burn.Snapshot
+	// Permits grants permits while this host leads. It is nil on hosts that cannot lead.
+	Permits PermitHandler
+	Drain   func()
+	Burn    func() burn.Snapshot
 	// Traffic counts the served calls and their bytes. It may be nil.
 	Traffic *Traffic
 }
