residency: load models elsewhere that their limited servers cannot serve

Change: the planner knows the limits that the leader knows. A replica whose part of the demand exceeds what is left of its server's limit is not counted, the rarest models first; no model is loaded on a server whose limit cannot serve it; what limited servers do not take is spread over the others; weights on a limited server delay no load.

--- a/core/residency/model_demand.go
+++ b/core/residency/model_demand.go
@@ -81,6 +81,7 @@
 // countReplicas counts the replicas of all models on the servers of a service.
 func (p *Planner) countReplicas(now time.Duration, service string) {
 	p.replicasByModel = map[string]modelReplicas{}
+	p.applyLimits(service)
 	for _, s := range p.servers {
 		if s.Service != service || s.Leaving || s.Silent || s.unreachable {
 			continue
@@ -102,8 +103,9 @@
 			switch h.phase {
 			case Ready:
 				// A replica whose unload has been ordered is counted no more, so that
-				// the same step does not unload the others for the same reason.
-				if !s.unloadOrdered(name) {
+				// the same step does not unload the others for the same reason. One
+				// beyond its server's limit leaves requests without a server.
+				if !s.unloadOrdered(name) && !p.overLimit[s][name] {
 					p.addReplica(name, modelReplicas{ready: 1})
 				}
 			case Loading:
--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -151,7 +151,7 @@
 		}
 		for _, option := range candidates {
 			s := option.server
-			if s.models[m.Name] != nil {
+			if s.models[m.Name] != nil || !p.limitAllows(s, m.Name, replicas) {
 				continue
 			}
 			if reservedServer != nil && s != reservedServer && !parallel || s.reservedFor(in.Now) != "" && s.reservedModel != m.Name {
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -62,7 +62,12 @@
 	// servers.
 	demandByModel   map[string]*modelDemand
 	replicasByModel map[string]modelReplicas
-	lastStep        time.Duration
+	// overLimit holds, for servers with a limit on requests, the models whose replica
+	// there cannot serve its part of the demand, and spareLimit the unused part of the
+	// limit in 1/s.
+	overLimit  map[*server]map[string]bool
+	spareLimit map[*server]float64
+	lastStep   time.Duration
 	// requestSeen is set once any request has arrived.
 	requestSeen bool
 }
--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -36,7 +36,11 @@
 	// Leaving and Silent servers receive no orders.
 	Leaving bool
 	Silent  bool
-	Models  []HeldModel
+	// Limited is set if the server names a limit on requests, and RequestsPerSecond is
+	// what it takes from all hosts together.
+	Limited           bool
+	RequestsPerSecond float64
+	Models            []HeldModel
 	// InMemory and OnDisk are the models whose weights the server keeps in
 	// addition to the loaded models.
 	InMemory, OnDisk []string
--- a/core/residency/server.go
+++ b/core/residency/server.go
@@ -84,10 +84,11 @@
 }
 
 // applyAnnouncement merges an announcement. One that was merged before updates
-// only Leaving and Silent.
+// only Leaving, Silent and the limit.
 func (s *server) applyAnnouncement(now time.Duration, a Server) {
 	if s.Incarnation == a.Incarnation && s.Sequence >= a.Sequence && s.announcedAt > 0 {
 		s.Leaving, s.Silent = a.Leaving, a.Silent
+		s.Limited, s.RequestsPerSecond = a.Limited, a.RequestsPerSecond
 		return
 	}
 	s.Server, s.announcedAt, s.unreachable = a, now, false
--- a/core/residency/share.go
+++ b/core/residency/share.go
@@ -44,17 +44,32 @@
 			total += d.rate
 		}
 	}
-	servers := 0
+	var available []*server
 	for _, s := range p.servers {
 		if s.Service == svc.Name && !s.Leaving && !s.Silent && !s.unreachable {
-			servers++
+			available = append(available, s)
 		}
 	}
-	r := min(maxServerRate, max(minServerRate, balanceFactor*total/float64(max(1, servers))))
+	r := spreadRate(total, len(available))
+	// What servers with a lower limit do not take is spread over the others.
+	others := len(available)
+	for _, s := range available {
+		if s.Limited && s.RequestsPerSecond < r {
+			total -= s.RequestsPerSecond
+			others--
+		}
+	}
+	r = spreadRate(total, others)
 	p.serverRates[svc.Name] = r
 	return r
 }
 
+// spreadRate returns the number of requests per second up to which each of a number of
+// servers is used that share a total.
+func spreadRate(total float64, servers int) float64 {
+	return min(maxServerRate, max(minServerRate, balanceFactor*total/float64(max(1, servers))))
+}
+
 // requiredServers returns the number of servers that the requests for a model
 // fill, by their prompts or by the slots that they use.
 func (p *Planner) requiredServers(svc route.Service, model string) float64 {
--- a/core/residency/store.go
+++ b/core/residency/store.go
@@ -33,6 +33,10 @@
 		if s.Service != svc.Name || s.Leaving || s.Silent || s.unreachable || s.fenced || s.loadsFromStore(m.Name) {
 			continue
 		}
+		if s.models[m.Name] != nil || !p.limitAllows(s, m.Name, 0) {
+			// Its limit is why the model is needed elsewhere.
+			continue
+		}
 		if s.availableAt(now)+s.loadTime(p.catalogs[svc.Name], m.Name) >= now+m.StoreLoad-localLoadMargin {
 			continue
 		}
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/ratelimit"
 	"github.com/pollenwheel/pollenwheel/core/residency"
 	"github.com/pollenwheel/pollenwheel/core/route"
 	"github.com/pollenwheel/pollenwheel/core/state"
@@ -159,7 +160,7 @@
 			return s.HasEnded(x.Name, x.Incarnation, x.Sequence)
 		})
 	})
-	in.Servers = residencyServers(servers)
+	in.Servers = withLimits(residencyServers(servers), p.limits())
 	p.mu.Lock()
 	in.Demand = p.unexpiredDemand(in.Now)
 	out := t.planner.Step(in)
@@ -412,6 +413,27 @@
 	return out
 }
 
+// limits returns the limits on requests that servers name, by server process.
+func (p *placer) limits() map[ratelimit.Process]float64 {
+	usage, _ := p.host.permitServer.Usage()
+	out := map[ratelimit.Process]float64{}
+	for _, u := range usage {
+		out[u.Process] = u.PerSecond
+	}
+	return out
+}
+
+// withLimits sets the limits on requests of the servers that name one.
+func withLimits(servers []residency.Server, limits map[ratelimit.Process]float64) []residency.Server {
+	for i, s := range servers {
+		p := ratelimit.Process{Server: s.Name, Incarnation: s.Incarnation}
+		if perSecond, ok := limits[p]; ok {
+			servers[i].Limited, servers[i].RequestsPerSecond = true, perSecond
+		}
+	}
+	return servers
+}
+
 // adaptersOf returns the adapters that are reported for a model.
 func adaptersOf(list []membership.ModelReport, model string) []string {
 	var out []string
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -77,7 +77,7 @@
 	placer           *placer
 	// permitServer is nil without the control role.
 	permitServer  *permits.Server
-	demandChanged    chan struct{}
+	demandChanged chan struct{}
 
 	ready          atomic.Bool
 	leaving        atomic.Bool
