--- a/core/ratelimit/client.go
+++ b/core/ratelimit/client.go
@@ -201,12 +201,13 @@
 		w.Process = p
 		inHand := len(l.permits)
 		w.Sole, inHand = max(0, w.Sole-inHand), max(0, inHand-w.Sole)
-		w.Optional = min(max(0, w.Optional-inHand), maxOptional)
-		if w.Sole+w.Optional > 0 {
+		w.Optional, inHand = min(max(0, w.Optional-inHand), maxOptional), max(0, inHand-w.Optional)
+		w.Returned = l.giveBack(inHand)
+		if w.Sole+w.Optional+w.Returned > 0 {
 			r.Wants = append(r.Wants, w)
 		}
 	}
-	if len(r.Wants) > 0 && !c.unanswered {
+	if r.WantsPermits() && !c.unanswered {
 		c.unanswered, c.unansweredSince = true, now
 	}
 	return r
@@ -232,6 +233,8 @@
 		}
 		granted = granted || g.Permits > 0 && sentAt+permitLifetime > now
 		slices.Sort(l.permits)
+		w := l.count(now)
+		c.news = c.news || len(l.permits) > w.Sole+w.Optional
 	}
 	return changes, granted
 }
@@ -308,6 +311,13 @@
 	}
 }
 
+// giveBack removes n permits, those that expire last, and returns how many it removed.
+func (l *limit) giveBack(n int) int {
+	n = min(n, len(l.permits))
+	l.permits = l.permits[:len(l.permits)-n]
+	return n
+}
+
 // count returns the requests that want a permit.
 func (l *limit) count(now time.Duration) Want {
 	var out Want
--- a/core/ratelimit/grantor.go
+++ b/core/ratelimit/grantor.go
@@ -65,7 +65,12 @@
 	}
 	g.Forget(r.Host)
 	for _, w := range r.Wants {
-		if b := g.servers[w.Process]; b != nil && b.belief.limited && w.Sole+w.Optional > 0 {
+		b := g.servers[w.Process]
+		if b == nil || !b.belief.limited {
+			continue
+		}
+		b.putBack(r.Host, w.Returned)
+		if w.Sole+w.Optional > 0 {
 			b.waiting[r.Host] = &w
 			b.wantedAt = now
 		}
@@ -260,6 +265,13 @@
 	}
 }
 
+// putBack returns permits that a host did not use. A host cannot return more than it got.
+func (b *bucket) putBack(host string, permits int) {
+	permits = min(max(0, permits), b.granted[host])
+	b.granted[host] -= permits
+	b.tokens += float64(permits)
+}
+
 func (b *bucket) soleWaiting() int {
 	n := 0
 	for _, w := range b.waiting {
--- a/core/ratelimit/message.go
+++ b/core/ratelimit/message.go
@@ -39,6 +39,9 @@
 	// Sole counts the requests that wait because no other server can take them, and
 	// Optional those that would have been sent to the server and went elsewhere.
 	Sole, Optional int
+	// Returned counts permits that the host gives back, because the requests that wanted
+	// them have ended.
+	Returned int
 }
 
 // Request is what a host tells and asks the leader. A newer request of a host replaces its
@@ -52,6 +55,16 @@
 	Wants        []Want
 }
 
+// WantsPermits reports whether the host wants a permit.
+func (r Request) WantsPermits() bool {
+	for _, w := range r.Wants {
+		if w.Sole+w.Optional > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Grant allows a number of requests to one server process.
 type Grant struct {
 	Process
--- a/node/peer/permits.go
+++ b/node/peer/permits.go
@@ -43,7 +43,7 @@
 	}
 	for _, w := range r.Wants {
 		out.Wants = append(out.Wants, &peerpb.PermitWant{
-			Server: w.Server, Incarnation: w.Incarnation, Sole: int64(w.Sole), Optional: int64(w.Optional),
+			Server: w.Server, Incarnation: w.Incarnation, Sole: int64(w.Sole), Optional: int64(w.Optional), Returned: int64(w.Returned),
 		})
 	}
 	return out
@@ -55,7 +55,7 @@
 	}
 	for _, w := range m.Wants {
 		out.Wants = append(out.Wants, ratelimit.Want{
-			Process: ratelimit.Process{Server: w.Server, Incarnation: w.Incarnation}, Sole: int(w.Sole), Optional: int(w.Optional),
+			Process: ratelimit.Process{Server: w.Server, Incarnation: w.Incarnation}, Sole: int(w.Sole), Optional: int(w.Optional), Returned: int(w.Returned),
 		})
 	}
 	return out
--- a/node/permits/client.go
+++ b/node/permits/client.go
@@ -102,7 +102,7 @@
 	r := c.opts.Table.Limits.NextRequest(sentAt)
 	c.opts.Lock.Unlock()
 	timeout := idleTimeout
-	if len(r.Wants) > 0 {
+	if r.WantsPermits() {
 		timeout = wantTimeout
 	}
 	reply, err := c.opts.Ask(ctx, r, timeout)
--- a/node/permits/server.go
+++ b/node/permits/server.go
@@ -77,7 +77,7 @@
 		return ratelimit.Reply{}, err
 	}
 	hold := idleHold
-	if len(r.Wants) > 0 {
+	if r.WantsPermits() {
 		hold = wantHold
 	}
 	timer := time.NewTimer(hold)
