entry: keep the limits of servers on the product's own interface, and send permits in order

Cause: the same as on the users' platform; entry hosts of the product's own interface read no limit either. A resumed stream reaches the server once more without a choice of the router. Change: servers name their limit in X-Request-Limit. Entry hosts use the same permits, also for resumed streams; control calls (orders, probes, cancels) are not requests and need none. On both interfaces a permit goes to the most urgent request that waits, and then to the one that asked first, so that the expected wait is known when a request comes, and one that cannot be served in time is refused then. The stand-ins can speak of themselves in their answers.

--- a/core/ratelimit/client.go
+++ b/core/ratelimit/client.go
@@ -16,8 +16,6 @@
 	// contactTimeout is how long a host waits for a reply of the leader before it uses its
 	// own share. Permits of the leader have expired by then.
 	contactTimeout = permitLifetime
-	// unknownDelay is the expected wait for a permit before the leader has answered.
-	unknownDelay = 100 * time.Millisecond
 	// maxWants bounds the requests that want a permit for one server.
 	maxWants = 256
 	// maxOptional bounds the permits that a host asks for requests that went elsewhere, so
@@ -50,9 +48,8 @@
 	wants   map[uint64]want // by request
 	// told is the limit as the leader told it last. A belief that differs is sent to it.
 	told Change
-	// delay is the expected wait for a permit that the leader told, if delayKnown is set.
-	delay      time.Duration
-	delayKnown bool
+	// interval is the expected time between two permits that the leader told, or zero.
+	interval time.Duration
 	// nextOwnAt is when the host's own share allows the next request while the leader
 	// does not answer, if ownShare is set.
 	nextOwnAt time.Duration
@@ -60,8 +57,10 @@
 }
 
 type want struct {
-	at   time.Duration
-	sole bool
+	priority int
+	// since is when the request first wanted a permit, and at when it last did.
+	since, at time.Duration
+	sole      bool
 }
 
 // NewClient returns a Client that knows no limits. hosts returns the number of hosts that
@@ -87,7 +86,7 @@
 	c.news = true
 	c.countLimited(before, l.belief.limited)
 	if !l.belief.limited {
-		l.permits, l.delayKnown, l.ownShare = nil, false, false
+		l.permits, l.interval, l.ownShare = nil, 0, false
 		clear(l.wants)
 	}
 	return Change{Process: s.Process, Limited: l.belief.limited, PerSecond: l.belief.perSecond}, true
@@ -113,20 +112,24 @@
 func (c *Client) HasLimits() bool { return c.limited > 0 }
 
 // MaySend reports whether a request may be sent to a server process now: it has no limit,
-// or the host has a permit.
-func (c *Client) MaySend(now time.Duration, p Process) bool {
+// or the host has a permit that no request before this one wants.
+func (c *Client) MaySend(now time.Duration, p Process, w Waiter) bool {
 	l := c.servers[p]
 	if l == nil || !l.belief.limited {
 		return true
 	}
 	l.dropExpired(now)
-	return len(l.permits) > 0 || c.ownShareDue(now, l)
+	permits := len(l.permits)
+	if c.ownShareDue(now, l) {
+		permits = max(permits, 1)
+	}
+	return permits > 0 && l.position(now, w) < permits
 }
 
 // HasPermit reports whether a server process has a limit and the host has an unused permit
-// for it.
-func (c *Client) HasPermit(now time.Duration, p Process) bool {
-	return c.Limited(p) && c.MaySend(now, p)
+// for a request.
+func (c *Client) HasPermit(now time.Duration, p Process, w Waiter) bool {
+	return c.Limited(p) && c.MaySend(now, p, w)
 }
 
 // Take uses one permit for a request that is sent now. Without a limit it does nothing.
@@ -147,35 +150,53 @@
 
 // Want records that a request would be sent to a server process if the host had a permit.
 // sole is set if no other server can take the request.
-func (c *Client) Want(now time.Duration, p Process, request uint64, sole bool) {
+func (c *Client) Want(now time.Duration, p Process, w Waiter, sole bool) {
 	l := c.servers[p]
 	if l == nil || !l.belief.limited {
 		return
 	}
-	if _, known := l.wants[request]; !known {
+	since := now
+	if known, ok := l.wants[w.Request]; ok {
+		since = known.since
+	} else {
 		if len(l.wants) >= maxWants {
 			return
 		}
 		// The leader knows as many optional wants as it is told at most.
 		c.news = c.news || sole || len(l.wants) < maxOptional
 	}
-	l.wants[request] = want{at: now, sole: sole}
+	l.wants[w.Request] = want{priority: w.Priority, since: since, at: now, sole: sole}
+}
+
+// Release records that a request no longer waits: it was sent or has ended. The requests
+// after it then come earlier.
+func (c *Client) Release(request uint64) {
+	if c.limited == 0 {
+		return
+	}
+	for _, l := range c.servers {
+		if l.wants[request].sole {
+			delete(l.wants, request)
+		}
+	}
 }
 
 // Delay returns how long a request is expected to wait for a permit.
-func (c *Client) Delay(now time.Duration, p Process) time.Duration {
+func (c *Client) Delay(now time.Duration, p Process, w Waiter) time.Duration {
 	l := c.servers[p]
 	switch {
 	case l == nil || !l.belief.limited:
 		return 0
 	case c.withoutLeader(now):
 		c.ownShareDue(now, l)
-		waiting := max(0, l.count(now).Sole-1)
-		return max(0, l.nextOwnAt-now) + time.Duration(waiting)*c.ownInterval(l)
-	case l.delayKnown:
-		return l.delay
+		return max(0, l.nextOwnAt-now) + time.Duration(l.position(now, w))*c.ownInterval(l)
+	}
+	interval := l.interval
+	if interval == 0 {
+		// The leader has not answered yet. The permits may all be for this host.
+		interval = time.Duration(float64(time.Second) / permitRate(l.belief.perSecond))
 	}
-	return unknownDelay
+	return time.Duration(max(0, l.position(now, w)+1-len(l.permits))) * interval
 }
 
 // HasNews reports whether a new request to the leader is due at once.
@@ -227,7 +248,7 @@
 		if l == nil || !l.belief.limited {
 			continue
 		}
-		l.delay, l.delayKnown = g.Delay, true
+		l.interval = g.Interval
 		for range g.Permits {
 			l.permits = append(l.permits, sentAt+permitLifetime)
 		}
@@ -305,6 +326,29 @@
 	return time.Duration(float64(max(1, c.hosts())) / permitRate(l.belief.perSecond) * float64(time.Second))
 }
 
+// position returns the number of requests without another server that come before a request.
+func (l *limit) position(now time.Duration, w Waiter) int {
+	own, known := l.wants[w.Request]
+	if !known {
+		own = want{priority: w.Priority, since: now}
+	}
+	n := 0
+	for request, other := range l.wants {
+		if request != w.Request && other.sole && now-other.at <= wantLifetime && other.precedes(own) {
+			n++
+		}
+	}
+	return n
+}
+
+// precedes reports whether a request is sent before another one that wants a permit.
+func (w want) precedes(other want) bool {
+	if w.priority != other.priority {
+		return w.priority < other.priority
+	}
+	return w.since < other.since
+}
+
 func (l *limit) dropExpired(now time.Duration) {
 	for len(l.permits) > 0 && now >= l.permits[0] {
 		l.permits = l.permits[1:]
--- a/core/ratelimit/grantor.go
+++ b/core/ratelimit/grantor.go
@@ -131,7 +131,7 @@
 			permits[host]++
 		}
 		for host, n := range permits {
-			byHost[host] = append(byHost[host], Grant{Process: p, Permits: n, Delay: b.delay(reachable)})
+			byHost[host] = append(byHost[host], Grant{Process: p, Permits: n, Interval: b.interval(reachable)})
 		}
 	}
 	var out []HostGrants
@@ -141,12 +141,13 @@
 	return out
 }
 
-// Delays returns, for the servers that a host waits for, how long it is expected to wait.
-func (g *Grantor) Delays(host string, reachable float64) []Grant {
+// Intervals returns, for the servers that a host waits for, the expected time between two
+// permits.
+func (g *Grantor) Intervals(host string, reachable float64) []Grant {
 	var out []Grant
 	for _, p := range g.processes() {
 		if b := g.servers[p]; b.waiting[host] != nil {
-			out = append(out, Grant{Process: p, Delay: b.delay(reachable)})
+			out = append(out, Grant{Process: p, Interval: b.interval(reachable)})
 		}
 	}
 	return out
@@ -280,12 +281,18 @@
 	return n
 }
 
-// delay returns how long one more request that no other server can take is expected to
-// wait.
-func (b *bucket) delay(reachable float64) time.Duration {
-	rate := max(b.rate(reachable), minGrantedPerSecond/maxDelayHosts)
-	return time.Duration((float64(b.soleWaiting()) + 1 - min(1, b.tokens)) / rate * float64(time.Second))
+// interval returns the expected time between two permits for requests of one host that no
+// other server can take. The hosts with such requests take turns.
+func (b *bucket) interval(reachable float64) time.Duration {
+	hosts := 0
+	for _, w := range b.waiting {
+		if w.Sole > 0 {
+			hosts++
+		}
+	}
+	rate := max(b.rate(reachable), minGrantedPerSecond/maxIntervalHosts)
+	return time.Duration(float64(max(1, hosts)) / rate * float64(time.Second))
 }
 
-// maxDelayHosts bounds the expected delay when hardly any host is reachable.
-const maxDelayHosts = 100
+// maxIntervalHosts bounds the expected interval when hardly any host is reachable.
+const maxIntervalHosts = 100
--- a/core/ratelimit/message.go
+++ b/core/ratelimit/message.go
@@ -33,6 +33,15 @@
 	return s
 }
 
+// Waiter is a request that wants a permit.
+type Waiter struct {
+	// Request identifies the request on its host.
+	Request uint64
+	// Priority is zero for the most urgent requests. Of equally urgent ones, the one that
+	// asked first is sent first.
+	Priority int
+}
+
 // Want is the number of requests of one host for which it has no permit.
 type Want struct {
 	Process
@@ -69,8 +78,9 @@
 type Grant struct {
 	Process
 	Permits int
-	// Delay is how long a further request of the host is expected to wait for a permit.
-	Delay time.Duration
+	// Interval is the expected time between two permits for requests of the host that no
+	// other server can take.
+	Interval time.Duration
 }
 
 // Reply is the leader's answer to a Request.
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -60,15 +60,15 @@
 func TestPermitsExpire(t *testing.T) {
 	c := newTestClient(8)
 	c.Record(sighting(true, 3, 0, 1*sec))
-	if c.MaySend(1*sec, testProcess) {
+	if c.MaySend(1*sec, testProcess, Waiter{}) {
 		t.Fatal("a request may be sent without a permit")
 	}
 	c.ApplyReply(2500*ms, 2*sec, Reply{Grants: []Grant{{Process: testProcess, Permits: 2}}})
-	if !c.MaySend(2500*ms, testProcess) {
+	if !c.MaySend(2500*ms, testProcess, Waiter{}) {
 		t.Error("no request may be sent with a permit")
 	}
 	c.Take(2500*ms, testProcess, 1)
-	if !c.MaySend(3199*ms, testProcess) || c.MaySend(3200*ms, testProcess) {
+	if !c.MaySend(3199*ms, testProcess, Waiter{}) || c.MaySend(3200*ms, testProcess, Waiter{}) {
 		t.Error("the second permit does not expire 1.2 s after the request for it")
 	}
 }
@@ -82,9 +82,10 @@
 		c := NewClient(func() int { return hosts }, rand.New(rand.NewPCG(uint64(host), 1)))
 		c.Record(sighting(true, perSecond, 0, 0))
 		for now := time.Duration(0); now < 40*sec; now += 10 * ms {
-			c.Want(now, testProcess, uint64(now), true)
+			w := Waiter{Request: uint64(now)}
+			c.Want(now, testProcess, w, true)
 			c.NextRequest(now)
-			if c.MaySend(now, testProcess) {
+			if c.MaySend(now, testProcess, Waiter{Priority: -1}) {
 				if now < contactTimeout {
 					t.Fatalf("a request is sent at %s, while permits of the leader may be in use", now)
 				}
--- a/core/ratelimit/simulation_test.go
+++ b/core/ratelimit/simulation_test.go
@@ -177,14 +177,15 @@
 		switch {
 		case s.now >= s.waiting[host][id]:
 			delete(s.waiting[host], id)
+			c.Release(id)
 			s.gaveUp++
-		case s.opts.unlimited || c.MaySend(s.now, testProcess):
+		case s.opts.unlimited || c.MaySend(s.now, testProcess, Waiter{Request: id}):
 			c.Take(s.now, testProcess, id)
 			delete(s.waiting[host], id)
 			s.waits = append(s.waits, s.now-s.arrivedAt[id])
 			s.send(host)
 		default:
-			c.Want(s.now, testProcess, id, true)
+			c.Want(s.now, testProcess, Waiter{Request: id}, true)
 		}
 	}
 	if s.asked[host] == 0 && (c.HasNews() || len(s.waiting[host]) > 0) {
--- a/core/routing/limit.go
+++ b/core/routing/limit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/notice"
+	"github.com/pollenwheel/pollenwheel/core/ratelimit"
 )
 
 func (s *server) process() notice.Process {
@@ -12,13 +13,17 @@
 
 // permitted reports whether a candidate has no limit on requests, or this host has a permit
 // for it.
-func (r *Router) permitted(now time.Duration, c *candidate) bool {
-	return r.opts.Notices == nil || r.opts.Notices.Limits.MaySend(now, c.server.process())
+func (r *Router) permitted(now time.Duration, c *candidate, q Query) bool {
+	return r.opts.Notices == nil || r.opts.Notices.Limits.MaySend(now, c.server.process(), q.waiter())
+}
+
+func (q Query) waiter() ratelimit.Waiter {
+	return ratelimit.Waiter{Request: q.Request, Priority: q.Priority}
 }
 
 // usableAndPermitted reports whether a candidate may receive an attempt now.
-func (r *Router) usableAndPermitted(now time.Duration, c *candidate, exclude string) bool {
-	return r.usable(now, c, exclude) && r.permitted(now, c)
+func (r *Router) usableAndPermitted(now time.Duration, c *candidate, q Query) bool {
+	return r.usable(now, c, q) && r.permitted(now, c, q)
 }
 
 // candidateWithPermit returns a usable candidate with a limit for which this host has a
@@ -28,7 +33,7 @@
 		return nil
 	}
 	for _, c := range t.candidates[:min(len(t.candidates), maxScanned)] {
-		if r.opts.Notices.Limits.HasPermit(now, c.server.process()) && r.usable(now, c, q.Exclude) && !c.demoted(now) {
+		if r.opts.Notices.Limits.HasPermit(now, c.server.process(), q.waiter()) && r.usable(now, c, q) && !c.demoted(now) {
 			return c
 		}
 	}
@@ -44,8 +49,8 @@
 	}
 	shortest, any := time.Duration(0), false
 	for _, c := range t.candidates[:min(len(t.candidates), maxScanned)] {
-		if p := c.server.process(); r.usable(now, c, q.Exclude) && r.opts.Notices.Limits.Limited(p) {
-			if d := r.opts.Notices.Limits.Delay(now, p); !any || d < shortest {
+		if p := c.server.process(); r.usable(now, c, q) && r.opts.Notices.Limits.Limited(p) {
+			if d := r.opts.Notices.Limits.Delay(now, p, q.waiter()); !any || d < shortest {
 				shortest, any = d, true
 			}
 		}
--- a/core/routing/prefix.go
+++ b/core/routing/prefix.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		c := r.candidates[Replica{h.server.Name, q.Key}]
-		if c == nil || c.server != h.server || !r.usable(now, c, q.Exclude) {
+		if c == nil || c.server != h.server || !r.usable(now, c, q) {
 			continue
 		}
 		if best == nil || c.server.load() < best.server.load() {
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -271,8 +271,9 @@
 	// Exclude is the name of the server on which the request has just failed.
 	Exclude string
 	// Request identifies the request among those of this host that want a permit for a
-	// server with a limit.
-	Request uint64
+	// server with a limit, and Priority is its priority among them; zero is the most urgent.
+	Request  uint64
+	Priority int
 }
 
 // Attempt is one attempt on the chosen server. Each attempt must be ended exactly
@@ -318,10 +319,10 @@
 	if best == nil {
 		best = r.choose(now, t, q, r.usable)
 	}
-	if best != nil && !r.permitted(now, best) {
+	if best != nil && !r.permitted(now, best, q) {
 		wanted := best
 		best = r.choose(now, t, q, r.usableAndPermitted)
-		r.opts.Notices.Limits.Want(now, wanted.server.process(), q.Request, best == nil)
+		r.opts.Notices.Limits.Want(now, wanted.server.process(), q.waiter(), best == nil)
 	}
 	if best == nil {
 		return Attempt{}, false
@@ -331,9 +332,9 @@
 
 // choose returns the preferred one of the candidates of a target that are eligible, or nil.
 func (r *Router) choose(now time.Duration, t *target, q Query, eligible eligibility) *candidate {
-	best := r.sample(now, t.candidates[:t.localCount], q.Exclude, eligible)
+	best := r.sample(now, t.candidates[:t.localCount], q, eligible)
 	if best == nil || best.server.load() >= r.opts.RemoteLoadThreshold || best.demoted(now) {
-		remote := r.sample(now, t.candidates[t.localCount:], q.Exclude, eligible)
+		remote := r.sample(now, t.candidates[t.localCount:], q, eligible)
 		if best == nil || remote != nil && remote.preferredToLocal(now, best) {
 			best = remote
 		}
@@ -341,7 +342,7 @@
 	if best == nil {
 		return nil
 	}
-	if c := r.cachedCandidate(now, q); c != nil && !c.demoted(now) && eligible(now, c, q.Exclude) &&
+	if c := r.cachedCandidate(now, q); c != nil && !c.demoted(now) && eligible(now, c, q) &&
 		c.server.load() <= int(affinityFactor*float64(best.server.load()))+affinitySlack {
 		best = c
 	}
@@ -369,14 +370,14 @@
 
 // sample returns the preferred one of two random usable candidates. If it finds only
 // one usable candidate it returns that one, and if it finds none, nil.
-func (r *Router) sample(now time.Duration, list []*candidate, exclude string, eligible eligibility) *candidate {
+func (r *Router) sample(now time.Duration, list []*candidate, q Query, eligible eligibility) *candidate {
 	if len(list) == 0 {
 		return nil
 	}
 	var first *candidate
 	for range maxSamples {
 		c := list[r.rng.IntN(len(list))]
-		if c == first || !eligible(now, c, exclude) {
+		if c == first || !eligible(now, c, q) {
 			continue
 		}
 		if first == nil {
@@ -393,29 +394,29 @@
 	}
 	start := r.rng.IntN(len(list))
 	for i := range min(len(list), maxScanned) {
-		if c := list[(start+i)%len(list)]; eligible(now, c, exclude) {
+		if c := list[(start+i)%len(list)]; eligible(now, c, q) {
 			return c
 		}
 	}
 	return nil
 }
 
-// eligibility reports whether a candidate may be chosen for a request that is not sent to
-// the excluded server.
-type eligibility func(now time.Duration, c *candidate, exclude string) bool
+// eligibility reports whether a candidate may be chosen for a request.
+type eligibility func(now time.Duration, c *candidate, q Query) bool
 
 // usable reports whether a candidate may receive an attempt now, if it has no limit or this
 // host has a permit.
-func (r *Router) usable(now time.Duration, c *candidate, exclude string) bool {
+func (r *Router) usable(now time.Duration, c *candidate, q Query) bool {
 	s := c.server
 	atLimit := r.opts.MaxAttemptsPerServer > 0 && c.running >= r.opts.MaxAttemptsPerServer
 	available := !s.OutOfRotation && !s.ended && !s.stalled
-	return available && !atLimit && now >= s.TrialUntil && s.Name != exclude && c.breaker.allows(now)
+	return available && !atLimit && now >= s.TrialUntil && s.Name != q.Exclude && c.breaker.allows(now)
 }
 
 func (r *Router) startAttempt(now time.Duration, c *candidate, request uint64) Attempt {
 	if r.opts.Notices != nil {
 		r.opts.Notices.Limits.Take(now, c.server.process(), request)
+		r.opts.Notices.Limits.Release(request)
 	}
 	c.server.currentAttempts++
 	c.running++
--- a/core/routing/trial.go
+++ b/core/routing/trial.go
@@ -10,22 +10,22 @@
 	if t == nil {
 		return Attempt{}, false
 	}
-	best := r.leastLoaded(now, t, excluded, r.usableAndPermitted)
+	best := r.leastLoaded(now, t, q, excluded, r.usableAndPermitted)
 	if best != nil {
 		return r.startAttempt(now, best, q.Request), true
 	}
-	if wanted := r.leastLoaded(now, t, excluded, r.usable); wanted != nil {
-		r.opts.Notices.Limits.Want(now, wanted.server.process(), q.Request, true)
+	if wanted := r.leastLoaded(now, t, q, excluded, r.usable); wanted != nil {
+		r.opts.Notices.Limits.Want(now, wanted.server.process(), q.waiter(), true)
 	}
 	return Attempt{}, false
 }
 
 // leastLoaded returns the least loaded of the candidates of a target that are eligible and
 // not excluded, or nil.
-func (r *Router) leastLoaded(now time.Duration, t *target, excluded func(server string) bool, eligible eligibility) *candidate {
+func (r *Router) leastLoaded(now time.Duration, t *target, q Query, excluded func(server string) bool, eligible eligibility) *candidate {
 	var best *candidate
 	for _, c := range t.candidates {
-		if eligible(now, c, "") && !excluded(c.server.Name) && (best == nil || c.server.load() < best.server.load()) {
+		if eligible(now, c, Query{Request: q.Request, Priority: q.Priority}) && !excluded(c.server.Name) && (best == nil || c.server.load() < best.server.load()) {
 			best = c
 		}
 	}
--- a/node/backend/attempt.go
+++ b/node/backend/attempt.go
@@ -26,6 +26,14 @@
 	// the same address does not admit the attempt, so that a crash of the newer
 	// process is not counted as a crash of the older one.
 	HeaderIncarnation = "X-Incarnation"
+	// HeaderRequestLimit on an answer names the requests per second, a decimal number, that
+	// the server takes from all entry hosts together for as long as its answers say so.
+	HeaderRequestLimit = "X-Request-Limit"
+	// HeaderLeaving is "1" on the answers of a server that is leaving.
+	HeaderLeaving = "X-Leaving"
+	// HeaderPause on an answer with status 503 is the time in seconds for which the server
+	// wants no request from this host.
+	HeaderPause = "Retry-After"
 )
 
 // RefusalBody is the body with which a backend server refuses a request that it
--- a/node/entry/cluster_test.go
+++ b/node/entry/cluster_test.go
@@ -16,8 +16,10 @@
 
 	"github.com/pollenwheel/pollenwheel/core/config"
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/ratelimit"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/backend"
+	"github.com/pollenwheel/pollenwheel/node/permits"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 	"github.com/pollenwheel/pollenwheel/standin/engine"
 	"github.com/pollenwheel/pollenwheel/standin/memnet"
@@ -122,6 +124,7 @@
 	stop    context.CancelFunc
 	net     *memnet.Network
 	log     *commitLog
+	permits *permits.Server
 	hosts   []*host
 	clients []*backend.Client
 	start   time.Time
@@ -143,7 +146,9 @@
 	plainFaults                  plain.Faults
 	commitFaults                 func(n uint64) commitFault
 	retentionSeconds, maxBatch   int
-	seed                         uint64
+	// engineSays and plainSays are what the servers say of themselves in their answers.
+	engineSays, plainSays func(server int, r *http.Request) map[string]string
+	seed                  uint64
 }
 
 const guideModel, orderService = "pattern-guide", "supply-orders"
@@ -152,6 +157,10 @@
 	cl := &cluster{net: &memnet.Network{}, table: membership.NewTable(), start: time.Now(), announcingEnded: make(chan struct{})}
 	cl.ctx, cl.stop = context.WithCancel(context.Background())
 	cl.log = &commitLog{state: state.New()}
+	cl.permits = permits.NewServer(permits.ServerOptions{
+		Term: func() (uint64, bool) { return 1, true }, Leader: func() string { return "" }, Reachable: func() float64 { return 1 },
+		Now: func() time.Duration { return time.Since(cl.start) },
+	})
 	for i := range o.hosts {
 		cl.addHost(fmt.Sprintf("entry-%d", i+1), o)
 	}
@@ -165,6 +174,7 @@
 			Name: fmt.Sprintf("runner-%d", i+1), Service: "lace-assist", DataCentre: "waco", MemoryMiB: 1000, Incarnation: 1,
 			ReadyAtStart: []membership.ModelReport{{Model: guideModel, Version: "1"}}, TokenTime: 20 * time.Millisecond, CrashOnPrompt: "poison",
 			Journal: &cl.engineJournal, Faults: o.engineFaults, MaxBatch: o.maxBatch, LoadReportDelay: 100 * time.Millisecond,
+			Says: saysOf(o.engineSays, i),
 		})
 		cl.engines = append(cl.engines, nil)
 		cl.startEngine(i)
@@ -173,6 +183,7 @@
 		p := plain.Start(plain.Options{
 			Name: fmt.Sprintf("desk-%d", i+1), Service: orderService, DataCentre: "waco", Incarnation: 1,
 			Listener: cl.net.Listen(fmt.Sprintf("10.0.1.%d:80", i+1)), CallTime: 30 * time.Millisecond, Journal: &cl.plainJournal, Faults: o.plainFaults,
+			Says: saysOf(o.plainSays, i),
 		})
 		cl.plainServers = append(cl.plainServers, p)
 		cl.register(p.NextAnnouncement())
@@ -185,6 +196,24 @@
 	return cl
 }
 
+// saysOf returns what the server with a number says, or nil.
+func saysOf(says func(server int, r *http.Request) map[string]string, server int) func(*http.Request) map[string]string {
+	if says == nil {
+		return nil
+	}
+	return func(r *http.Request) map[string]string { return says(server, r) }
+}
+
+// askPermits asks the leader of the cluster for permits on behalf of a host.
+func (cl *cluster) askPermits(host string) permits.Ask {
+	return func(ctx context.Context, r ratelimit.Request, timeout time.Duration) (ratelimit.Reply, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		r.Host = host
+		return cl.permits.Handle(ctx, r)
+	}
+}
+
 func (cl *cluster) addHost(name string, o clusterOptions) {
 	h := &host{cluster: cl}
 	h.ctx, h.kill = context.WithCancel(cl.ctx)
@@ -212,6 +241,7 @@
 	h.entry = New(Options{
 		Replica: r, Client: client, Log: h, Servers: cl.servers, Now: func() time.Duration { return time.Since(cl.start) },
 		Self: state.HostProcess{Host: name, Incarnation: 1}, DataCentre: "waco", Seed: o.seed + 1, disabled: o.disabled, RetriesPerFirstAttempt: 0.5,
+		AskPermits: cl.askPermits(name), HostCount: func() int { return o.hosts },
 	})
 	h.web = echo.New()
 	h.entry.RegisterRoutes(h.web)
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -16,9 +16,12 @@
 	"github.com/pollenwheel/pollenwheel/core/admission"
 	"github.com/pollenwheel/pollenwheel/core/evidence"
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/notice"
+	"github.com/pollenwheel/pollenwheel/core/ratelimit"
 	"github.com/pollenwheel/pollenwheel/core/routing"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/backend"
+	"github.com/pollenwheel/pollenwheel/node/permits"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 )
 
@@ -46,6 +49,14 @@
 	// PredictReadyAt returns the time at which a model or adapter is expected to be
 	// ready, and whether that is known. It may be nil.
 	PredictReadyAt func(model, adapter string) (time.Duration, bool)
+	// AskPermits asks the leader for permits to send requests to servers that name a
+	// limit. If it is nil, the host uses its own share of each limit. HostCount returns the
+	// number of hosts that have one; if it is nil, this host is the only one.
+	AskPermits permits.Ask
+	HostCount  func() int
+	// OnNotice is called for each change of what a server says of itself, with the request
+	// whose answer says so or "leader". It may be nil.
+	OnNotice func(c notice.Change, source string)
 	// OnRequestEnd is called at the end of every request. It may be nil.
 	OnRequestEnd func(Observation)
 	// MaxAttemptsPerServer is the maximum number of attempts of this host that run on
@@ -72,6 +83,8 @@
 	claims, suspects, attemptCheck, streamResume, terminalCheck, executionTracking, deadlines, cancelOnServer, answerComparison bool
 	// modelQueues makes all models share one queue.
 	modelQueues, serverLimits, breakers, stallProbes, demotion, retryBudget bool
+	// notices makes hosts ignore what servers say of themselves.
+	notices bool
 }
 
 // Observation describes a request that has ended.
@@ -110,6 +123,10 @@
 	// arrivals counts the requests per routing key. Unlike the queues, the counters
 	// are never removed, because the leader expects them only to grow.
 	arrivals map[routing.Key]uint64
+	// notices holds what servers say of themselves, and permits asks the leader for permits
+	// to send to those with a limit.
+	notices  *notice.Table
+	permits  *permits.Client
 	inFlight map[process]map[*serverAttempt]struct{}
 	crashes  map[process]*crash
 	// uncommittedSuspects counts, by fingerprint, the crashes that are not
@@ -147,18 +164,29 @@
 		seed = rand.Uint64()
 	}
 	rng := rand.New(rand.NewPCG(seed, opts.Self.Incarnation))
+	if opts.HostCount == nil {
+		opts.HostCount = func() int { return 1 }
+	}
+	notices := notice.NewTable(ratelimit.NewClient(opts.HostCount, rng))
 	e := &Entry{
-		opts: opts, rng: rng, queues: map[routing.Key]*modelQueue{}, arrivals: map[routing.Key]uint64{},
+		notices: notices,
+		opts:    opts, rng: rng, queues: map[routing.Key]*modelQueue{}, arrivals: map[routing.Key]uint64{},
 		inFlight: map[process]map[*serverAttempt]struct{}{}, crashes: map[process]*crash{}, uncommittedSuspects: map[string]int{},
-		router: routing.New(opts.routerOptions(), rng), probes: map[process]*serverProbe{}, stopped: make(chan struct{}),
+		router: routing.New(opts.routerOptions(notices), rng), probes: map[process]*serverProbe{}, stopped: make(chan struct{}),
 		drained: make(chan struct{}), serverStates: map[string]serverState{}, begun: evidence.NewBegun(),
 	}
+	e.permits = permits.NewClient(permits.ClientOptions{
+		Lock: &e.mu, Table: notices, Ask: opts.AskPermits, Now: opts.Now, Applied: e.permitsApplied,
+	})
 	e.refresh()
 	return e
 }
 
-func (o Options) routerOptions() routing.Options {
+func (o Options) routerOptions(notices *notice.Table) routing.Options {
 	r := routing.Options{DataCentre: o.DataCentre, RemoteLoadThreshold: remoteLoadThreshold, MaxAttemptsPerServer: o.MaxAttemptsPerServer, DisableDemotion: o.disabled.demotion}
+	if !o.disabled.notices {
+		r.Notices = notices
+	}
 	if o.disabled.serverLimits {
 		r.MaxAttemptsPerServer = 0
 	}
@@ -200,6 +228,9 @@
 // until ctx ends. It must be called once only.
 func (e *Entry) Run(ctx context.Context) error {
 	defer close(e.stopped)
+	if e.opts.AskPermits != nil {
+		go e.permits.Run(ctx)
+	}
 	tick := time.NewTicker(refreshInterval)
 	defer tick.Stop()
 	for {
--- /dev/null
+++ b/node/entry/notice.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/notice"
+	"github.com/pollenwheel/pollenwheel/core/ratelimit"
+	"github.com/pollenwheel/pollenwheel/core/routing"
+	"github.com/pollenwheel/pollenwheel/node/backend"
+)
+
+func (p process) noticeProcess() notice.Process {
+	return notice.Process{Server: p.server, Incarnation: p.incarnation}
+}
+
+// recordSent counts an exchange that is sent now, and returns the time.
+func (e *Entry) recordSent(attempt *serverAttempt) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.opts.Now()
+	e.notices.RecordSent(now, attempt.noticeProcess())
+	return now
+}
+
+// recordNotice records what the answer to an exchange that was sent at sentAt says of the
+// server. An answer to another attempt or of another process says nothing of it.
+func (e *Entry) recordNotice(attempt *serverAttempt, sentAt time.Duration, resp *http.Response) {
+	id, incarnation := resp.Header.Get(backend.HeaderAttemptID), resp.Header.Get(backend.HeaderIncarnation)
+	if id != "" && id != attempt.id || incarnation != "" && incarnation != strconv.FormatUint(attempt.incarnation, 10) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	changes := e.notices.Record(e.opts.Now(), sentAt, attempt.noticeProcess(), backend.NoticeOf(resp))
+	e.reportNotices(changes, attempt.id)
+	e.permits.NotifyLocked()
+}
+
+// permitsApplied handles a reply of the leader. The caller holds e.mu. Requests that wait for a
+// permit look for it every serverPollInterval.
+func (e *Entry) permitsApplied(changes []notice.Change, _ bool) { e.reportNotices(changes, "leader") }
+
+func (e *Entry) reportNotices(changes []notice.Change, source string) {
+	if e.opts.OnNotice == nil {
+		return
+	}
+	for _, c := range changes {
+		e.opts.OnNotice(c, source)
+	}
+}
+
+// takePermit waits until another exchange may be sent to the server of an attempt, and
+// takes the permit for it. It returns false if ctx ends first.
+func (e *Entry) takePermit(ctx context.Context, req *request, attempt *serverAttempt) bool {
+	for {
+		if e.tryTakePermit(req, attempt) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(serverPollInterval):
+		}
+	}
+}
+
+func (e *Entry) tryTakePermit(req *request, attempt *serverAttempt) bool {
+	if e.opts.disabled.notices {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now, p, limits := e.opts.Now(), attempt.noticeProcess(), e.notices.Limits
+	waiter := ratelimit.Waiter{Request: req.nonce, Priority: int(req.class)}
+	if !limits.MaySend(now, p, waiter) {
+		limits.Want(now, p, waiter, true)
+		e.permits.NotifyLocked()
+		return false
+	}
+	limits.Take(now, p, req.nonce)
+	return true
+}
+
+// releaseWant records that a request no longer waits for a permit.
+func (e *Entry) releaseWant(req *request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.notices.Limits.Release(req.nonce)
+}
+
+// limitRefusal returns the refusal of a request that can get no permit before its deadline,
+// and nil if it may still get one.
+func (e *Entry) limitRefusal(ctx context.Context, req *request) *Refusal {
+	e.mu.Lock()
+	delay, limited := e.router.PermitDelay(e.opts.Now(), routing.Query{Key: req.key, Request: req.nonce, Priority: int(req.class)})
+	e.mu.Unlock()
+	deadline, ok := ctx.Deadline()
+	if !limited || !ok || delay < time.Until(deadline) {
+		return nil
+	}
+	r := unavailable("request_limit", fmt.Sprintf("the servers of %s have reached their limit on requests", req.name()))
+	r.RetryAfterMS = delay.Milliseconds()
+	return r
+}
+
+// name returns the model or service that a request names.
+func (req *request) name() string {
+	if req.key.Model != "" {
+		return req.key.Model
+	}
+	return req.key.Service
+}
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -152,6 +152,7 @@
 	}
 	e.setUnserved(ctx, req, true)
 	defer e.setUnserved(ctx, req, false)
+	defer e.releaseWant(req)
 	for {
 		if e.suspicionOf(req).suspect && !e.opts.disabled.suspects {
 			return e.beginTrial(ctx, req)
@@ -160,6 +161,9 @@
 		if attempt := e.pickServer(req, exclude); attempt != nil {
 			return attempt, nil
 		}
+		if r := e.limitRefusal(ctx, req); r != nil {
+			return nil, r
+		}
 		if r := e.waitForChange(ctx, changed); r != nil {
 			return nil, r
 		}
@@ -205,7 +209,8 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	query := routing.Query{Key: req.key, Prefix: req.prefix, Exclude: exclude}
+	defer e.permits.NotifyLocked()
+	query := routing.Query{Key: req.key, Prefix: req.prefix, Exclude: exclude, Request: req.nonce, Priority: int(req.class)}
 	a, ok := e.router.Pick(e.opts.Now(), query)
 	if !ok && exclude != "" {
 		query.Exclude = ""
@@ -285,6 +290,9 @@
 		if probeResult, probed = e.probe(attemptCtx, attempt), true; probeResult != backend.ProbeRunning {
 			break
 		}
+		if !e.takePermit(exchangeCtx, req, attempt) {
+			break
+		}
 		end, probed = e.exchange(exchangeCtx, req, ans, attempt, true), false
 	}
 	if ctx.Err() != nil && end != endComplete {
@@ -340,9 +348,11 @@
 	if !req.idempotent {
 		send = e.opts.Client.DoOnce
 	}
+	sentAt := e.recordSent(attempt)
 	resp, err := send(backend.WithSentCallback(ctx, func() { attempt.maybeSent.Store(true) }), attempt.routed.Address, req.method, req.path, header, req.body)
 	attempt.lastProgress.Store(int64(e.opts.Now()))
 	if err == nil {
+		e.recordNotice(attempt, sentAt, resp)
 		if !resume {
 			e.recordAnswerStart(attempt, resp.StatusCode)
 		}
--- a/node/entry/suspect.go
+++ b/node/entry/suspect.go
@@ -207,7 +207,7 @@
 func (e *Entry) pickTrialServer(req *request) *serverAttempt {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	a, ok := e.router.PickLeastLoaded(e.opts.Now(), routing.Query{Key: req.key, Request: req.nonce}, func(string) bool { return false })
+	a, ok := e.router.PickLeastLoaded(e.opts.Now(), routing.Query{Key: req.key, Request: req.nonce, Priority: int(req.class)}, func(string) bool { return false })
 	if !ok {
 		return nil
 	}
--- a/node/forward/accounting.go
+++ b/node/forward/accounting.go
@@ -91,7 +91,7 @@
 	defer f.mu.Unlock()
 	defer f.permits.NotifyLocked()
 	now := f.opts.Now()
-	q := routing.Query{Key: c.key, Prefix: c.request.Prefix, Exclude: c.avoidServer, Request: c.serial}
+	q := routing.Query{Key: c.key, Prefix: c.request.Prefix, Exclude: c.avoidServer, Request: c.serial, Priority: c.route.Priority}
 	if trial {
 		if attempt, ok = f.router.PickLeastLoaded(now, q, f.excludedFromTrial(c)); ok {
 			return attempt, nil, forecast, true
--- a/node/forward/notice.go
+++ b/node/forward/notice.go
@@ -40,6 +40,13 @@
 	f.permits.NotifyLocked()
 }
 
+// releaseWant records that a request no longer waits for a permit.
+func (f *Forwarder) releaseWant(c *call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notices.Limits.Release(c.serial)
+}
+
 // permitsApplied handles a reply of the leader: limits that other hosts were told, and new
 // permits. f.mu must be held.
 func (f *Forwarder) permitsApplied(changes []notice.Change, granted bool) {
@@ -53,24 +60,8 @@
 // answer says so, or the host that told it. f.mu must be held.
 func (f *Forwarder) logNotices(now time.Duration, changes []notice.Change, source string) {
 	for _, change := range changes {
-		fields := noticeFields(change)
+		fields := decision.NoticeFields(change)
 		fields[decision.FieldSource], fields[decision.FieldSent] = source, f.notices.SentLately(now, change.Process)
 		f.opts.Decisions.RecordStateChange(decision.EventNotice, fields)
 	}
 }
-
-// noticeFields returns the fields of the decision log for a change.
-func noticeFields(c notice.Change) decision.Fields {
-	fields := decision.Fields{decision.FieldServer: c.Server, decision.FieldOutcome: string(c.Kind)}
-	switch {
-	case c.Kind == notice.KindLimit && c.Limited:
-		fields[decision.FieldPerSecond] = c.PerSecond
-	case c.Kind == notice.KindLimit:
-		fields[decision.FieldOutcome] = "limit ended"
-	case c.Kind == notice.KindPause:
-		fields[decision.FieldPauseAsked] = c.Pause.Milliseconds()
-	case c.Kind == notice.KindInvalid:
-		fields[decision.FieldReason] = c.Invalid.Name + ": " + c.Invalid.Value
-	}
-	return fields
-}
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -260,6 +260,7 @@
 		if waiting {
 			f.endWait(target, c)
 		}
+		f.releaseWant(c)
 	}()
 	for {
 		suspected := f.suspicionOf(c)
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/pollenwheel/pollenwheel/node/control"
 	"github.com/pollenwheel/pollenwheel/node/entry"
 	"github.com/pollenwheel/pollenwheel/node/peer"
+	"github.com/pollenwheel/pollenwheel/node/permits"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 	"github.com/pollenwheel/pollenwheel/node/settings"
 	"github.com/pollenwheel/pollenwheel/node/telemetry"
@@ -63,6 +64,8 @@
 	backend      *backend.Client
 	entry        *entry.Entry
 	demandStore  *demandStore
+	// permitServer is nil without the control role.
+	permitServer *permits.Server
 	leadership   *leadership
 	burn         *burnCounter
 	metrics      *telemetry.Metrics
@@ -93,6 +96,9 @@
 			return nil, err
 		}
 	}
+	if h.group != nil {
+		h.permitServer = newPermitServer(h.group, h.members, h.now, nil)
+	}
 	h.leaderClient = peer.NewProposer(s.Host, h.peerGroup(), h.peers, h.members)
 	rng := rand.New(rand.NewSource(int64(h.sender.Incarnation)))
 	h.follower = peer.NewFollower(h.peers, h.members, h.replica, logger, rng, s.Host, h.peerGroup())
@@ -102,6 +108,8 @@
 	h.entry = entry.New(entry.Options{
 		Replica: h.replica, Client: h.backend, Log: h.leaderClient, Servers: h.members.Servers, Now: h.now,
 		Self: h.sender, DataCentre: s.DataCentre, PredictReadyAt: h.predictReady, Ready: h.ready.Load, OnRequestEnd: h.burn.observe,
+		AskPermits: askPermits(h.leaderClient, permitHandler(h.permitServer), h.sender.Incarnation),
+		HostCount:  func() int { return max(1, len(h.members.hosts())) }, OnNotice: h.logNotice,
 	})
 	return h, h.createMetrics()
 }
@@ -254,7 +262,8 @@
 func (h *Host) servePeers(g *runGroup) {
 	server := peer.NewServer(peer.Handlers{
 		Host: h.settings.Host, LogMember: h.peerGroup(), Gossip: h.members.receive, Demand: h.leadership.acceptDemandReport,
-		Drain: h.beginDeparture, Burn: h.burn.snapshot, Traffic: h.traffic,
+		Permits: permitHandler(h.permitServer),
+		Drain:   h.beginDeparture, Burn: h.burn.snapshot, Traffic: h.traffic,
 	})
 	g.Add(func() error { return server.Serve(h.peerListener) }, func(error) { server.Stop() })
 }
--- a/node/host/permits.go
+++ b/node/host/permits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/notice"
 	"github.com/pollenwheel/pollenwheel/core/ratelimit"
 	"github.com/pollenwheel/pollenwheel/node/control"
 	"github.com/pollenwheel/pollenwheel/node/decision"
@@ -63,3 +64,8 @@
 		return p.Permits(ctx, r, timeout, local)
 	}
 }
+
+// logNotice logs a change of what a backend server says of itself.
+func (h *Host) logNotice(c notice.Change, source string) {
+	h.logger.WithFields(decision.NoticeFields(c)).WithField(decision.FieldSource, source).Info(decision.EventNotice)
+}
--- a/node/peer/permits.go
+++ b/node/peer/permits.go
@@ -65,7 +65,7 @@
 	out := &peerpb.PermitsReply{Version: r.Version, Limits: sightingsToProto(r.Limits)}
 	for _, g := range r.Grants {
 		out.Grants = append(out.Grants, &peerpb.PermitGrant{
-			Server: g.Server, Incarnation: g.Incarnation, Permits: int64(g.Permits), DelayMs: g.Delay.Milliseconds(),
+			Server: g.Server, Incarnation: g.Incarnation, Permits: int64(g.Permits), IntervalMs: g.Interval.Milliseconds(),
 		})
 	}
 	return out
@@ -76,7 +76,7 @@
 	for _, g := range m.Grants {
 		out.Grants = append(out.Grants, ratelimit.Grant{
 			Process: ratelimit.Process{Server: g.Server, Incarnation: g.Incarnation}, Permits: int(g.Permits),
-			Delay: time.Duration(g.DelayMs) * time.Millisecond,
+			Interval: time.Duration(g.IntervalMs) * time.Millisecond,
 		})
 	}
 	return out
--- a/node/permits/server.go
+++ b/node/permits/server.go
@@ -181,7 +181,7 @@
 	limits, version := s.grantor.Limits()
 	out := ratelimit.Reply{Version: version, Grants: w.grants}
 	if s.waiters[host] == w {
-		out.Grants = append(out.Grants, s.grantor.Delays(host, reachable)...)
+		out.Grants = append(out.Grants, s.grantor.Intervals(host, reachable)...)
 		s.grantor.Forget(host)
 		delete(s.waiters, host)
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -67,6 +67,9 @@
 	// Holdings, if set, records the models and adapters that the engine holds.
 	Holdings *Holdings
 	Faults   Faults
+	// Says returns the headers in which the server speaks of itself in its answer to a
+	// request. It may be nil.
+	Says func(r *http.Request) map[string]string
 }
 
 // Faults selects the faults to inject. A fault occurs if its function is set and
@@ -193,6 +196,11 @@
 	incarnation := strconv.FormatUint(e.opts.Incarnation, 10)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(backend.HeaderIncarnation, incarnation)
+		if e.opts.Says != nil {
+			for name, value := range e.opts.Says(r) {
+				w.Header().Set(name, value)
+			}
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -33,6 +33,9 @@
 	CrashOnBody string
 	Journal     *Journal
 	Faults      Faults
+	// Says returns the headers in which the server speaks of itself in its answer to a
+	// request. It may be nil.
+	Says func(r *http.Request) map[string]string
 }
 
 // Faults selects the faults to inject. A fault occurs if its function is set and
@@ -127,6 +130,11 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(backend.HeaderIncarnation, strconv.FormatUint(s.opts.Incarnation, 10))
+	if s.opts.Says != nil {
+		for name, value := range s.opts.Says(r) {
+			w.Header().Set(name, value)
+		}
+	}
 	if r.URL.Path == "/v1/incarnation" {
 		return
 	}
