forward: never continue a begun stream with an answer that is no stream

Cause: only answers with a 5xx status counted as failures; any other was delivered whole, although the headers and events of the stream had been sent. Change: after a begun stream, only another stream continues it; anything else aborts it. Result: TestErrorAfterABegunStreamIsNotPartOfIt failed in 4 of 11 cases before (400, 404, 200 and 204) and passes.

--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -135,8 +136,11 @@
 	}
 	c.forwarder.recordNotice(c, attempt, sentAt, answer.Notice)
 	c.forwarder.recordAnswerStart(attempt)
-	if resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+	switch {
+	case resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
 		return c.forwardEvents(ctx, resp)
+	case c.headersSent:
+		return attemptResult{outcome: exchange.Failed, reason: fmt.Sprintf("answer with status %d cannot continue the stream", resp.StatusCode)}
 	}
 	return readAnswer(ctx, resp)
 }
