routing, forward, entry: keep the pauses that servers ask for, and believe that they leave

Change: core/notice keeps both by server process, beside the limits; the router leaves such servers out for first attempts, retries, resumed streams and trials. A pause binds the host that was refused. It ends a random time of up to a quarter later, and one request at a time follows until an answer shows that the server takes them again. Requests that only that server could take wait for the end of the pause, or are refused with the time until then. A departure is passed on through gossip as a final announcement.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -65,6 +66,11 @@
 	MaxPause = time.Minute
 	// maxServers bounds the server processes of which notices are kept.
 	maxServers = 4096
+	// maxReturnDelay bounds the random time after a pause in which a host returns.
+	maxReturnDelay = time.Second
+	// trialTime is how long after a pause a host waits for the answer to one request before
+	// it sends another.
+	trialTime = time.Second
 	// countWindow is the time over which requests to a server with a limit are counted.
 	countWindow = 4 * time.Second
 	// retention is how long a notice of a server is kept after its last answer. A process
@@ -78,12 +84,21 @@
 	// Limits holds the limits and the permits to send to servers that name one.
 	Limits  *ratelimit.Client
 	servers map[Process]*server
+	rng     *rand.Rand
+	// demanding is the number of servers that leave or want a pause, or whose pause has
+	// ended without an answer since.
+	demanding int
 }
 
 // server is what one server process says of itself, besides its limit.
 type server struct {
-	leaving     bool
+	leaving bool
+	// pausedUntil is when the pause ends for this host. After that, returning is set until
+	// an answer without a pause arrives, and trialAt is when the last request was sent
+	// meanwhile.
 	pausedUntil time.Duration
+	returning   bool
+	trialAt     time.Duration
 	// heardAt is when the newest answer arrived that says something.
 	heardAt time.Duration
 	// invalidAt is when an invalid value was last reported.
@@ -94,8 +109,8 @@
 }
 
 // NewTable returns a table without notices.
-func NewTable(limits *ratelimit.Client) *Table {
-	return &Table{Limits: limits, servers: map[Process]*server{}}
+func NewTable(limits *ratelimit.Client, rng *rand.Rand) *Table {
+	return &Table{Limits: limits, servers: map[Process]*server{}, rng: rng}
 }
 
 // Record merges the notice of an answer that arrived now, to a request that was sent at
@@ -111,6 +126,10 @@
 	if n.Leaving || n.Pause > 0 || n.LimitNamed || len(n.Invalid) > 0 {
 		changes = append(changes, t.recordStatements(now, p, n)...)
 	}
+	if s := t.servers[p]; s != nil && s.returning && n.Pause == 0 && sentAt >= s.pausedUntil {
+		s.returning = false
+		t.recount()
+	}
 	return changes
 }
 
@@ -123,10 +142,14 @@
 	s.heardAt = now
 	if n.Leaving && !s.leaving {
 		s.leaving = true
+		t.recount()
 		changes = append(changes, Change{Process: p, Kind: KindLeaving})
 	}
 	if pause := min(n.Pause, MaxPause); pause > 0 && now+pause > s.pausedUntil {
-		s.pausedUntil = now + pause
+		// Hosts that were refused together do not return together.
+		s.pausedUntil = now + pause + time.Duration(t.rng.Float64()*float64(min(pause/4, maxReturnDelay)))
+		s.returning, s.trialAt = true, 0
+		t.recount()
 		changes = append(changes, Change{Process: p, Kind: KindPause, Pause: pause})
 	}
 	if len(n.Invalid) > 0 && (!s.invalidReported || now-s.invalidAt > retention) {
@@ -136,6 +159,65 @@
 	return changes
 }
 
+// recount counts the servers that restrict what may be sent to them.
+func (t *Table) recount() {
+	t.demanding = 0
+	for _, s := range t.servers {
+		if s.leaving || s.returning {
+			t.demanding++
+		}
+	}
+}
+
+// Wanted reports whether a server process wants requests from this host: it is not leaving,
+// and no pause is in force. After a pause, one request at a time is sent until an answer
+// shows that the server takes them again. Limits are not considered.
+func (t *Table) Wanted(now time.Duration, p Process) bool {
+	if t.demanding == 0 {
+		return true
+	}
+	s := t.servers[p]
+	switch {
+	case s == nil:
+		return true
+	case s.leaving || now < s.pausedUntil:
+		return false
+	}
+	return !s.returning || s.trialAt == 0 || now-s.trialAt >= trialTime
+}
+
+// Leaving reports whether a server process has said that it is leaving.
+func (t *Table) Leaving(p Process) bool {
+	s := t.servers[p]
+	return s != nil && s.leaving
+}
+
+// UntilWanted returns how long a server process wants no request from this host. It is zero
+// without a pause.
+func (t *Table) UntilWanted(now time.Duration, p Process) time.Duration {
+	s := t.servers[p]
+	switch {
+	case t.demanding == 0 || s == nil || t.Wanted(now, p):
+		return 0
+	case now < s.pausedUntil:
+		return s.pausedUntil - now
+	}
+	return s.trialAt + trialTime - now
+}
+
+// Take records that a request is sent to a server process. It uses a permit if the server has
+// a limit.
+func (t *Table) Take(now time.Duration, p Process, request uint64) {
+	t.Limits.Take(now, p, request)
+	t.Limits.Release(request)
+	if t.demanding == 0 {
+		return
+	}
+	if s := t.servers[p]; s != nil && s.returning {
+		s.trialAt = now
+	}
+}
+
 // server returns the entry of a server process, which it creates if there is room. It is
 // nil otherwise.
 func (t *Table) server(now time.Duration, p Process) *server {
@@ -144,6 +226,7 @@
 	}
 	if len(t.servers) >= maxServers {
 		maps.DeleteFunc(t.servers, func(_ Process, s *server) bool { return now-s.heardAt > retention })
+		t.recount()
 	}
 	if len(t.servers) >= maxServers {
 		return nil
@@ -191,11 +274,6 @@
 	s.sentAt = slices.DeleteFunc(s.sentAt, func(at time.Duration) bool { return now-at >= countWindow })
 }
 
-// Keep removes the notices of the server processes for which known returns false.
-func (t *Table) Keep(known func(Process) bool) {
-	maps.DeleteFunc(t.servers, func(p Process, _ *server) bool { return !known(p) })
-}
-
 // Statement is what one server process says of itself.
 type Statement struct {
 	Process
--- a/core/routing/limit.go
+++ b/core/routing/notice.go
@@ -40,19 +40,31 @@
 	return nil
 }
 
-// PermitDelay returns how long a request is expected to wait until this host has a permit
-// for one of the servers for a key, and false if none of the usable ones has a limit.
-func (r *Router) PermitDelay(now time.Duration, q Query) (time.Duration, bool) {
+// wanted reports whether a candidate has not said that it wants no requests from this host.
+func (r *Router) wanted(now time.Duration, c *candidate) bool {
+	return r.opts.Notices == nil || r.opts.Notices.Wanted(now, c.server.process())
+}
+
+// Delay returns how long a request is expected to wait until one of the servers for it wants
+// requests from this host again, or this host has a permit for one. It returns false if that
+// is not what the request waits for.
+func (r *Router) Delay(now time.Duration, q Query) (time.Duration, bool) {
 	t := r.targets[q.Key]
-	if t == nil || r.opts.Notices == nil || !r.opts.Notices.Limits.HasLimits() {
+	if t == nil || r.opts.Notices == nil {
 		return 0, false
 	}
 	shortest, any := time.Duration(0), false
 	for _, c := range t.candidates[:min(len(t.candidates), maxScanned)] {
-		if p := c.server.process(); r.usable(now, c, q) && r.opts.Notices.Limits.Limited(p) {
-			if d := r.opts.Notices.Limits.Delay(now, p, q.waiter()); !any || d < shortest {
-				shortest, any = d, true
-			}
+		p := c.server.process()
+		if !r.available(now, c, q) || r.opts.Notices.Leaving(p) {
+			continue
+		}
+		pause, limited := r.opts.Notices.UntilWanted(now, p), r.opts.Notices.Limits.Limited(p)
+		if pause == 0 && !limited {
+			continue
+		}
+		if d := max(pause, r.opts.Notices.Limits.Delay(now, p, q.waiter())); !any || d < shortest {
+			shortest, any = d, true
 		}
 	}
 	return shortest, any
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -405,8 +405,14 @@
 type eligibility func(now time.Duration, c *candidate, q Query) bool
 
 // usable reports whether a candidate may receive an attempt now, if it has no limit or this
-// host has a permit.
+// host has a permit. A server that says that it wants no requests is not usable.
 func (r *Router) usable(now time.Duration, c *candidate, q Query) bool {
+	return r.available(now, c, q) && r.wanted(now, c)
+}
+
+// available reports whether a candidate may receive an attempt now, whatever it says of
+// itself.
+func (r *Router) available(now time.Duration, c *candidate, q Query) bool {
 	s := c.server
 	atLimit := r.opts.MaxAttemptsPerServer > 0 && c.running >= r.opts.MaxAttemptsPerServer
 	available := !s.OutOfRotation && !s.ended && !s.stalled
@@ -415,8 +421,7 @@
 
 func (r *Router) startAttempt(now time.Duration, c *candidate, request uint64) Attempt {
 	if r.opts.Notices != nil {
-		r.opts.Notices.Limits.Take(now, c.server.process(), request)
-		r.opts.Notices.Limits.Release(request)
+		r.opts.Notices.Take(now, c.server.process(), request)
 	}
 	c.server.currentAttempts++
 	c.running++
--- a/core/waitpolicy/waitpolicy.go
+++ b/core/waitpolicy/waitpolicy.go
@@ -62,9 +62,9 @@
 	FastestLoad time.Duration
 }
 
-// OrPermit returns the forecast for a request that can also be sent once a permit for a
-// server with a limit arrives, which is expected at the given time.
-func (f Forecast) OrPermit(at time.Duration) Forecast {
+// OrAt returns the forecast for a request that a loaded server is also expected to take from
+// the given time on, when its pause ends or a permit for it arrives.
+func (f Forecast) OrAt(at time.Duration) Forecast {
 	if f.Known && f.ReadyAt < at {
 		return f
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -167,7 +167,7 @@
 	if opts.HostCount == nil {
 		opts.HostCount = func() int { return 1 }
 	}
-	notices := notice.NewTable(ratelimit.NewClient(opts.HostCount, rng))
+	notices := notice.NewTable(ratelimit.NewClient(opts.HostCount, rng), rng)
 	e := &Entry{
 		notices: notices,
 		opts:    opts, rng: rng, queues: map[routing.Key]*modelQueue{}, arrivals: map[routing.Key]uint64{},
--- a/node/entry/notice.go
+++ b/node/entry/notice.go
@@ -92,17 +92,17 @@
 	e.notices.Limits.Release(req.nonce)
 }
 
-// limitRefusal returns the refusal of a request that can get no permit before its deadline,
-// and nil if it may still get one.
-func (e *Entry) limitRefusal(ctx context.Context, req *request) *Refusal {
+// noticeRefusal returns the refusal of a request whose servers take no request before its
+// deadline, because of their limits or pauses, and nil if they may.
+func (e *Entry) noticeRefusal(ctx context.Context, req *request) *Refusal {
 	e.mu.Lock()
-	delay, limited := e.router.PermitDelay(e.opts.Now(), routing.Query{Key: req.key, Request: req.nonce, Priority: int(req.class)})
+	delay, awaited := e.router.Delay(e.opts.Now(), routing.Query{Key: req.key, Request: req.nonce, Priority: int(req.class)})
 	e.mu.Unlock()
 	deadline, ok := ctx.Deadline()
-	if !limited || !ok || delay < time.Until(deadline) {
+	if !awaited || !ok || delay < time.Until(deadline) {
 		return nil
 	}
-	r := unavailable("request_limit", fmt.Sprintf("the servers of %s have reached their limit on requests", req.name()))
+	r := unavailable("servers_restrict", fmt.Sprintf("the servers of %s take no more requests now: they named a limit or a pause", req.name()))
 	r.RetryAfterMS = delay.Milliseconds()
 	return r
 }
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -161,7 +161,7 @@
 		if attempt := e.pickServer(req, exclude); attempt != nil {
 			return attempt, nil
 		}
-		if r := e.limitRefusal(ctx, req); r != nil {
+		if r := e.noticeRefusal(ctx, req); r != nil {
 			return nil, r
 		}
 		if r := e.waitForChange(ctx, changed); r != nil {
--- a/node/forward/accounting.go
+++ b/node/forward/accounting.go
@@ -107,10 +107,9 @@
 		}
 	}
 	forecast = f.forecaster.forecast(c.key)
-	c.awaitsPermit = false
-	if delay, limited := f.router.PermitDelay(now, q); limited {
-		c.awaitsPermit = true
-		return attempt, f.rebuilt, forecast.OrPermit(now + delay), false
+	delay, awaited := f.router.Delay(now, q)
+	if c.awaitsNotice = awaited; awaited {
+		return attempt, f.rebuilt, forecast.OrAt(now + delay), false
 	}
 	if c.mustAvoid && f.router.AvailableServers(c.key) > 0 {
 		// Only the server that has just refused the request holds the target.
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -54,6 +54,9 @@
 	// AskPermits asks the leader for permits to send requests to servers that name a
 	// limit. If it is nil, the host uses its own share of each limit.
 	AskPermits permits.Ask
+	// OnLeaving is called when a server process says in an answer that it is leaving. It may
+	// be nil.
+	OnLeaving func(p notice.Process)
 	// DemandChanged is called when a request begins to wait or is refused because no
 	// server holds its target.
 	DemandChanged func()
@@ -135,7 +138,7 @@
 	if o.Dial == nil {
 		o.Dial = newDialer().DialContext
 	}
-	notices := notice.NewTable(ratelimit.NewClient(o.HostCount, rand.New(rand.NewPCG(seed, 3))))
+	notices := notice.NewTable(ratelimit.NewClient(o.HostCount, rand.New(rand.NewPCG(seed, 3))), rand.New(rand.NewPCG(seed, 4)))
 	f := &Forwarder{
 		opts: o, transport: newTransport(o.Dial), rng: rand.New(rand.NewPCG(seed, 2)), notices: notices,
 		router: routing.New(routing.Options{
--- a/node/forward/notice.go
+++ b/node/forward/notice.go
@@ -38,6 +38,18 @@
 	changes := f.notices.Record(now, sentAt, processOf(attempt), n)
 	f.logNotices(now, changes, c.request.ID)
 	f.permits.NotifyLocked()
+	for _, change := range changes {
+		if change.Kind == notice.KindLeaving && f.opts.OnLeaving != nil {
+			go f.opts.OnLeaving(change.Process)
+		}
+	}
+}
+
+// wanted reports whether the server of an attempt has not said that it wants no requests.
+func (f *Forwarder) wanted(attempt routing.Attempt) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.notices.Wanted(f.opts.Now(), processOf(attempt))
 }
 
 // releaseWant records that a request no longer waits for a permit.
--- a/node/forward/limit_world_test.go
+++ b/node/forward/notice_world_test.go
@@ -32,8 +32,8 @@
 	limitGrace = time.Second
 )
 
-// limitWorldOptions describe a load on hosts before servers that name a limit.
-type limitWorldOptions struct {
+// noticeWorldOptions describe a load on hosts before servers that speak of themselves.
+type noticeWorldOptions struct {
 	seed           uint64
 	hosts, servers int
 	// limits are what the first servers name between limitFrom and limitUntil.
@@ -46,6 +46,11 @@
 	duration             time.Duration
 	// plain makes the servers a plain service.
 	plain bool
+	// pauses are, for the first servers, the pause in seconds with which they refuse all
+	// requests between limitFrom and limitUntil. leavers is the number of servers, from the
+	// first, that say in their answers from limitFrom on that they leave.
+	pauses  []string
+	leavers int
 	// leaderDownFrom and leaderDownUntil are when no leader answers. After that, another
 	// one leads that knows nothing.
 	leaderDownFrom, leaderDownUntil time.Duration
@@ -54,9 +59,9 @@
 // worldLinkDelay is the time of a message between two hosts.
 const worldLinkDelay = 2 * time.Millisecond
 
-// limitWorld runs forwarders and fake servers in memory and in virtual time.
-type limitWorld struct {
-	opts  limitWorldOptions
+// noticeWorld runs forwarders and fake servers in memory and in virtual time.
+type noticeWorld struct {
+	opts  noticeWorldOptions
 	net   memnet.Network
 	start time.Time
 	log   *worldLog
@@ -66,29 +71,40 @@
 
 	mu      sync.Mutex
 	servers []membership.ServerStatus
-	// arrivals holds when requests reached each server, and statuses counts the answers
-	// of callers.
-	arrivals [][]time.Duration
+	// arrivals holds when requests reached each server and from which host, and statuses
+	// counts the answers of callers. told holds when each server first told each host that
+	// it wants a pause or leaves.
+	arrivals [][]noticeArrival
 	statuses map[int]int
+	told     []map[string][]time.Duration
 	// slowest is the longest time until a refusal.
 	slowestRefusal time.Duration
 }
 
-func (w *limitWorld) now() time.Duration { return time.Since(w.start) }
+// noticeArrival is a request that reached a server.
+type noticeArrival struct {
+	at   time.Duration
+	host string
+}
+
+func (w *noticeWorld) now() time.Duration { return time.Since(w.start) }
 
-// runLimitWorld plays the load and returns the world after it. It must run in a synctest
+// runNoticeWorld plays the load and returns the world after it. It must run in a synctest
 // bubble.
-func runLimitWorld(t *testing.T, o limitWorldOptions) *limitWorld {
+func runNoticeWorld(t *testing.T, o noticeWorldOptions) *noticeWorld {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &limitWorld{
-		opts: o, start: time.Now(), statuses: map[int]int{}, arrivals: make([][]time.Duration, o.servers),
+	w := &noticeWorld{
+		opts: o, start: time.Now(), statuses: map[int]int{}, arrivals: make([][]noticeArrival, o.servers),
 		log: &worldLog{leader: state.New(), barred: map[string]bool{}, available: func() bool { return true }},
 	}
 	w.permits = permits.NewServer(permits.ServerOptions{
 		Term: w.term, Leader: func() string { return "" }, Reachable: func() float64 { return 1 }, Now: w.now,
 	})
 	var running []*http.Server
+	for range o.servers {
+		w.told = append(w.told, map[string][]time.Duration{})
+	}
 	for i := range o.servers {
 		running = append(running, w.startServer(i))
 	}
@@ -117,7 +133,7 @@
 }
 
 // term returns the leader's term, and false while there is no leader.
-func (w *limitWorld) term() (uint64, bool) {
+func (w *noticeWorld) term() (uint64, bool) {
 	switch at := w.now(); {
 	case at < w.opts.leaderDownFrom:
 		return 1, true
@@ -128,7 +144,7 @@
 }
 
 // askPermits returns how a host asks the leader.
-func (w *limitWorld) askPermits(host string) permits.Ask {
+func (w *noticeWorld) askPermits(host string) permits.Ask {
 	return func(ctx context.Context, r ratelimit.Request, timeout time.Duration) (ratelimit.Reply, error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
@@ -144,7 +160,7 @@
 	}
 }
 
-func (w *limitWorld) startHost(ctx context.Context, i int) {
+func (w *noticeWorld) startHost(ctx context.Context, i int) {
 	f := New(Options{
 		Protocol: testProtocol{}, Replica: w.log.follow(ctx), Log: w.log, Holdings: NewHoldings(), Self: state.HostProcess{Host: fmt.Sprint(i)},
 		Servers: func() []membership.ServerStatus { return w.servers }, ServersChanged: func() <-chan struct{} { return nil },
@@ -157,7 +173,7 @@
 	go func() { _ = f.Run(ctx) }()
 }
 
-func (w *limitWorld) startServer(i int) *http.Server {
+func (w *noticeWorld) startServer(i int) *http.Server {
 	status := membership.Server{Name: fmt.Sprint("server-", i), Service: "models", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Incarnation: 1, Sequence: 1}
 	if !w.opts.plain {
 		status.Models = []membership.ModelReport{{Model: "m", Phase: membership.ReportReady}}
@@ -167,15 +183,27 @@
 	}
 	w.servers = append(w.servers, membership.ServerStatus{Server: status})
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("T-Id")
+		host, _, _ := strings.Cut(id, "/")
 		w.mu.Lock()
-		w.arrivals[i] = append(w.arrivals[i], w.now())
+		w.arrivals[i] = append(w.arrivals[i], noticeArrival{w.now(), host})
 		w.mu.Unlock()
+		out.Header().Set("T-Id", id)
+		if w.speaks() && i < len(w.opts.pauses) {
+			w.tell(i, host)
+			out.Header().Set("T-Pause", w.opts.pauses[i])
+			answerNotRun(out, r)
+			return
+		}
 		pause(r.Context(), 100*time.Millisecond)
-		out.Header().Set("T-Id", r.Header.Get("T-Id"))
 		out.Header().Set("T-Signed", "yes")
-		if at := w.now(); i < len(w.opts.limits) && at >= w.opts.limitFrom && at < w.opts.limitUntil {
+		if w.speaks() && i < len(w.opts.limits) {
 			out.Header().Set("T-Limit", w.opts.limits[i])
 		}
+		if w.now() >= w.opts.limitFrom && i < w.opts.leavers {
+			w.tell(i, host)
+			out.Header().Set("T-Leaving", "1")
+		}
 		_, _ = out.Write([]byte("ok"))
 	})}
 	l := w.net.Listen(status.Address)
@@ -183,30 +211,42 @@
 	return server
 }
 
+// speaks reports whether the servers speak of themselves now.
+func (w *noticeWorld) speaks() bool {
+	return w.now() >= w.opts.limitFrom && w.now() < w.opts.limitUntil
+}
+
+// tell records that a server tells a host that it wants a pause or leaves.
+func (w *noticeWorld) tell(server int, host string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.told[server][host] = append(w.told[server][host], w.now())
+}
+
 // playLoad sends the requests of callers.
-func (w *limitWorld) playLoad(ctx context.Context) {
+func (w *noticeWorld) playLoad(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(w.opts.seed, 0))
 	var group sync.WaitGroup
 	interval := time.Second / time.Duration(w.opts.perSecond)
 	for i := range int(w.opts.duration / interval) {
 		time.Sleep(interval)
-		model, host := "m", w.hosts[rng.IntN(len(w.hosts))]
+		model, host := "m", rng.IntN(len(w.hosts))
 		if rng.Float64() < w.opts.soleShare {
 			model = "rare"
 		}
 		if rng.Float64() < w.opts.busyShare {
-			host = w.hosts[0]
+			host = 0
 		}
 		group.Go(func() { w.call(ctx, host, model, i) })
 	}
 	group.Wait()
 }
 
-func (w *limitWorld) call(ctx context.Context, host *Forwarder, model string, i int) {
+func (w *noticeWorld) call(ctx context.Context, host int, model string, i int) {
 	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h/help/x", strings.NewReader(strconv.Itoa(i)))
-	r.Header = http.Header{"T-Id": {fmt.Sprint("request-", i)}, "T-Model": {model}, "T-Deadline": {"12000"}}
+	r.Header = http.Header{"T-Id": {fmt.Sprint(host, "/request-", i)}, "T-Model": {model}, "T-Deadline": {"12000"}}
 	out, sentAt := httptest.NewRecorder(), w.now()
-	host.ServeHTTP(out, r)
+	w.hosts[host].ServeHTTP(out, r)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.statuses[out.Code]++
@@ -217,15 +257,16 @@
 
 // worstWindow returns the most requests that a server got in one window that begins
 // between from and until.
-func (w *limitWorld) worstWindow(server int, from, until time.Duration) int {
+func (w *noticeWorld) worstWindow(server int, from, until time.Duration) int {
 	most := 0
-	for first, begin := range w.arrivals[server] {
+	for first, a := range w.arrivals[server] {
+		begin := a.at
 		if begin < from || begin >= until {
 			continue
 		}
 		n := 0
-		for _, at := range w.arrivals[server][first:] {
-			if at >= begin+limitWindow || at >= until {
+		for _, later := range w.arrivals[server][first:] {
+			if later.at >= begin+limitWindow || later.at >= until {
 				break
 			}
 			n++
@@ -237,7 +278,7 @@
 
 // checkLimits checks each limit over all windows, and returns how many requests the limited
 // servers got and how many their limits allow.
-func (w *limitWorld) checkLimits(t *testing.T) (got, allowed float64) {
+func (w *noticeWorld) checkLimits(t *testing.T) (got, allowed float64) {
 	t.Helper()
 	from := w.opts.limitFrom + limitGrace
 	for i, text := range w.opts.limits {
@@ -249,8 +290,8 @@
 		if float64(most) > most4s {
 			t.Errorf("server %d with a limit of %s a second got %d requests in %s, allowed %.0f", i, text, most, limitWindow, most4s)
 		}
-		for _, at := range w.arrivals[i] {
-			if at >= from && at < w.opts.limitUntil {
+		for _, a := range w.arrivals[i] {
+			if a.at >= from && a.at < w.opts.limitUntil {
 				got++
 			}
 		}
@@ -258,3 +299,42 @@
 	}
 	return got, allowed
 }
+
+// requestsInPauses returns the most requests that a host sent to a server between half a second
+// after it was told of a pause and the end of that pause.
+func (w *noticeWorld) requestsInPauses(t *testing.T) int {
+	t.Helper()
+	most := 0
+	for server, text := range w.opts.pauses {
+		seconds, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for host, told := range w.told[server] {
+			for _, at := range told {
+				n := 0
+				for _, a := range w.arrivals[server] {
+					if a.host == host && a.at >= at+500*time.Millisecond && a.at < at+time.Duration(seconds*float64(time.Second)) {
+						n++
+					}
+				}
+				most = max(most, n)
+			}
+		}
+	}
+	return most
+}
+
+// requestsAfterLeaving returns the number of requests that reached a server from a host that it
+// had told before that it leaves.
+func (w *noticeWorld) requestsAfterLeaving() int {
+	n := 0
+	for server := range w.opts.leavers {
+		for _, a := range w.arrivals[server] {
+			if told := w.told[server][a.host]; len(told) > 0 && a.at > told[0]+10*time.Millisecond {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -71,10 +71,10 @@
 	attemptBegun bool
 	// trial is the open trial as which the current attempt runs, if any.
 	trial *state.Trial
-	// serial identifies the request within this process, and awaitsPermit is set while it
-	// waits for a permit for a server with a limit.
+	// serial identifies the request within this process, and awaitsNotice is set while it
+	// waits for the end of a server's pause or a permit for a server with a limit.
 	serial       uint64
-	awaitsPermit bool
+	awaitsNotice bool
 	// crashUnrecorded is set if the request may have crashed a server and that could
 	// not be recorded. It is not sent again.
 	crashUnrecorded bool
@@ -209,7 +209,8 @@
 			c.finish(action, attempt, out)
 			return
 		}
-		c.avoidServer, c.mustAvoid = attempt.Server, out.outcome == exchange.Refused
+		// A server that named a pause may be used again after it.
+		c.avoidServer, c.mustAvoid = attempt.Server, out.outcome == exchange.Refused && c.forwarder.wanted(attempt)
 	}
 }
 
@@ -294,8 +295,8 @@
 			f.beginWait(target, c)
 		}
 		waitStart := now
-		if c.awaitsPermit {
-			decided.Until = min(decided.Until, now+permitPollInterval)
+		if c.awaitsNotice {
+			decided.Until = min(decided.Until, now+noticePollInterval)
 		}
 		timer := time.NewTimer(decided.Until - now)
 		select {
@@ -312,14 +313,14 @@
 	}
 }
 
-// permitPollInterval is how often a request that waits for a permit asks again. It is
-// shorter than the time after which its want is forgotten.
-const permitPollInterval = 150 * time.Millisecond
+// noticePollInterval is how often a request looks again whether its servers want requests.
+// It is shorter than the time after which its want of a permit is forgotten.
+const noticePollInterval = 150 * time.Millisecond
 
 // noServerReason returns why a request found no server in time.
 func (c *call) noServerReason() string {
-	if c.awaitsPermit {
-		return "the servers that hold the target have reached their limit on requests"
+	if c.awaitsNotice {
+		return "the servers that hold the target take no more requests now: they named a limit or a pause"
 	}
 	return "no backend server holds the target in time"
 }
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -109,7 +109,7 @@
 		Replica: h.replica, Client: h.backend, Log: h.leaderClient, Servers: h.members.Servers, Now: h.now,
 		Self: h.sender, DataCentre: s.DataCentre, PredictReadyAt: h.predictReady, Ready: h.ready.Load, OnRequestEnd: h.burn.observe,
 		AskPermits: askPermits(h.leaderClient, permitHandler(h.permitServer), h.sender.Incarnation),
-		HostCount:  func() int { return max(1, len(h.members.hosts())) }, OnNotice: h.logNotice,
+		HostCount:  func() int { return max(1, len(h.members.hosts())) }, OnNotice: h.recordNotice,
 	})
 	return h, h.createMetrics()
 }
--- a/node/host/members.go
+++ b/node/host/members.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/notice"
 	"github.com/pollenwheel/pollenwheel/node/admin"
 	"github.com/pollenwheel/pollenwheel/node/peer"
 	"github.com/pollenwheel/pollenwheel/node/settings"
@@ -150,6 +151,27 @@
 	m.withTable(func(t *membership.Table, now time.Duration) { t.Announce(now, s) })
 }
 
+// finalSequence is a sequence number above that of every announcement of a server
+// process.
+const finalSequence = 1 << 62
+
+// finalAnnouncement returns the announcement that a server process leaves. Older ones of the
+// same process that say otherwise have no effect after it.
+func finalAnnouncement(s membership.Server) membership.Server {
+	s.Leaving, s.Sequence = true, finalSequence
+	return s
+}
+
+// recordLeaving records that a server process has said in an answer that it is leaving, and
+// passes it on to the other hosts.
+func (m *members) recordLeaving(p notice.Process) {
+	for _, s := range m.Servers() {
+		if s.Name == p.Server && s.Incarnation == p.Incarnation && !s.Leaving {
+			m.announce(finalAnnouncement(s.Server))
+		}
+	}
+}
+
 func (m *members) leave() {
 	m.withTable(func(t *membership.Table, _ time.Duration) { t.Leave() })
 }
--- a/node/host/permits.go
+++ b/node/host/permits.go
@@ -65,7 +65,11 @@
 	}
 }
 
-// logNotice logs a change of what a backend server says of itself.
-func (h *Host) logNotice(c notice.Change, source string) {
+// recordNotice logs a change of what a backend server says of itself, and passes on that it
+// leaves.
+func (h *Host) recordNotice(c notice.Change, source string) {
+	if c.Kind == notice.KindLeaving {
+		go h.members.recordLeaving(c.Process)
+	}
 	h.logger.WithFields(decision.NoticeFields(c)).WithField(decision.FieldSource, source).Info(decision.EventNotice)
 }
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -124,6 +124,7 @@
 		Protocol: o.Protocol, Replica: h.replica, Log: h.leaderClient, DataCentre: o.Settings.DataCentre, Self: h.sender,
 		Servers: h.members.Servers, ServersChanged: h.members.serversChanged, Holdings: h.holdings,
 		HostCount: h.callerHostCount, Now: h.now, Ready: h.Ready, RetryLimit: o.RetryLimit, DemandChanged: h.signalDemandChange, Decisions: h.decisions,
+		OnLeaving:  h.members.recordLeaving,
 		AskPermits: askPermits(h.leaderClient, permitHandler(h.permitServer), h.sender.Incarnation),
 	})
 	return h, h.listen()
--- a/node/host/routed_lifecycle.go
+++ b/node/host/routed_lifecycle.go
@@ -175,17 +175,12 @@
 	}
 }
 
-// finalSequence is a sequence number above that of every announcement of a server
-// process.
-const finalSequence = 1 << 62
-
 // RecordLeaveNotice records that a backend server has sent a leave notice and will
 // not return. Later announcements of the same process have no effect.
 func (h *RoutedHost) RecordLeaveNotice(name string) {
 	for _, s := range h.members.Servers() {
 		if s.Name == name {
-			s.Leaving, s.Sequence = true, finalSequence
-			h.RecordAnnouncement(s.Server)
+			h.RecordAnnouncement(finalAnnouncement(s.Server))
 		}
 	}
 }
