platform: honour the pause in each 503, also without the word that the request did not run

Cause: a pause was read only if the answer says that the request did not run. The published rule counts each 503 that names a pause, so a server that leaves the word out got requests in its pause. Change: the status decides as well.

--- a/core/notice/read.go
+++ b/core/notice/read.go
@@ -23,7 +23,7 @@
 	Leaving Field
 	// Pause holds a decimal number of seconds. It is read only if Refused is set.
 	Pause Field
-	// Refused is set if the answer says that the server did not run the request.
+	// Refused is set if the answer turns the request away.
 	Refused bool
 }
 
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -119,7 +119,7 @@
 		return attemptResult{outcome: exchange.Lost, reason: "no answer: " + errorReason(err), connectionBroken: ctx.Err() == nil}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	answer := c.forwarder.opts.Protocol.ParseAnswer(resp.Header)
+	answer := c.forwarder.opts.Protocol.ParseAnswer(resp.StatusCode, resp.Header)
 	if refused, refusal := c.classifyRefusal(resp, answer, attempt); refused {
 		if refusal.outcome == exchange.Refused {
 			c.forwarder.recordNotice(c, attempt, sentAt, answer.Notice)
--- a/node/forward/forwarder_test.go
+++ b/node/forward/forwarder_test.go
@@ -44,12 +44,12 @@
 	}
 }
 
-func (testProtocol) ParseAnswer(h http.Header) Answer {
+func (testProtocol) ParseAnswer(status int, h http.Header) Answer {
 	return Answer{
 		ID: h.Get("T-Id"), Signed: h.Get("T-Signed") != "", NotRun: h.Get("T-Not-Run") != "", Server: h.Get("T-Server"),
 		Notice: notice.Read(notice.Fields{
 			Limit: notice.Field{Name: "T-Limit", Values: h.Values("T-Limit")}, Leaving: notice.Field{Name: "T-Leaving", Values: h.Values("T-Leaving")},
-			Pause: notice.Field{Name: "T-Pause", Values: h.Values("T-Pause")}, Refused: h.Get("T-Not-Run") != "",
+			Pause: notice.Field{Name: "T-Pause", Values: h.Values("T-Pause")}, Refused: status == http.StatusServiceUnavailable || h.Get("T-Not-Run") != "",
 		}),
 	}
 }
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -62,6 +62,6 @@
 	ParseRequest(h http.Header) (Request, error)
 	// SetAttemptHeaders sets the headers of one attempt in h, a copy of the caller's headers.
 	SetAttemptHeaders(h http.Header, a Attempt)
-	// ParseAnswer parses the headers of a backend server's answer.
-	ParseAnswer(h http.Header) Answer
+	// ParseAnswer parses the status and the headers of a backend server's answer.
+	ParseAnswer(status int, h http.Header) Answer
 }
--- a/node/host/routed_test.go
+++ b/node/host/routed_test.go
@@ -33,7 +33,7 @@
 
 func (testProtocol) SetAttemptHeaders(http.Header, forward.Attempt) {}
 
-func (testProtocol) ParseAnswer(h http.Header) forward.Answer {
+func (testProtocol) ParseAnswer(_ int, h http.Header) forward.Answer {
 	return forward.Answer{ID: h.Get("T-Id"), Signed: true}
 }
 
