routing, forward, entry: name the server that holds a request back, and count what is refused for it

Cause: a request that was refused because of limits or pauses was logged without the server, so an operator found no way from the request to what refused it; requests to a server whose limit another host had told were not counted; a stream was resumed on a server in its pause, on the product's own interface; and a server that leaves counted as one in a pause in the first second of a process. Change: the router returns the restriction that a request waits for, and the refusal names it: the server, its limit or pause, and the expected delay. Refusals and requests are counted by server.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -88,6 +88,8 @@
 	// demanding is the number of servers that leave or want a pause, or whose pause has
 	// ended without an answer since.
 	demanding int
+	// refusals counts the requests that were refused because of what servers say.
+	refusals int
 }
 
 // server is what one server process says of itself, besides its limit.
@@ -104,8 +106,10 @@
 	// invalidAt is when an invalid value was last reported.
 	invalidAt       time.Duration
 	invalidReported bool
-	// sentAt holds when requests were sent to the server within countWindow.
-	sentAt []time.Duration
+	// sentAt holds when requests were sent to the server within countWindow, and refusals
+	// counts the requests that were refused because of what it says.
+	sentAt   []time.Duration
+	refusals int
 }
 
 // NewTable returns a table without notices.
@@ -186,6 +190,10 @@
 	return !s.returning || s.trialAt == 0 || now-s.trialAt >= trialTime
 }
 
+// Paused reports whether a server process wants no requests from this host now, or takes
+// only one at a time after a pause.
+func (t *Table) Paused(now time.Duration, p Process) bool { return t.UntilWanted(now, p) > 0 }
+
 // Leaving reports whether a server process has said that it is leaving.
 func (t *Table) Leaving(p Process) bool {
 	s := t.servers[p]
@@ -197,12 +205,14 @@
 func (t *Table) UntilWanted(now time.Duration, p Process) time.Duration {
 	s := t.servers[p]
 	switch {
-	case t.demanding == 0 || s == nil || t.Wanted(now, p):
+	case t.demanding == 0 || s == nil || !s.returning:
 		return 0
 	case now < s.pausedUntil:
 		return s.pausedUntil - now
+	case s.trialAt == 0:
+		return 0
 	}
-	return s.trialAt + trialTime - now
+	return max(0, s.trialAt+trialTime-now)
 }
 
 // Take records that a request is sent to a server process. It uses a permit if the server has
@@ -251,14 +261,37 @@
 	return Change{Process: c.Process, Kind: KindLimit, Limited: c.Limited, PerSecond: c.PerSecond}
 }
 
-// RecordSent counts a request that is sent to a server process that has said something.
+// RecordSent counts a request that is sent to a server process that has a limit or has said
+// something else.
 func (t *Table) RecordSent(now time.Duration, p Process) {
-	if s := t.servers[p]; s != nil {
+	if s := t.restricted(now, p); s != nil {
 		s.dropOld(now)
 		s.sentAt = append(s.sentAt, now)
 	}
 }
 
+// RecordRefusal counts a request that is refused because of what a server process says of
+// itself.
+func (t *Table) RecordRefusal(now time.Duration, p Process) {
+	t.refusals++
+	if s := t.restricted(now, p); s != nil {
+		s.refusals++
+	}
+}
+
+// Refusals returns the number of requests that this host has refused because of what servers
+// say of themselves.
+func (t *Table) Refusals() int { return t.refusals }
+
+// restricted returns the entry of a server process that has said something or whose limit
+// another host has told. It is nil for others.
+func (t *Table) restricted(now time.Duration, p Process) *server {
+	if t.Limits.Limited(p) {
+		return t.server(now, p)
+	}
+	return t.servers[p]
+}
+
 // SentLately returns the number of requests that this host sent to a server process within
 // countWindow.
 func (t *Table) SentLately(now time.Duration, p Process) int {
@@ -282,8 +315,9 @@
 	Leaving   bool
 	// Paused is how much longer the server wants nothing from this host.
 	Paused time.Duration
-	// Sent is the number of requests that this host sent to it within 4 s.
-	Sent int
+	// Sent is the number of requests that this host sent to it within 4 s, and Refused the
+	// number of those that it refused because of what the server says.
+	Sent, Refused int
 }
 
 // Statements returns what all server processes say of themselves, by server.
@@ -300,7 +334,8 @@
 		if byProcess[p] == nil {
 			byProcess[p] = &Statement{Process: p}
 		}
-		byProcess[p].Leaving, byProcess[p].Paused, byProcess[p].Sent = s.leaving, paused, t.SentLately(now, p)
+		byProcess[p].Leaving, byProcess[p].Paused = s.leaving, paused
+		byProcess[p].Sent, byProcess[p].Refused = t.SentLately(now, p), s.refusals
 	}
 	var out []Statement
 	for _, s := range byProcess {
--- a/core/notice/notice_test.go
+++ b/core/notice/notice_test.go
@@ -111,6 +111,24 @@
 	}
 }
 
+// TestStatements guards against limits that other hosts were told and that are missing from what
+// operators see, and against requests and refusals that are not counted for them.
+func TestStatements(t *testing.T) {
+	table := newTestTable(1)
+	told := ratelimit.Sighting{Process: testProcess, Named: true, PerSecond: 2}
+	table.ApplyReply(1*sec, 1*sec, ratelimit.Reply{Version: 1, Limits: []ratelimit.Sighting{told}})
+	table.RecordSent(2*sec, testProcess)
+	table.RecordRefusal(2*sec, testProcess)
+	want := Statement{Process: testProcess, Limited: true, PerSecond: 2, Sent: 1, Refused: 1}
+	if got := table.Statements(2 * sec); len(got) != 1 || got[0] != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	table.RecordSent(2*sec, Process{Server: "silent"})
+	if n := len(table.Statements(2 * sec)); n != 1 {
+		t.Errorf("%d servers are listed, want only the one that says something", n)
+	}
+}
+
 // TestInvalidValuesAreReportedOnce guards against a log line for each answer of a server whose
 // values cannot be read, and against a limit that such a value ends.
 func TestInvalidValuesAreReportedOnce(t *testing.T) {
--- a/core/ratelimit/client.go
+++ b/core/ratelimit/client.go
@@ -108,6 +108,15 @@
 	return l != nil && l.belief.limited
 }
 
+// PerSecond returns the limit of a server process in requests per second, or zero if it has
+// none.
+func (c *Client) PerSecond(p Process) float64 {
+	if !c.Limited(p) {
+		return 0
+	}
+	return c.servers[p].belief.perSecond
+}
+
 // HasLimits reports whether any server has a limit.
 func (c *Client) HasLimits() bool { return c.limited > 0 }
 
--- a/core/routing/notice.go
+++ b/core/routing/notice.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/notice"
@@ -45,27 +46,56 @@
 	return r.opts.Notices == nil || r.opts.Notices.Wanted(now, c.server.process())
 }
 
-// Delay returns how long a request is expected to wait until one of the servers for it wants
-// requests from this host again, or this host has a permit for one. It returns false if that
-// is not what the request waits for.
-func (r *Router) Delay(now time.Duration, q Query) (time.Duration, bool) {
+// Restriction is what a server says of itself that keeps a request waiting.
+type Restriction struct {
+	notice.Process
+	// Delay is how long the request is expected to wait until the server takes it.
+	Delay time.Duration
+	// Paused is set if the server wants no requests from this host now. Otherwise the
+	// request waits for a permit, because the server takes PerSecond requests per second
+	// from all hosts together.
+	Paused    bool
+	PerSecond float64
+}
+
+// String describes the restriction for logs and refusals.
+func (r Restriction) String() string {
+	if r.Paused {
+		return fmt.Sprintf("server %s wants no requests for %s", r.Server, r.Delay.Round(time.Millisecond))
+	}
+	return fmt.Sprintf("server %s takes %g requests per second, and a permit is expected in %s", r.Server, r.PerSecond, r.Delay.Round(time.Millisecond))
+}
+
+// Restriction returns the restriction of the server for a request that is expected to take
+// it first. It returns false if the request does not wait because of what servers say of
+// themselves.
+func (r *Router) Restriction(now time.Duration, q Query) (Restriction, bool) {
 	t := r.targets[q.Key]
 	if t == nil || r.opts.Notices == nil {
-		return 0, false
+		return Restriction{}, false
 	}
-	shortest, any := time.Duration(0), false
+	first, any := Restriction{}, false
 	for _, c := range t.candidates[:min(len(t.candidates), maxScanned)] {
-		p := c.server.process()
-		if !r.available(now, c, q) || r.opts.Notices.Leaving(p) {
+		if !r.available(now, c, q) {
 			continue
 		}
-		pause, limited := r.opts.Notices.UntilWanted(now, p), r.opts.Notices.Limits.Limited(p)
-		if pause == 0 && !limited {
-			continue
-		}
-		if d := max(pause, r.opts.Notices.Limits.Delay(now, p, q.waiter())); !any || d < shortest {
-			shortest, any = d, true
+		if found, ok := r.restrictionOf(now, c, q); ok && (!any || found.Delay < first.Delay) {
+			first, any = found, true
 		}
 	}
-	return shortest, any
+	return first, any
+}
+
+// restrictionOf returns the restriction of one candidate. A server that leaves has none,
+// since waiting for it cannot help.
+func (r *Router) restrictionOf(now time.Duration, c *candidate, q Query) (Restriction, bool) {
+	p := c.server.process()
+	pause, limited := r.opts.Notices.UntilWanted(now, p), r.opts.Notices.Limits.Limited(p)
+	if r.opts.Notices.Leaving(p) || pause == 0 && !limited {
+		return Restriction{}, false
+	}
+	permit := r.opts.Notices.Limits.Delay(now, p, q.waiter())
+	return Restriction{
+		Process: p, Delay: max(pause, permit), Paused: pause > permit, PerSecond: r.opts.Notices.Limits.PerSecond(p),
+	}, true
 }
--- a/node/entry/notice.go
+++ b/node/entry/notice.go
@@ -53,8 +53,9 @@
 	}
 }
 
-// takePermit waits until another exchange may be sent to the server of an attempt, and
-// takes the permit for it. It returns false if ctx ends first.
+// takePermit waits until another exchange may be sent to the server of an attempt: until
+// its pause ends, and a permit arrives if it has a limit. A stream is also resumed on a
+// server that leaves, which keeps what runs to its end. It returns false if ctx ends first.
 func (e *Entry) takePermit(ctx context.Context, req *request, attempt *serverAttempt) bool {
 	for {
 		if e.tryTakePermit(req, attempt) {
@@ -76,15 +77,33 @@
 	defer e.mu.Unlock()
 	now, p, limits := e.opts.Now(), attempt.noticeProcess(), e.notices.Limits
 	waiter := ratelimit.Waiter{Request: req.nonce, Priority: int(req.class)}
+	if e.notices.Paused(now, p) {
+		return false
+	}
 	if !limits.MaySend(now, p, waiter) {
 		limits.Want(now, p, waiter, true)
 		e.permits.NotifyLocked()
 		return false
 	}
-	limits.Take(now, p, req.nonce)
+	e.notices.Take(now, p, req.nonce)
 	return true
 }
 
+// Notices returns what servers say of themselves, as this host knows it.
+func (e *Entry) Notices() []notice.Statement {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.notices.Statements(e.opts.Now())
+}
+
+// RestrictedRefusals returns the number of requests that were refused because of what
+// servers say of themselves.
+func (e *Entry) RestrictedRefusals() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.notices.Refusals()
+}
+
 // releaseWant records that a request no longer waits for a permit.
 func (e *Entry) releaseWant(req *request) {
 	e.mu.Lock()
@@ -96,14 +115,17 @@
 // deadline, because of their limits or pauses, and nil if they may.
 func (e *Entry) noticeRefusal(ctx context.Context, req *request) *Refusal {
 	e.mu.Lock()
-	delay, awaited := e.router.Delay(e.opts.Now(), routing.Query{Key: req.key, Request: req.nonce, Priority: int(req.class)})
+	restriction, restricted := e.router.Restriction(e.opts.Now(), routing.Query{Key: req.key, Request: req.nonce, Priority: int(req.class)})
 	e.mu.Unlock()
 	deadline, ok := ctx.Deadline()
-	if !awaited || !ok || delay < time.Until(deadline) {
+	if !restricted || !ok || restriction.Delay < time.Until(deadline) {
 		return nil
 	}
-	r := unavailable("servers_restrict", fmt.Sprintf("the servers of %s take no more requests now: they named a limit or a pause", req.name()))
-	r.RetryAfterMS = delay.Milliseconds()
+	r := unavailable("servers_restrict", fmt.Sprintf("the servers of %s take no more requests now: %s", req.name(), restriction))
+	r.RetryAfterMS = restriction.Delay.Milliseconds()
+	e.mu.Lock()
+	e.notices.RecordRefusal(e.opts.Now(), restriction.Process)
+	e.mu.Unlock()
 	return r
 }
 
--- a/node/forward/accounting.go
+++ b/node/forward/accounting.go
@@ -107,9 +107,9 @@
 		}
 	}
 	forecast = f.forecaster.forecast(c.key)
-	delay, awaited := f.router.Delay(now, q)
-	if c.awaitsNotice = awaited; awaited {
-		return attempt, f.rebuilt, forecast.OrAt(now + delay), false
+	restriction, restricted := f.router.Restriction(now, q)
+	if c.restriction, c.restricted = restriction, restricted; restricted {
+		return attempt, f.rebuilt, forecast.OrAt(now + restriction.Delay), false
 	}
 	if c.mustAvoid && f.router.AvailableServers(c.key) > 0 {
 		// Only the server that has just refused the request holds the target.
--- a/node/forward/decision_log_test.go
+++ b/node/forward/decision_log_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
+	"github.com/pollenwheel/pollenwheel/core/notice"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/decision"
 	"github.com/pollenwheel/pollenwheel/node/replica"
@@ -67,6 +68,7 @@
 		{"request that may have run", "/unsafe/", "", []http.HandlerFunc{dropConnection}, nil, nil, decision.EventFailed, 502},
 		{"server answers with status 500", "/unsafe/", "", []http.HandlerFunc{signedAnswer(500, "sorry")}, nil, nil, decision.EventFailed, 500},
 		{"stream interrupted", "/stream/", "", []http.HandlerFunc{eventStream(1, 3, "", false)}, nil, nil, decision.EventAborted, 0},
+		{"server wants no requests", "/safe/", "", nil, nil, pauseServers, decision.EventRefused, 503},
 		{"late", "/late/", "", nil, nil, nil, decision.EventLate, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -93,6 +95,33 @@
 	}
 }
 
+// pauseServers records that all servers want no requests for a minute.
+func pauseServers(f *Forwarder) {
+	for _, s := range f.opts.Servers() {
+		f.notices.Record(f.opts.Now(), f.opts.Now(), notice.Process{Server: s.Name, Incarnation: s.Incarnation}, notice.Notice{Pause: time.Minute})
+	}
+}
+
+// TestRefusalNamesTheServerThatWantsNoRequests guards against a refusal whose line does not lead to
+// the limit or the pause that caused it.
+func TestRefusalNamesTheServerThatWantsNoRequests(t *testing.T) {
+	url, forwarder, _ := startForwarder(t, nil)
+	waitForLine := recordDecisions(t, forwarder)
+	pauseServers(forwarder)
+	_, _, _ = post(t, url, "/safe/", "")
+	fields := waitForLine(decision.EventRefused)
+	reason, _ := fields[decision.FieldReason].(string)
+	if !strings.Contains(reason, "server server-0 wants no requests for") {
+		t.Errorf("the reason is %q, want the server and the pause", reason)
+	}
+	if forwarder.RestrictedRefusals() != 1 {
+		t.Errorf("%d refusals are counted, want 1", forwarder.RestrictedRefusals())
+	}
+	if list := forwarder.Notices(); len(list) == 0 || list[0].Paused == 0 {
+		t.Errorf("notices %+v, want the pause", list)
+	}
+}
+
 // Guards against a disconnected caller that is not logged.
 func TestDisconnectedCallerIsLogged(t *testing.T) {
 	started := make(chan struct{})
--- a/node/forward/notice.go
+++ b/node/forward/notice.go
@@ -52,6 +52,33 @@
 	return f.notices.Wanted(f.opts.Now(), processOf(attempt))
 }
 
+// Notices returns what servers say of themselves, as this host knows it.
+func (f *Forwarder) Notices() []notice.Statement {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.notices.Statements(f.opts.Now())
+}
+
+// RestrictedRefusals returns the number of requests that were refused because of what
+// servers say of themselves.
+func (f *Forwarder) RestrictedRefusals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.notices.Refusals()
+}
+
+// refuseRestricted ends a request that waits for a server which takes it too late.
+func (c *call) refuseRestricted(retryAfter time.Duration) {
+	c.forwarder.recordRestrictedRefusal(c.restriction.Process)
+	c.endWithoutServer(retryAfter, c.restriction.String())
+}
+
+func (f *Forwarder) recordRestrictedRefusal(p notice.Process) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notices.RecordRefusal(f.opts.Now(), p)
+}
+
 // releaseWant records that a request no longer waits for a permit.
 func (f *Forwarder) releaseWant(c *call) {
 	f.mu.Lock()
--- a/node/forward/notice_test.go
+++ b/node/forward/notice_test.go
@@ -19,6 +19,9 @@
 		{"a model on one server", noticeWorldOptions{hosts: 8, servers: 3, perSecond: 60, limits: []string{"2"}, soleShare: 0.2}},
 		{"a plain service", noticeWorldOptions{hosts: 8, servers: 3, perSecond: 60, limits: []string{"3", "1"}, plain: true}},
 		{"100 hosts", noticeWorldOptions{hosts: 100, servers: 9, perSecond: 200, limits: []string{"1", "2.5"}}},
+		{"a change of leader", noticeWorldOptions{
+			hosts: 8, servers: 3, perSecond: 60, limits: []string{"3.7", "1"}, soleShare: 0.1, leaderDownFrom: 8 * time.Second, leaderDownUntil: 13 * time.Second,
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -71,10 +71,12 @@
 	attemptBegun bool
 	// trial is the open trial as which the current attempt runs, if any.
 	trial *state.Trial
-	// serial identifies the request within this process, and awaitsNotice is set while it
-	// waits for the end of a server's pause or a permit for a server with a limit.
-	serial       uint64
-	awaitsNotice bool
+	// serial identifies the request within this process. restriction is what the request
+	// waits for while restricted is set: the end of a server's pause, or a permit for a
+	// server with a limit.
+	serial      uint64
+	restriction routing.Restriction
+	restricted  bool
 	// crashUnrecorded is set if the request may have crashed a server and that could
 	// not be recorded. It is not sent again.
 	crashUnrecorded bool
@@ -287,7 +289,7 @@
 		decided := waitpolicy.Decide(now, c.waitRequest(), forecast)
 		if !decided.Wait {
 			f.recordRefusal(target, decided.RetryAfter)
-			c.endWithoutServer(decided.RetryAfter, c.noServerReason())
+			c.endUnserved(decided.RetryAfter)
 			return attempt, false
 		}
 		if !waiting {
@@ -295,7 +297,7 @@
 			f.beginWait(target, c)
 		}
 		waitStart := now
-		if c.awaitsNotice {
+		if c.restricted {
 			decided.Until = min(decided.Until, now+noticePollInterval)
 		}
 		timer := time.NewTimer(decided.Until - now)
@@ -317,12 +319,13 @@
 // It is shorter than the time after which its want of a permit is forgotten.
 const noticePollInterval = 150 * time.Millisecond
 
-// noServerReason returns why a request found no server in time.
-func (c *call) noServerReason() string {
-	if c.awaitsNotice {
-		return "the servers that hold the target take no more requests now: they named a limit or a pause"
+// endUnserved ends a request that no server is expected to take in time.
+func (c *call) endUnserved(retryAfter time.Duration) {
+	if c.restricted {
+		c.refuseRestricted(retryAfter)
+		return
 	}
-	return "no backend server holds the target in time"
+	c.endWithoutServer(retryAfter, "no backend server holds the target in time")
 }
 
 // waitRequest returns the request's time limits for core/waitpolicy. For a stream
