admin, pollenctl, host: show operators what backend servers say of themselves, also on the users' platform

Change: pollenctl notices and GET /v1/admin/notices: what servers say, what was sent to and refused for them, and on the leader the permits by host. New metrics: decisions by event, restricted servers, restricted requests, permits by host, suspects by state.

--- a/cmd/pollenctl/deployment_test.go
+++ b/cmd/pollenctl/deployment_test.go
@@ -20,6 +20,8 @@
 	"github.com/pollenwheel/pollenwheel/core/burn"
 	"github.com/pollenwheel/pollenwheel/core/config"
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/notice"
+	"github.com/pollenwheel/pollenwheel/core/ratelimit"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/admin"
 )
@@ -44,13 +46,7 @@
 	d := &deployment{state: state.New(), bootstrapHash: admin.HashKey(bootstrapKey)}
 	for _, name := range []string{"nord-1", "sud-1"} {
 		web := echo.New()
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
-		admin.New(admin.Dependencies{
-			Host: name, Proposer: d, Replica: d, Members: d, Drainer: d, BurnCollector: d, Control: d,
-			CaughtUp: func() bool { return true }, Now: func() time.Time { return time.UnixMilli(1) },
-			BootstrapKeySHA256: d.bootstrapHash, Logger: logrus.NewEntry(logger),
-		}).RegisterRoutes(web)
+		d.administration(name).RegisterRoutes(web)
 		s := httptest.NewServer(d.withLostAnswers(web))
 		t.Cleanup(s.Close)
 		d.servers = append(d.servers, s)
@@ -59,6 +55,25 @@
 	return d
 }
 
+func (d *deployment) administration(host string) *admin.API {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return admin.New(admin.Dependencies{
+		Host: host, Proposer: d, Replica: d, Members: d, Drainer: d, BurnCollector: d, Control: d, Notices: d,
+		CaughtUp: func() bool { return true }, Now: func() time.Time { return time.UnixMilli(1) },
+		BootstrapKeySHA256: d.bootstrapHash, Logger: logrus.NewEntry(logger),
+	})
+}
+
+// serveLocal serves the local address of a host, and returns it.
+func (d *deployment) serveLocal(t *testing.T) string {
+	web := echo.New()
+	d.administration("nord-1").RegisterLocalRoutes(web)
+	s := httptest.NewServer(web)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
 // withLostAnswers returns a handler that closes the connection instead of
 // answering, after next has served the request, while answers are to be lost.
 func (d *deployment) withLostAnswers(next http.Handler) http.Handler {
@@ -116,6 +131,19 @@
 	return admin.BurnCounts{Snapshot: burn.Snapshot{Series: []burn.Series{s}}, Hosts: []string{"nord-1"}, Missing: []string{"sud-1"}}
 }
 
+func (d *deployment) Notices() []notice.Statement {
+	return []notice.Statement{
+		{Process: notice.Process{Server: "engine-1", Incarnation: 7}, Limited: true, PerSecond: 3.7, Paused: 1500 * time.Millisecond, Sent: 4, Refused: 2},
+		{Process: notice.Process{Server: "engine-2", Incarnation: 8}, Leaving: true},
+	}
+}
+
+func (d *deployment) PermitUsage() ([]ratelimit.Usage, bool) {
+	return []ratelimit.Usage{{
+		Process: ratelimit.Process{Server: "engine-1", Incarnation: 7}, PerSecond: 3.7, Granted: map[string]int{"sud-1": 5, "nord-1": 9}, Waiting: 1,
+	}}, true
+}
+
 func (d *deployment) ControlStatus() admin.ControlStatus {
 	return admin.ControlStatus{Leader: "nord-1", Term: 3, Quorum: true, Voters: []string{"nord-1", "sud-1"}}
 }
--- a/cmd/pollenctl/pollenctl_test.go
+++ b/cmd/pollenctl/pollenctl_test.go
@@ -196,6 +196,7 @@
 		"models":   {"atlas  scribe   1        standard  1         2      0       0 of 0 ready  engine-1 (ready)\n", `"server": "engine-1"`},
 		"hosts":    {"present", `"caller_address"`},
 		"suspects": {"77c0  quarantined  lifted  -         engine-1/1, engine-2/1\n", `"state": "quarantined"`},
+		"notices":  {"engine-1  7            takes 3.7 requests per second, wants none for 1500 ms  4            2\n", `"granted": {`},
 		"burn":     {"not counted, because they did not answer: sud-1", `"severity": "ok"`},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -208,7 +209,9 @@
 			}
 		})
 	}
-	code, stdout, stderr := tl.run("lift", "77c0")
+	code, stdout, stderr := tl.run("notices")
+	expect(t, code, stdout, stderr, exitOK, "engine-1        3.7         1        nord-1 9, sud-1 5\n")
+	code, stdout, stderr = tl.run("lift", "77c0")
 	expect(t, code, stdout, stderr, exitOK, "77c0 is cleared\n")
 	code, stdout, stderr = tl.run("lift", "77c0")
 	expect(t, code, stdout, stderr, exitRefused, "no suspect has the key 77c0")
@@ -219,6 +222,20 @@
 	}
 }
 
+// TestWithoutKey guards against a command for the local address of a host that asks for a key,
+// and against one that reaches another address without a key unnoticed.
+func TestWithoutKey(t *testing.T) {
+	tl := newTool(t)
+	tl.key = ""
+	code, stdout, stderr := tl.run("notices", "--without-key")
+	expect(t, code, stdout, stderr, exitRefused, "the request has no key")
+	tl.addresses = []string{tl.deployment.serveLocal(t)}
+	code, stdout, stderr = tl.run("notices")
+	expect(t, code, stdout, stderr, exitInvalid, "no operator key")
+	code, stdout, stderr = tl.run("notices", "--without-key")
+	expect(t, code, stdout, stderr, exitOK, "engine-2  8            leaving")
+}
+
 // TestDrainWaits guards against a drain with --wait that returns before the host has
 // ended.
 func TestDrainWaits(t *testing.T) {
@@ -280,7 +297,7 @@
 func TestHelp(t *testing.T) {
 	code, stdout, stderr := newTool(t).run("--help")
 	for _, want := range []string{
-		"questionnaire", "generate", "validate", "diff", "apply", "status", "models", "hosts", "drain", "burn", "suspects", "lift", "6  diff found differences",
+		"questionnaire", "generate", "validate", "diff", "apply", "status", "models", "hosts", "drain", "burn", "suspects", "lift", "notices", "6  diff found differences",
 	} {
 		expect(t, code, stdout, stderr, exitOK, want)
 	}
--- a/cmd/pollenctl/remote.go
+++ b/cmd/pollenctl/remote.go
@@ -32,13 +32,16 @@
 type remoteFlags struct {
 	addresses []string
 	keyFile   string
-	timeout   time.Duration
+	// withoutKey is set for the local address of a host, which needs no operator key.
+	withoutKey bool
+	timeout    time.Duration
 }
 
 func (f *remoteFlags) register(app *kingpin.Application) {
 	app.Flag("address", "Caller address of a host, such as 127.1.1.1:7100. Repeat it to name hosts to try in turn.").
 		Envar("POLLENWHEEL_ADDRESSES").StringsVar(&f.addresses)
 	app.Flag("key-file", "File with the operator key.").Envar("POLLENWHEEL_KEY_FILE").StringVar(&f.keyFile)
+	app.Flag("without-key", "Send no operator key. The local address that a host serves to its own machine needs none.").BoolVar(&f.withoutKey)
 	app.Flag("timeout", "Time limit of a command.").Default("30s").DurationVar(&f.timeout)
 }
 
@@ -88,6 +91,9 @@
 }
 
 func (e *environment) operatorKey() (string, error) {
+	if e.remote.withoutKey {
+		return "", nil
+	}
 	key := e.getenv("POLLENWHEEL_KEY")
 	if e.remote.keyFile != "" {
 		data, err := os.ReadFile(e.remote.keyFile)
@@ -147,7 +153,9 @@
 	if err != nil {
 		return &usageError{err}
 	}
-	req.Header.Set("Authorization", "Bearer "+c.key)
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -91,6 +91,7 @@
 	Drainer       Drainer
 	BurnCollector BurnCollector
 	Control       ControlReporter
+	Notices       NoticeReporter
 	// CaughtUp reports whether Replica has caught up since the start of the process.
 	// Until then Replica may lack the first configuration, which makes the bootstrap
 	// key invalid. All requests are therefore refused until then.
@@ -125,6 +126,19 @@
 	group.GET("/burn", a.burn)
 	group.GET("/suspects", a.suspects)
 	group.POST("/suspects/:key/lift", a.lift)
+	group.GET("/notices", a.notices)
+}
+
+// RegisterLocalRoutes registers on web the routes that need no configuration of the product:
+// the state of the host, and suspects and notices. They admit requests without a key, so web
+// must be reachable from the host's own machine only.
+func (a *API) RegisterLocalRoutes(web *echo.Echo) {
+	group := web.Group(RoutePrefix, a.countRequests)
+	group.GET("/status", a.status)
+	group.GET("/hosts", a.hosts)
+	group.GET("/suspects", a.suspects)
+	group.POST("/suspects/:key/lift", a.lift)
+	group.GET("/notices", a.notices)
 }
 
 func (a *API) hosts(c echo.Context) error {
--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -20,6 +20,8 @@
 	"github.com/pollenwheel/pollenwheel/core/burn"
 	"github.com/pollenwheel/pollenwheel/core/config"
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/notice"
+	"github.com/pollenwheel/pollenwheel/core/ratelimit"
 	"github.com/pollenwheel/pollenwheel/core/state"
 )
 
@@ -60,20 +62,32 @@
 	return BurnCounts{Snapshot: burn.Snapshot{Series: []burn.Series{s}}, Hosts: []string{"waco-1"}, Missing: []string{"bryan-1"}}
 }
 
+func (h *fakeHost) Notices() []notice.Statement {
+	return []notice.Statement{{Process: notice.Process{Server: "engine-1", Incarnation: 7}, Limited: true, Sent: 4, Refused: 2, Paused: time.Second}}
+}
+
+func (h *fakeHost) PermitUsage() ([]ratelimit.Usage, bool) {
+	return []ratelimit.Usage{{Process: ratelimit.Process{Server: "engine-1", Incarnation: 7}, Granted: map[string]int{"waco-1": 3}, Waiting: 1}}, true
+}
+
 func (h *fakeHost) ControlStatus() ControlStatus {
 	return ControlStatus{Leader: "waco-1", Quorum: true}
 }
 
 func newHandler(fake *fakeHost) http.Handler {
+	web := echo.New()
+	newAPI(fake).RegisterRoutes(web)
+	return web
+}
+
+func newAPI(fake *fakeHost) *API {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	web := echo.New()
-	New(Dependencies{
-		Host: "waco-1", Proposer: fake, Replica: fake, Members: fake, Drainer: fake, BurnCollector: fake, Control: fake,
+	return New(Dependencies{
+		Host: "waco-1", Proposer: fake, Replica: fake, Members: fake, Drainer: fake, BurnCollector: fake, Control: fake, Notices: fake,
 		CaughtUp: func() bool { return !fake.catchingUp }, Now: func() time.Time { return time.UnixMilli(1000) }, Metrics: fake.metrics,
 		BootstrapKeySHA256: HashKey("first"), Logger: logrus.NewEntry(logger),
-	}).RegisterRoutes(web)
-	return web
+	})
 }
 
 // validConfiguration returns a configuration with an operator and a caller.
@@ -377,6 +391,37 @@
 	}
 }
 
+// TestNoticesAreListed guards against limits and pauses of backend servers that operators cannot
+// see, and against a limit of zero that is shown as none.
+func TestNoticesAreListed(t *testing.T) {
+	h := newHandler(&fakeHost{state: state.New()})
+	want := `{"host":"waco-1","leader":"waco-1","servers":[{"server":"engine-1","incarnation":7,"limited":true,"leaving":false,` +
+		`"paused_ms":1000,"sent_4s":4,"refused":2}],"permits":[{"server":"engine-1","incarnation":7,"per_second":0,"granted":{"waco-1":3},"waiting":1}]}`
+	if status, body := send(t, h, "GET", "/notices", "first", ""); status != http.StatusOK || strings.TrimSpace(body) != want {
+		t.Errorf("notices: status %d, body %s\nwant %s", status, body, want)
+	}
+}
+
+// TestLocalRoutes guards against a local address that needs a key, and against one on which
+// anyone on the machine can change the configuration or drain hosts.
+func TestLocalRoutes(t *testing.T) {
+	fake := &fakeHost{state: state.New()}
+	fake.state.Suspects = map[string]state.SuspectRecord{"77c0": {Quarantined: true}}
+	web := echo.New()
+	newAPI(fake).RegisterLocalRoutes(web)
+	for _, c := range []struct {
+		method, path string
+		status       int
+	}{
+		{"GET", "/status", http.StatusOK}, {"GET", "/hosts", http.StatusOK}, {"GET", "/suspects", http.StatusOK}, {"GET", "/notices", http.StatusOK},
+		{"POST", "/suspects/77c0/lift", http.StatusOK}, {"POST", "/configuration", http.StatusNotFound}, {"POST", "/hosts/bryan-1/drain", http.StatusNotFound},
+	} {
+		if status, body := send(t, web, c.method, c.path, "", ""); status != c.status {
+			t.Errorf("%s %s without a key: status %d, want %d, body %s", c.method, c.path, status, c.status, body)
+		}
+	}
+}
+
 // FuzzDecodeApply guards against panics and errors of other types for any apply
 // body.
 func FuzzDecodeApply(f *testing.F) {
--- a/node/admin/status.go
+++ b/node/admin/status.go
@@ -22,6 +22,9 @@
 	}
 	a.deps.Replica.View(func(s *state.State) {
 		out.Deployment, out.Version, out.AppliedIndex = s.Config.Deployment.Name, s.Config.Version, s.Index
+		if s.Published != nil {
+			out.Version = s.Published.Table.Version
+		}
 		for _, p := range s.Placements {
 			out.Placements[p.Phase]++
 		}
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"hash/fnv"
+	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -127,16 +129,24 @@
 	logger  *logrus.Entry
 	queue   chan line
 	dropped atomic.Int64
+
+	countsMu sync.Mutex
+	// counts holds the number of events by name, also those that are not logged.
+	counts map[string]int64
 }
 
 // New returns a Log. Run must be running for lines to be written to logger.
 func New(logger *logrus.Entry) *Log {
-	return &Log{logger: logger, queue: make(chan line, queueLines)}
+	return &Log{logger: logger, queue: make(chan line, queueLines), counts: map[string]int64{}}
 }
 
 // RecordRequest logs an event of the request with the given ID. It modifies f.
 func (l *Log) RecordRequest(id, event string, f Fields) {
-	if l == nil || event == EventAnswered && !sampled(id) {
+	if l == nil {
+		return
+	}
+	l.count(event)
+	if event == EventAnswered && !sampled(id) {
 		return
 	}
 	f[FieldRequest] = id
@@ -146,10 +156,27 @@
 // RecordStateChange logs a change of the process's view of the cluster. It modifies f.
 func (l *Log) RecordStateChange(event string, f Fields) {
 	if l != nil {
+		l.count(event)
 		l.enqueue(event, f)
 	}
 }
 
+func (l *Log) count(event string) {
+	l.countsMu.Lock()
+	defer l.countsMu.Unlock()
+	l.counts[event]++
+}
+
+// Counts returns the number of events by name, also those that were not logged.
+func (l *Log) Counts() map[string]int64 {
+	if l == nil {
+		return nil
+	}
+	l.countsMu.Lock()
+	defer l.countsMu.Unlock()
+	return maps.Clone(l.counts)
+}
+
 // Dropped returns the number of lines that were dropped because the queue was
 // full.
 func (l *Log) Dropped() int64 {
--- a/node/decision/decision_test.go
+++ b/node/decision/decision_test.go
@@ -36,6 +36,18 @@
 	})
 }
 
+// TestCounts guards against events that are missing from the metrics because they are not logged.
+func TestCounts(t *testing.T) {
+	l := New(logrus.NewEntry(logrus.New()))
+	for i := range 2 * queueLines {
+		l.RecordRequest(fmt.Sprint(i), EventAnswered, Fields{})
+		l.RecordStateChange(EventNotice, Fields{})
+	}
+	if got := l.Counts(); got[EventAnswered] != 2*queueLines || got[EventNotice] != 2*queueLines {
+		t.Errorf("counts %v, want %d of each event", got, 2*queueLines)
+	}
+}
+
 // Guards against hosts that sample different requests, and against a sample of the
 // wrong size. The sample depends on the request ID only.
 func TestAllHostsSampleTheSameRequests(t *testing.T) {
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -20,6 +20,7 @@
 	"github.com/pollenwheel/pollenwheel/core/placement"
 	"github.com/pollenwheel/pollenwheel/core/retry"
 	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/admin"
 	"github.com/pollenwheel/pollenwheel/node/bootclock"
 	"github.com/pollenwheel/pollenwheel/node/control"
 	"github.com/pollenwheel/pollenwheel/node/decision"
@@ -28,6 +29,7 @@
 	"github.com/pollenwheel/pollenwheel/node/permits"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 	"github.com/pollenwheel/pollenwheel/node/settings"
+	"github.com/pollenwheel/pollenwheel/node/telemetry"
 )
 
 // RoutedHostOptions configure a RoutedHost.
@@ -36,6 +38,9 @@
 	// CallerListenAddress is the listen address for callers. It is empty on hosts that
 	// serve none.
 	CallerListenAddress string
+	// OperatorListenAddress is the listen address for operators on the host's own machine,
+	// which needs no key. It must be a loopback address, or empty for none.
+	OperatorListenAddress string
 	// Protocol parses and sets the headers of callers and backend servers.
 	Protocol     forward.Protocol
 	ServerClient ServerClient
@@ -78,6 +83,9 @@
 	// permitServer is nil without the control role.
 	permitServer  *permits.Server
 	demandChanged chan struct{}
+	metrics       *telemetry.Metrics
+	// adminMetrics counts the requests of operators.
+	adminMetrics *admin.Metrics
 
 	ready          atomic.Bool
 	leaving        atomic.Bool
@@ -127,6 +135,9 @@
 		OnLeaving:  h.members.recordLeaving,
 		AskPermits: askPermits(h.leaderClient, permitHandler(h.permitServer), h.sender.Incarnation),
 	})
+	if err := h.createMetrics(); err != nil {
+		return nil, err
+	}
 	return h, h.listen()
 }
 
@@ -158,6 +169,9 @@
 			return err
 		}
 	}
+	if err := h.listenForOperators(); err != nil {
+		return err
+	}
 	for address, handler := range h.opts.Handlers {
 		if err := h.listenAt(address, handler(h), false); err != nil {
 			return err
--- /dev/null
+++ b/node/host/routed_operator.go
@@ -0,0 +1,129 @@
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/admin"
+	"github.com/pollenwheel/pollenwheel/node/telemetry"
+)
+
+// OperatorAddressError reports a listen address for operators that other machines can reach.
+type OperatorAddressError struct{ Address string }
+
+func (e *OperatorAddressError) Error() string {
+	return "host: the address for operators needs no key and must be a loopback address, not " + e.Address
+}
+
+// listenForOperators opens the local address for operators, if there is one. If the address
+// cannot be used, the host serves its callers without it.
+func (h *RoutedHost) listenForOperators() error {
+	address := h.opts.OperatorListenAddress
+	if address == "" {
+		return nil
+	}
+	ip, _, err := net.SplitHostPort(address)
+	if err != nil || !net.ParseIP(ip).IsLoopback() {
+		return &OperatorAddressError{address}
+	}
+	if err := h.listenAt(address, h.operatorHandler(), false); err != nil {
+		h.logger.WithError(err).Warn("cannot serve operators at the local address; callers are served without it")
+	}
+	return nil
+}
+
+// operatorHandler returns the handler of the local address for operators: metrics and the
+// routes of the administration API that need no key.
+func (h *RoutedHost) operatorHandler() http.Handler {
+	web := echo.New()
+	web.HideBanner, web.HidePort = true, true
+	admin.New(admin.Dependencies{
+		Host: h.opts.Settings.Host, Proposer: h.leaderClient, Replica: h.replica, Members: h.members, Control: h,
+		Notices: h.noticeReporter(), CaughtUp: h.ready.Load, Now: time.Now, Logger: h.logger, Metrics: h.adminMetrics,
+	}).RegisterLocalRoutes(web)
+	web.GET("/metrics", echo.WrapHandler(h.metrics.Handler()))
+	return web
+}
+
+func (h *RoutedHost) noticeReporter() noticeReporter {
+	return noticeReporter{h.requestForwarder, h.permitServer}
+}
+
+// ControlStatus returns the status of the group that holds the replicated log, as far as
+// this host knows it.
+func (h *RoutedHost) ControlStatus() admin.ControlStatus {
+	if h.group != nil {
+		return controlStatus(h.group.Status())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), controlStatusTimeout)
+	defer cancel()
+	return newestControlStatus(ctx, h.peers, h.members.ControlHosts())
+}
+
+// createMetrics creates the metrics of this host.
+func (h *RoutedHost) createMetrics() error {
+	var err error
+	if h.metrics, err = telemetry.NewMetrics(h.logger); err != nil {
+		return err
+	}
+	meter := h.metrics.Meter()
+	if h.adminMetrics, err = admin.NewMetrics(meter); err != nil {
+		return err
+	}
+	if err := createNoticeMetrics(meter, h.noticeReporter()); err != nil {
+		return err
+	}
+	if err := createSuspectMetrics(meter, h.replica); err != nil {
+		return err
+	}
+	const events = "pollenwheel.decisions"
+	if _, err := meter.Int64ObservableCounter(events, metric.WithUnit("{event}"),
+		metric.WithDescription("Events of requests and changes of state, by event of the decision log, also those that are not logged."),
+		metric.WithInt64Callback(h.observeDecisions)); err != nil {
+		return &telemetry.Error{Part: events, Err: err}
+	}
+	return nil
+}
+
+func (h *RoutedHost) observeDecisions(_ context.Context, o metric.Int64Observer) error {
+	for event, n := range h.decisions.Counts() {
+		o.Observe(n, metric.WithAttributes(attribute.String("event", event)))
+	}
+	return nil
+}
+
+// createSuspectMetrics creates the metrics of the requests and prompt parts that may have
+// crashed backend servers.
+func createSuspectMetrics(meter metric.Meter, r admin.Replica) error {
+	const name = "pollenwheel.suspects"
+	callback := func(_ context.Context, o metric.Int64Observer) error {
+		var tried, quarantined int64
+		now := time.Now().UnixMilli()
+		r.View(func(s *state.State) {
+			for _, rec := range s.Suspects {
+				switch {
+				case rec.Barred(now):
+					quarantined++
+				case rec.Suspect(now):
+					tried++
+				}
+			}
+		})
+		o.Observe(tried, metric.WithAttributes(attribute.String("state", string(admin.SuspectTried))))
+		o.Observe(quarantined, metric.WithAttributes(attribute.String("state", string(admin.SuspectQuarantined))))
+		return nil
+	}
+	if _, err := meter.Int64ObservableGauge(name, metric.WithUnit("{suspect}"),
+		metric.WithDescription("Requests and prompt parts that may have crashed backend servers, by state."),
+		metric.WithInt64Callback(callback)); err != nil {
+		return &telemetry.Error{Part: name, Err: err}
+	}
+	return nil
+}
--- a/node/host/routed_test.go
+++ b/node/host/routed_test.go
@@ -61,7 +61,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	r, err := NewRoutedHost(RoutedHostOptions{
-		Settings: s, CallerListenAddress: callerListenAddress, Protocol: testProtocol{}, RetryLimit: retry.Limit{Ratio: 0.2, Window: 10 * time.Second, Slack: 10},
+		Settings: s, CallerListenAddress: callerListenAddress, OperatorListenAddress: operatorAddress(s.CallerAddress), Protocol: testProtocol{}, RetryLimit: retry.Limit{Ratio: 0.2, Window: 10 * time.Second, Slack: 10},
 		ServeAfterLeave: serveAfterLeave, DepartureTimeout: time.Minute, Logger: logrus.NewEntry(logger),
 	})
 	if err != nil {
--- a/node/host/status.go
+++ b/node/host/status.go
@@ -41,6 +41,12 @@
 	if h.adminMetrics, err = admin.NewMetrics(meter); err != nil {
 		return err
 	}
+	if err := createNoticeMetrics(meter, noticeReporter{h.entry, h.permitServer}); err != nil {
+		return err
+	}
+	if err := createSuspectMetrics(meter, h.replica); err != nil {
+		return err
+	}
 	for _, i := range h.counters() {
 		if _, err := meter.Int64ObservableCounter(i.name, metric.WithUnit(i.unit),
 			metric.WithDescription(i.description), metric.WithInt64Callback(observe(i.read))); err != nil {
--- a/node/host/web.go
+++ b/node/host/web.go
@@ -11,6 +11,7 @@
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/admin"
 	"github.com/pollenwheel/pollenwheel/node/backend"
+	"github.com/pollenwheel/pollenwheel/node/peer"
 )
 
 // AddressAnswer is the body of GET /v1/addresses.
@@ -90,6 +91,7 @@
 		Host: h.settings.Host, Proposer: h.leaderClient, Replica: h.replica, Members: h.members, Drainer: h,
 		BurnCollector: h.burn, Control: h, CaughtUp: h.ready.Load, Now: time.Now,
 		BootstrapKeySHA256: h.settings.BootstrapKeySHA256, Logger: h.logger, Metrics: h.adminMetrics,
+		Notices: noticeReporter{h.entry, h.permitServer},
 	})
 }
 
@@ -114,11 +116,16 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), controlStatusTimeout)
 	defer cancel()
-	hosts := h.members.ControlHosts()
+	return newestControlStatus(ctx, h.peers, h.members.ControlHosts())
+}
+
+// newestControlStatus queries control hosts and returns the status with the highest term,
+// preferably one that reports a quorum.
+func newestControlStatus(ctx context.Context, peers *peer.Client, hosts map[string]string) admin.ControlStatus {
 	answers := make(chan admin.ControlStatus, len(hosts))
 	for _, address := range hosts {
 		go func() {
-			s, err := h.peers.Status(ctx, address)
+			s, err := peers.Status(ctx, address)
 			if err != nil {
 				answers <- admin.ControlStatus{}
 				return
