forward, host: refuse the requests that still wait for a server when a planned stop ends

Cause: at the end of its time, a departure closes all connections, also those of requests that have reached no server and still wait for one. These are known not to have run. Change: half a second before the end, waiting requests get 503 with a time to come back, and no further attempt begins. Attempts in progress go on as before. Evidence: TestPlannedStopRefusesWaitingRequests got a closed connection before and gets 503 now.

--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -102,6 +102,10 @@
 	// trials is the number of trials that this process has begun.
 	trials atomic.Uint64
 
+	// waitingStopped is closed by stopWaiting.
+	waitingStopped chan struct{}
+	stopWaiting    func()
+
 	keepAlivesDisabled atomic.Bool
 	admissionStopped   atomic.Bool
 	inFlight           atomic.Int64
@@ -151,6 +155,8 @@
 	f.permits = permits.NewClient(permits.ClientOptions{
 		Lock: &f.mu, Table: notices, Ask: o.AskPermits, Now: o.Now, Applied: f.permitsApplied,
 	})
+	f.waitingStopped = make(chan struct{})
+	f.stopWaiting = sync.OnceFunc(func() { close(f.waitingStopped) })
 	f.view.Store(&admissionView{})
 	return f
 }
@@ -187,6 +193,10 @@
 // that they have not run.
 func (f *Forwarder) StopAdmission() { f.admissionStopped.Store(true) }
 
+// StopWaiting makes the Forwarder refuse the requests that wait for a server, and begin no
+// further attempts. Attempts in progress continue.
+func (f *Forwarder) StopWaiting() { f.stopWaiting() }
+
 // InFlight returns the number of requests in flight.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -266,6 +266,10 @@
 		f.releaseWant(c)
 	}()
 	for {
+		if f.hasStoppedWaiting() {
+			c.endWithoutServer(unavailableRetryAfter, "host is leaving and waits for no further server")
+			return routing.Attempt{}, false
+		}
 		suspected := f.suspicionOf(c)
 		if suspected.refused {
 			c.endWithoutServer(suspected.retryAfter, suspected.reason)
@@ -305,6 +309,7 @@
 		case <-rebuilt:
 		case <-timer.C:
 		case <-c.ctx.Done():
+		case <-f.waitingStopped:
 		}
 		timer.Stop()
 		c.waitTime += f.opts.Now() - waitStart
@@ -315,6 +320,15 @@
 	}
 }
 
+func (f *Forwarder) hasStoppedWaiting() bool {
+	select {
+	case <-f.waitingStopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // noticePollInterval is how often a request looks again whether its servers want requests.
 // It is shorter than the time after which its want of a permit is forgotten.
 const noticePollInterval = 150 * time.Millisecond
--- a/node/host/routed_lifecycle.go
+++ b/node/host/routed_lifecycle.go
@@ -66,7 +66,8 @@
 // host is removed from the address list and transfers its leadership. It accepts
 // requests for as long as callers keep the list, then closes its listener and refuses
 // further requests, and returns once none has arrived for departureQuietTime and those
-// in progress have ended, or DepartureTimeout has passed. Connections stay open until
+// in progress have ended, or DepartureTimeout has passed. Requests that wait for a server
+// are refused shortly before that. Connections stay open until
 // then: closing an idle one could cut off a request that has just been read. A host
 // without callers returns after leaveGossipPeriod. running ends when another
 // component of the process ends; runDeparture then returns early.
@@ -89,8 +90,11 @@
 		return nil
 	}
 	h.requestForwarder.StopAdmission()
-	departureCtx, cancel := context.WithTimeout(running, h.opts.DepartureTimeout-h.opts.ServeAfterLeave)
+	remaining := h.opts.DepartureTimeout - h.opts.ServeAfterLeave
+	departureCtx, cancel := context.WithTimeout(running, remaining)
 	defer cancel()
+	stopWaiting := time.AfterFunc(remaining-refuseWaitingMargin, h.requestForwarder.StopWaiting)
+	defer stopWaiting.Stop()
 	for _, l := range callers {
 		if err := l.Close(); err != nil {
 			h.logger.WithError(err).Warn("cannot close the listener for callers")
@@ -108,6 +112,11 @@
 // received the answer that announces the close.
 const departureQuietTime = 100 * time.Millisecond
 
+// refuseWaitingMargin is how long before the end of DepartureTimeout the requests that still
+// wait for a server are refused. It leaves the time to write the refusals: at the end of the
+// departure, requests are cut off without an answer.
+const refuseWaitingMargin = 500 * time.Millisecond
+
 // routedTransferTimeout bounds a transfer of leadership. It is part of
 // DepartureTimeout.
 const routedTransferTimeout = time.Second
--- a/node/host/routed_test.go
+++ b/node/host/routed_test.go
@@ -57,12 +57,18 @@
 }
 
 func startRouted(t *testing.T, s settings.Settings, callerListenAddress string, serveAfterLeave time.Duration) *testHost {
+	t.Helper()
+	return startRoutedUntil(t, s, callerListenAddress, serveAfterLeave, time.Minute)
+}
+
+// startRoutedUntil starts a host whose departure takes departureTimeout at most.
+func startRoutedUntil(t *testing.T, s settings.Settings, callerListenAddress string, serveAfterLeave, departureTimeout time.Duration) *testHost {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	r, err := NewRoutedHost(RoutedHostOptions{
 		Settings: s, CallerListenAddress: callerListenAddress, OperatorListenAddress: operatorAddress(s.CallerAddress), Protocol: testProtocol{}, RetryLimit: retry.Limit{Ratio: 0.2, Window: 10 * time.Second, Slack: 10},
-		ServeAfterLeave: serveAfterLeave, DepartureTimeout: time.Minute, Logger: logrus.NewEntry(logger),
+		ServeAfterLeave: serveAfterLeave, DepartureTimeout: departureTimeout, Logger: logrus.NewEntry(logger),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -114,6 +120,13 @@
 // publishes a route to a backend server. It returns the hosts and the URL for
 // callers.
 func startDeployment(t *testing.T, backend string, serveAfterLeave time.Duration) (control, callerHost *testHost, url string) {
+	t.Helper()
+	return startDeploymentUntil(t, backend, serveAfterLeave, time.Minute)
+}
+
+// startDeploymentUntil is startDeployment with a limit on the departure of the host that
+// serves callers.
+func startDeploymentUntil(t *testing.T, backend string, serveAfterLeave, departureTimeout time.Duration) (control, callerHost *testHost, url string) {
 	t.Helper()
 	core := settings.Settings{
 		Host: "core", DataCentre: "waco", CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), Control: true,
@@ -122,10 +135,10 @@
 	core.Voters = []settings.Peer{{Name: core.Host, Address: core.PeerAddress}}
 	control = startRouted(t, core, "", 0)
 	address := freeAddress(t)
-	callerHost = startRouted(t, settings.Settings{
+	callerHost = startRoutedUntil(t, settings.Settings{
 		Host: "front", DataCentre: "waco", CallerAddress: address, PeerAddress: freeAddress(t), AnnounceAcrossDataCentres: true,
 		Seeds: []string{core.PeerAddress}, Voters: core.Voters, Peers: core.Voters,
-	}, address, serveAfterLeave)
+	}, address, serveAfterLeave, departureTimeout)
 	table := route.Table{Version: 1, Services: []route.Service{{Name: "ledger"}}, Routes: []route.Route{{
 		Name: "orders", Host: "h", Prefix: "/", Kind: route.Unsafe, Timeout: time.Minute, MaxAttempts: 1,
 		Targets: []route.Target{{Service: "ledger", Weight: 1}},
@@ -210,6 +223,35 @@
 	}
 }
 
+// TestPlannedStopRefusesWaitingRequests guards against a planned stop at whose end a request that
+// still waits for a backend server is cut off without an answer (hunt-6111-31).
+func TestPlannedStopRefusesWaitingRequests(t *testing.T) {
+	backend, _, _ := slowBackend(t)
+	control, callerHost, url := startDeploymentUntil(t, backend.Listener.Addr().String(), 0, refuseWaitingMargin+100*time.Millisecond)
+	control.RecordLeaveNotice("ledger-1")
+	await(t, "the host for callers knows that the only backend server has left", func() bool {
+		servers := callerHost.members.Servers()
+		return len(servers) == 1 && servers[0].Leaving
+	})
+	type answer struct {
+		status int
+		err    error
+	}
+	waiting := make(chan answer, 1)
+	go func() {
+		status, _, err := sendRequest(url, "/waiting")
+		waiting <- answer{status, err}
+	}()
+	await(t, "the request waits", func() bool { return callerHost.requestForwarder.InFlight() == 1 })
+	callerHost.stop()
+	if a := <-waiting; a.err != nil || a.status != http.StatusServiceUnavailable {
+		t.Errorf("the request that waits ended with %+v, want status 503", a)
+	}
+	if err := <-callerHost.ended; err != nil {
+		t.Errorf("the host ended with error %v", err)
+	}
+}
+
 // TestPlannedStopAnswersOpenConnections guards against a planned stop that closes the
 // idle connections of callers: a request that has just been read on one of them would
 // be cut off without an answer. It is answered as not run instead.
