--- a/core/ratelimit/simulation_test.go
+++ b/core/ratelimit/simulation_test.go
@@ -386,6 +386,7 @@
 		s := newSimulation(1, simOptions{hosts: hosts, perSecond: 10, demand: 5, duration: 30 * sec})
 		s.run()
 		slices.Sort(s.waits)
+		t.Logf("%d hosts: median %s, p99 %s, %.1f messages a second", hosts, s.waits[len(s.waits)/2], s.waits[len(s.waits)*99/100], float64(s.messages)/s.opts.duration.Seconds())
 		if median := s.waits[len(s.waits)/2]; median > 4*simLinkDelay {
 			t.Errorf("%d hosts: requests at half of the limit wait %s at the median, want two messages of %s", hosts, median, simLinkDelay)
 		}
