notice: never take a limit that cannot be read for none

Cause: a value beyond the range of numbers that is no decimal number either, such as 1e70_0, was neither a limit nor invalid, so it ended the limit before. Change: the form of a value is checked before its size.

--- a/core/notice/read.go
+++ b/core/notice/read.go
@@ -62,15 +62,16 @@
 		}
 	}
 	value, err := strconv.ParseFloat(strings.TrimSpace(f.Values[0]), 64)
-	if err != nil && math.IsInf(value, 1) {
+	switch {
+	case !isDecimal(f.Values[0]):
+	case err == nil:
+		return value, true
+	case math.IsInf(value, 1):
 		// The number exceeds the range of float64. It is a limit that restricts nothing.
-		return math.MaxFloat64, isDecimal(f.Values[0])
+		return math.MaxFloat64, true
 	}
-	if err != nil || !isDecimal(f.Values[0]) {
-		n.addInvalid(f)
-		return 0, false
-	}
-	return value, true
+	n.addInvalid(f)
+	return 0, false
 }
 
 // isDecimal reports whether text is a decimal number of zero or more. ParseFloat also
--- a/core/notice/read_test.go
+++ b/core/notice/read_test.go
@@ -57,3 +57,25 @@
 		})
 	}
 }
+
+// FuzzRead guards against values of a faulty server that set a limit or a pause which is no number,
+// negative or endless, or that fill the log.
+func FuzzRead(f *testing.F) {
+	for _, value := range []string{"3.7", "-1", "NaN", "1e999", "0x10", "1e-400", " 2 ", "1e+", "٣"} {
+		f.Add(value, value, true)
+	}
+	f.Fuzz(func(t *testing.T, limit, pause string, refused bool) {
+		n := Read(Fields{Limit: Field{"L", []string{limit}}, Pause: Field{"P", []string{pause}}, Refused: refused})
+		if !(n.PerSecond >= 0) || n.LimitNamed == n.LimitInvalid {
+			t.Errorf("limit %q: %+v", limit, n)
+		}
+		if n.Pause < 0 || n.Pause > MaxPause || n.Pause > 0 && !refused {
+			t.Errorf("pause %q: %s", pause, n.Pause)
+		}
+		for _, v := range n.Invalid {
+			if len(v.Value) > maxLoggedValue {
+				t.Errorf("a value of %d bytes is kept", len(v.Value))
+			}
+		}
+	})
+}
