storage: refuse a file with damaged pages before bbolt looks for its free pages

Cause: the content was verified by a read-only open, which reads keys and values only. The open for writing then walks all pages to find the free ones; a damaged number of overflow pages keeps that walk busy for billions of pages, and other damage panics in a goroutine of the library. Change: the structure of all pages in use is checked before: IDs, flags, overflow, order of keys, bounds of elements, pages used twice.

--- a/node/storage/storage_test.go
+++ b/node/storage/storage_test.go
@@ -123,6 +123,46 @@
 	t.Logf("%d refused, %d in unused space", refused, unchanged)
 }
 
+// TestDamagedPageHeadersAreRefused guards against a start that never ends, or ends the process, since
+// damage is noticed only while bbolt looks for the free pages.
+func TestDamagedPageHeadersAreRefused(t *testing.T) {
+	source := t.TempDir()
+	want := writeBusyMember(t, source)
+	file, err := os.ReadFile(filepath.Join(source, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), fileName)
+	rng := rand.New(rand.NewSource(2))
+	refused := 0
+	for page := firstDataPage; page < len(file)/pageSize; page++ {
+		for offset := range pageHeaderBytes {
+			corrupted := bytes.Clone(file)
+			corrupted[page*pageSize+offset] ^= byte(1 + rng.Intn(255))
+			if err := os.WriteFile(path, corrupted, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			s, got, err := Open(Options{Folder: filepath.Dir(path), Host: "h1"})
+			var corruption *CorruptionError
+			switch {
+			case err != nil && !errors.As(err, &corruption):
+				t.Fatalf("page %d, byte %d: error %v, want a CorruptionError", page, offset, err)
+			case err != nil:
+				refused++
+			default:
+				_ = s.Close()
+				if !reflect.DeepEqual(got.Initial, want) {
+					t.Fatalf("page %d, byte %d: opened with changed content", page, offset)
+				}
+			}
+		}
+	}
+	if refused == 0 {
+		t.Error("no damage was refused")
+	}
+	t.Logf("%d of %d refused, the others in free pages", refused, pageHeaderBytes*(len(file)/pageSize-firstDataPage))
+}
+
 // TestTornWrite guards against a torn write that changes the content: pages of an
 // unacknowledged transaction, whose meta page was not written, must be ignored.
 func TestTornWrite(t *testing.T) {
--- a/node/storage/verify.go
+++ b/node/storage/verify.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"os"
 
 	bolt "go.etcd.io/bbolt"
@@ -16,6 +17,8 @@
 // checksum. The offsets count from the end of the page header.
 const (
 	pageHeaderBytes    = 16
+	metaRootOffset     = 16
+	metaEndOffset      = 40
 	metaTxOffset       = 48
 	metaChecksumOffset = 56
 	metaBytes          = 64
@@ -30,7 +33,7 @@
 // verifyFile reads and checks all content of the file. It opens the file only for
 // reading, and must succeed before the file is opened for writing.
 func verifyFile(path string) (v verifiedContent, err error) {
-	if err := checkMetaPages(path); err != nil {
+	if err := checkStructure(path); err != nil {
 		return v, err
 	}
 	defer recoverCorruption(&err)
@@ -51,33 +54,46 @@
 	}
 }
 
-// checkMetaPages checks that both meta pages are intact and belong to consecutive
-// transactions. If the newer page is corrupt, bbolt uses the older one, which
-// would lose an acknowledged transaction. A torn write cannot corrupt a meta page,
-// because its fields lie within one sector.
-func checkMetaPages(path string) error {
+// checkStructure checks the meta pages and all pages in use of the file.
+func checkStructure(path string) error {
 	f, err := os.Open(path)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = f.Close() }()
+	root, end, err := checkMetaPages(f)
+	if err != nil {
+		return err
+	}
+	return checkPages(f, root, end)
+}
+
+// checkMetaPages checks that both meta pages are intact and belong to consecutive
+// transactions. If the newer page is corrupt, bbolt uses the older one, which
+// would lose an acknowledged transaction. A torn write cannot corrupt a meta page,
+// because its fields lie within one sector. It returns the root page and the end of the
+// pages of the newer one.
+func checkMetaPages(f io.ReaderAt) (root, end uint64, err error) {
 	var txIDs [2]uint64
 	for i := range txIDs {
 		var b [metaBytes]byte
 		if _, err := f.ReadAt(b[:], int64(i*pageSize+pageHeaderBytes)); err != nil {
-			return corruptionErrorf("meta page %d: %v", i, err)
+			return 0, 0, corruptionErrorf("meta page %d: %v", i, err)
 		}
 		hash := fnv.New64a()
 		_, _ = hash.Write(b[:metaChecksumOffset])
 		if hash.Sum64() != binary.NativeEndian.Uint64(b[metaChecksumOffset:]) {
-			return corruptionErrorf("meta page %d does not match its checksum", i)
+			return 0, 0, corruptionErrorf("meta page %d does not match its checksum", i)
 		}
 		txIDs[i] = binary.NativeEndian.Uint64(b[metaTxOffset:])
+		if i == 0 || txIDs[1] > txIDs[0] {
+			root, end = binary.NativeEndian.Uint64(b[metaRootOffset:]), binary.NativeEndian.Uint64(b[metaEndOffset:])
+		}
 	}
 	if max(txIDs[0], txIDs[1])-min(txIDs[0], txIDs[1]) != 1 {
-		return corruptionErrorf("meta pages belong to transactions %d and %d, which are not consecutive", txIDs[0], txIDs[1])
+		return 0, 0, corruptionErrorf("meta pages belong to transactions %d and %d, which are not consecutive", txIDs[0], txIDs[1])
 	}
-	return nil
+	return root, end, nil
 }
 
 // readAll reads all records of tx into v and checks them.
