--- a/core/ratelimit/simulation_test.go
+++ b/core/ratelimit/simulation_test.go
@@ -115,8 +115,8 @@
 	s.events = append(s.events, simEvent{s.now + d, run})
 }
 
-// run plays the simulation and returns the requests that the server got.
-func (s *simulation) run() []time.Duration {
+// run plays the simulation.
+func (s *simulation) run() {
 	led := true
 	for ; s.now < s.opts.duration; s.now += simTick {
 		if leads := s.leads(); leads != led {
@@ -146,7 +146,6 @@
 			}
 		}
 	}
-	return s.arrivals
 }
 
 // arrive adds the requests of callers.
--- a/core/residency/limit_test.go
+++ b/core/residency/limit_test.go
@@ -23,9 +23,10 @@
 	return f
 }
 
-// ordersAtRate returns the servers that get orders for the sake of a model while one request
-// for it arrives in each second. It calls before before each step.
-func (f *fixture) ordersAtRate(model string, before func(step int)) map[string]bool {
+// ordersAtRate returns the servers that get orders for the sake of the model a while one
+// request for it arrives in each second. It calls before before each step.
+func (f *fixture) ordersAtRate(before func(step int)) map[string]bool {
+	const model = "a"
 	out := map[string]bool{}
 	d := Demand{Host: "h", Target: Target{Model: model}}
 	for step := range 60 {
@@ -63,7 +64,7 @@
 					f.in.Servers[i].OnDisk = []string{"a"}
 				}
 			}
-			if got := f.ordersAtRate("a", func(int) {})["other"]; got != c.want {
+			if got := f.ordersAtRate(func(int) {})["other"]; got != c.want {
 				t.Errorf("the other server got an order for model a: %t, want %t", got, c.want)
 			}
 		})
@@ -80,7 +81,7 @@
 	}{{"with a limit", true, false}, {"without a limit", false, true}} {
 		t.Run(c.name, func(t *testing.T) {
 			f := limitedFixture(0.2, map[string][]HeldModel{"limited": {{Model: "b"}}})
-			orders := f.ordersAtRate("a", func(step int) {
+			orders := f.ordersAtRate(func(step int) {
 				f.in.Servers[0].Limited = c.limited
 				// The server comes once the rate of the requests is known.
 				f.in.Servers[0].Silent = step < 20
@@ -96,7 +97,7 @@
 // after the limit of their server has ended.
 func TestModelIsServedAgainWhereALimitEnds(t *testing.T) {
 	f := limitedFixture(0, map[string][]HeldModel{"limited": {{Model: "a"}}})
-	f.ordersAtRate("a", func(int) {})
+	f.ordersAtRate(func(int) {})
 	for i := range f.in.Servers {
 		f.in.Servers[i].Limited = false
 	}
@@ -115,7 +116,7 @@
 			f.in.Servers[i].OnDisk = []string{"a"}
 		}
 	}
-	orders := f.ordersAtRate("a", func(step int) {
+	orders := f.ordersAtRate(func(step int) {
 		for i := range f.in.Servers {
 			// The servers come once the rate of the requests is known.
 			f.in.Servers[i].Silent = step < 20
