--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -4,12 +4,8 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"runtime/debug"
-	"strconv"
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/exchange"
@@ -17,7 +13,6 @@
 	"github.com/pollenwheel/pollenwheel/core/route"
 	"github.com/pollenwheel/pollenwheel/core/routing"
 	"github.com/pollenwheel/pollenwheel/core/state"
-	"github.com/pollenwheel/pollenwheel/core/waitpolicy"
 	"github.com/pollenwheel/pollenwheel/node/decision"
 )
 
@@ -148,28 +143,6 @@
 	return true
 }
 
-// logPanic logs an unexpected panic of the handling of a request and passes it on, so
-// that the server closes the connection. The process and its other requests continue.
-func (c *call) logPanic() {
-	cause := recover()
-	if cause == nil {
-		return
-	}
-	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-		c.logEvent(decision.EventAborted, decision.Fields{decision.FieldReason: fmt.Sprintf("unexpected error: %v at %s", cause, panicOrigin())})
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// maxPanicOrigin is the maximum number of bytes of a stack trace in a log line.
-const maxPanicOrigin = 2 << 10
-
-// panicOrigin returns the beginning of the stack trace of the current goroutine.
-func panicOrigin() string {
-	stack := debug.Stack()
-	return string(stack[:min(len(stack), maxPanicOrigin)])
-}
-
 // computeFingerprint returns a hash of the method, host, URI, model, adapter and
 // body of the request.
 func (c *call) computeFingerprint() string {
@@ -251,217 +224,3 @@
 		c.forwarder.recordBegun(c)
 	}
 }
-
-// acquireServer selects a server and waits for one if necessary. If no server is
-// expected in time, it ends the request and returns false.
-func (c *call) acquireServer() (routing.Attempt, bool) {
-	f := c.forwarder
-	target := residency.Target{Model: c.key.Model, Adapter: c.key.Adapter}
-	waiting := false
-	trialWait := time.Duration(0)
-	defer func() {
-		if waiting {
-			f.endWait(target, c)
-		}
-		f.releaseWant(c)
-	}()
-	for {
-		if f.hasStoppedWaiting() {
-			c.endWithoutServer(unavailableRetryAfter, "host is leaving and waits for no further server")
-			return routing.Attempt{}, false
-		}
-		suspected := f.suspicionOf(c)
-		if suspected.refused {
-			c.endWithoutServer(suspected.retryAfter, suspected.reason)
-			return routing.Attempt{}, false
-		}
-		attempt, rebuilt, forecast, ok := f.pickServer(c, len(suspected.parts) > 0)
-		if ok && len(suspected.parts) > 0 {
-			if sent, ended := c.tryTrial(attempt, suspected.parts, &trialWait); sent || ended {
-				return attempt, sent
-			}
-			continue
-		}
-		if ok {
-			return attempt, true
-		}
-		if rebuilt == nil {
-			c.endWithoutServer(unavailableRetryAfter, "no other backend server holds the target")
-			return attempt, false
-		}
-		now := f.opts.Now()
-		decided := waitpolicy.Decide(now, c.waitRequest(), forecast)
-		if !decided.Wait {
-			f.recordRefusal(target, decided.RetryAfter)
-			c.endUnserved(decided.RetryAfter)
-			return attempt, false
-		}
-		if !waiting {
-			waiting = true
-			f.beginWait(target, c)
-		}
-		waitStart := now
-		if c.restricted {
-			decided.Until = min(decided.Until, now+noticePollInterval)
-		}
-		timer := time.NewTimer(decided.Until - now)
-		select {
-		case <-rebuilt:
-		case <-timer.C:
-		case <-c.ctx.Done():
-		case <-f.waitingStopped:
-		}
-		timer.Stop()
-		c.waitTime += f.opts.Now() - waitStart
-		if c.inbound.Context().Err() != nil {
-			c.logEvent(decision.EventCallerLeft, decision.Fields{decision.FieldReason: "caller left while waiting for a server"})
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
-func (f *Forwarder) hasStoppedWaiting() bool {
-	select {
-	case <-f.waitingStopped:
-		return true
-	default:
-		return false
-	}
-}
-
-// noticePollInterval is how often a request looks again whether its servers want requests.
-// It is shorter than the time after which its want of a permit is forgotten.
-const noticePollInterval = 150 * time.Millisecond
-
-// endUnserved ends a request that no server is expected to take in time.
-func (c *call) endUnserved(retryAfter time.Duration) {
-	if c.restricted {
-		c.refuseRestricted(retryAfter)
-		return
-	}
-	c.endWithoutServer(retryAfter, "no backend server holds the target in time")
-}
-
-// waitRequest returns the request's time limits for core/waitpolicy. For a stream
-// whose headers were sent, the wait limit counts from the last event.
-func (c *call) waitRequest() waitpolicy.Request {
-	out := waitpolicy.Request{Arrived: c.arrivedAt, Deadline: c.deadline, WaitLimit: c.route.WaitLimit}
-	if c.headersSent {
-		out.Arrived = c.lastEventAt
-	}
-	return out
-}
-
-// endWithoutServer ends a request for which no server was found. retryAfter is
-// the Retry-After value if the request is refused.
-func (c *call) endWithoutServer(retryAfter time.Duration, reason string) {
-	switch c.exchange.ActionAtDeadline() {
-	case exchange.RejectNotRun:
-		c.refuse(http.StatusServiceUnavailable, retryAfter, reason)
-	case exchange.Abort:
-		c.abort(reason)
-	default:
-		c.fail(reason)
-	}
-}
-
-// finish executes the last action of an exchange.
-func (c *call) finish(action exchange.Action, attempt routing.Attempt, out attemptResult) {
-	switch action {
-	case exchange.Done:
-		if out.answer != nil {
-			c.deliverAnswer(out)
-		}
-		c.logAnswer(attempt)
-	case exchange.Deliver:
-		c.deliverAnswer(out)
-		c.logEvent(decision.EventFailed, decision.Fields{decision.FieldServer: attempt.Server, decision.FieldStatus: out.answer.StatusCode})
-	case exchange.RejectNotRun:
-		c.refuse(http.StatusServiceUnavailable, unavailableRetryAfter, out.reason)
-	case exchange.Abort:
-		c.abort(out.reason)
-	default:
-		c.fail(out.reason)
-	}
-}
-
-// logAnswer logs a complete answer, and whether it missed the route's objective or
-// maximum pause.
-func (c *call) logAnswer(attempt routing.Attempt) {
-	now := c.forwarder.opts.Now()
-	if c.firstOutputAt == 0 {
-		c.firstOutputAt = now
-	}
-	event := decision.EventAnswered
-	late := c.route.Objective > 0 && c.firstOutputAt-c.arrivedAt > c.route.Objective
-	if late || c.route.MaxPause > 0 && c.longestPause > c.route.MaxPause {
-		event = decision.EventLate
-	}
-	c.logEvent(event, decision.Fields{
-		decision.FieldServer: attempt.Server, decision.FieldEvents: c.eventCount, decision.FieldWaitMS: c.waitTime.Milliseconds(),
-		decision.FieldFirstMS: (c.firstOutputAt - c.arrivedAt).Milliseconds(), decision.FieldPauseMS: c.longestPause.Milliseconds(),
-	})
-}
-
-// deliverAnswer passes on a complete, buffered answer.
-func (c *call) deliverAnswer(out attemptResult) {
-	c.copyHeaders(out.answer.Header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(out.body)))
-	c.w.WriteHeader(out.answer.StatusCode)
-	if _, err := c.w.Write(out.body); err != nil {
-		c.logEvent(decision.EventCallerLeft, decision.Fields{decision.FieldReason: "caller left during the answer"})
-	}
-}
-
-func (c *call) copyHeaders(from http.Header) {
-	h := c.w.Header()
-	for name, values := range endToEndHeaders(from) {
-		h[name] = values
-	}
-}
-
-// refuse answers with a status that guarantees that the request has not run, or
-// that it is not served at all. A positive retryAfter is sent as Retry-After. It
-// always returns false, as the result of the function that refuses.
-func (c *call) refuse(status int, retryAfter time.Duration, reason string) bool {
-	if retryAfter > 0 {
-		c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
-	}
-	c.logEvent(decision.EventRefused, decision.Fields{
-		decision.FieldStatus: status, decision.FieldReason: reason, decision.FieldRetryAfterMS: retryAfter.Milliseconds(),
-	})
-	c.writeStatus(status)
-	return false
-}
-
-// fail answers a request that may have run, with status 504 after the deadline and
-// 502 before it.
-func (c *call) fail(reason string) {
-	status := http.StatusBadGateway
-	if c.forwarder.opts.Now() >= c.deadline {
-		status = http.StatusGatewayTimeout
-	}
-	c.logEvent(decision.EventFailed, decision.Fields{decision.FieldStatus: status, decision.FieldReason: reason})
-	c.writeStatus(status)
-}
-
-// writeStatus answers with a status and no body.
-func (c *call) writeStatus(status int) {
-	c.w.Header().Set("Content-Length", "0")
-	c.w.WriteHeader(status)
-}
-
-// abort breaks the connection in the middle of an answer, so that the answer cannot
-// look complete. It does not return.
-func (c *call) abort(reason string) {
-	c.logEvent(decision.EventAborted, decision.Fields{decision.FieldReason: reason, decision.FieldEvents: c.eventCount})
-	panic(http.ErrAbortHandler)
-}
-
-// logEvent writes an event of the request to the decision log.
-func (c *call) logEvent(event string, fields decision.Fields) {
-	fields[decision.FieldRoute], fields[decision.FieldService] = c.route.Name, c.key.Service
-	fields[decision.FieldModel], fields[decision.FieldAdapter] = c.key.Model, c.key.Adapter
-	fields[decision.FieldTookMS] = (c.forwarder.opts.Now() - c.arrivedAt).Milliseconds()
-	c.forwarder.opts.Decisions.RecordRequest(c.request.ID, event, fields)
-}
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"maps"
-	"reflect"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
-	"github.com/pollenwheel/pollenwheel/core/ratelimit"
 	"github.com/pollenwheel/pollenwheel/core/residency"
-	"github.com/pollenwheel/pollenwheel/core/route"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/control"
 	"github.com/pollenwheel/pollenwheel/node/decision"
@@ -225,76 +221,6 @@
 	})
 }
 
-// publishHoldings stores the holdings and wakes the streams if they have changed.
-// The caller holds the lock.
-func (t *leaderTerm) publishHoldings(list []residency.ServerHoldings) {
-	next := make(map[string]residency.ServerHoldings, len(list))
-	for _, s := range list {
-		next[s.Server] = s
-	}
-	if reflect.DeepEqual(next, t.holdings) {
-		return
-	}
-	t.holdings = next
-	close(t.changed)
-	t.changed = make(chan struct{})
-}
-
-// sendOrder sends one order and records its result. The lease is checked again when
-// the connection to the server is open, immediately before the order is sent.
-func (p *placer) sendOrder(ctx context.Context, t *leaderTerm, o residency.Order) {
-	ctx, cancel := context.WithTimeout(ctx, serverCallTimeout)
-	defer cancel()
-	result := residency.NotSent
-	if p.host.group.CheckLease() {
-		result = p.serverClient.Order(ctx, o, p.host.group.CheckLease)
-	}
-	p.host.decisions.RecordStateChange(decision.EventOrder, orderFields(o, result))
-	p.mu.Lock()
-	t.planner.RecordResult(p.host.now(), o, result)
-	p.mu.Unlock()
-	p.triggerPlan()
-}
-
-// orderFields returns the fields of the decision log for an order.
-func orderFields(o residency.Order, result residency.Result) decision.Fields {
-	f := decision.Fields{
-		decision.FieldServer: o.Server, decision.FieldModel: o.Model, decision.FieldAdapter: o.Adapter, decision.FieldFence: o.Fence,
-		decision.FieldAction: orderAction(o), decision.FieldOrder: o.ExpectedOrders, decision.FieldOutcome: result.String(),
-	}
-	if w := o.Reason; w.LoadModel != "" {
-		f[decision.FieldForModel], f[decision.FieldSource] = w.LoadModel, w.Source
-		f[decision.FieldGain], f[decision.FieldLoss] = w.Gain, w.Loss
-		f[decision.FieldOtherReplicas], f[decision.FieldWaiting] = w.OtherReplicas, w.Waiting
-	}
-	return f
-}
-
-// orderAction returns the action of an order in the decision log.
-func orderAction(o residency.Order) string {
-	if o.Load {
-		return "load"
-	}
-	return "unload"
-}
-
-// requestServerReport requests one report of a server and records the report or the
-// failure.
-func (p *placer) requestServerReport(ctx context.Context, t *leaderTerm, q residency.Inquiry) {
-	ctx, cancel := context.WithTimeout(ctx, serverCallTimeout)
-	defer cancel()
-	report, err := p.serverClient.Report(ctx, q)
-	f := decision.Fields{decision.FieldServer: q.Server, decision.FieldOrder: report.AcceptedOrders, decision.FieldOutcome: "received"}
-	if err != nil {
-		f[decision.FieldOutcome] = err.Error()
-	}
-	p.host.decisions.RecordStateChange(decision.EventReport, f)
-	p.mu.Lock()
-	t.planner.RecordReport(p.host.now(), q, report, err == nil)
-	p.mu.Unlock()
-	p.triggerPlan()
-}
-
 // acceptDemandReport stores the demand report of a host. It returns
 // *control.NotLeaderError if this host does not lead.
 func (p *placer) acceptDemandReport(r peer.DemandReport) ([]peer.Prediction, error) {
@@ -314,142 +240,3 @@
 	p.triggerPlan()
 	return nil, nil
 }
-
-// unexpiredDemand returns the demand of all hosts and discards expired reports.
-// The caller holds the lock.
-func (p *placer) unexpiredDemand(now time.Duration) []residency.Demand {
-	var out []residency.Demand
-	for _, host := range slices.Sorted(maps.Keys(p.reports)) {
-		r := p.reports[host]
-		if now-r.Now > demandExpiry {
-			delete(p.reports, host)
-			continue
-		}
-		for _, d := range r.Demand {
-			out = append(out, residency.Demand{
-				Host: host, Target: residency.Target{Model: d.Model, Adapter: d.Adapter},
-				Waiting: d.Waiting, Running: d.Running, Arrivals: d.Arrivals, RunningOn: d.RunningOn,
-				EarliestExpiry: d.EarliestDeadline,
-			})
-		}
-	}
-	return out
-}
-
-// streamHoldings sends the holdings of the servers while this host leads, and then
-// returns *control.NotLeaderError. The first update is complete. Later ones contain
-// only the servers whose holdings have changed.
-func (p *placer) streamHoldings(ctx context.Context, send func(peer.HoldingsUpdate) error) error {
-	sent := map[string]residency.ServerHoldings{}
-	complete := true
-	for {
-		p.mu.Lock()
-		t := p.term
-		if t == nil {
-			p.mu.Unlock()
-			return &control.NotLeaderError{}
-		}
-		current, changed := t.holdings, t.changed
-		p.mu.Unlock()
-		u := peer.HoldingsUpdate{Complete: complete}
-		now := p.host.now()
-		for _, name := range slices.Sorted(maps.Keys(current)) {
-			if complete || !reflect.DeepEqual(sent[name], current[name]) {
-				u.Servers = append(u.Servers, relativeHoldings(current[name], now))
-			}
-		}
-		if err := send(u); err != nil {
-			return err
-		}
-		sent, complete = current, false
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.ended:
-		case <-changed:
-		case <-time.After(holdingsInterval):
-		}
-	}
-}
-
-// relativeHoldings converts the times in s to durations from now, since hosts do not
-// share a clock.
-func relativeHoldings(s residency.ServerHoldings, now time.Duration) residency.ServerHoldings {
-	return shiftHoldings(s, -now)
-}
-
-// shiftHoldings returns a copy of s whose times are later by the given duration.
-func shiftHoldings(s residency.ServerHoldings, by time.Duration) residency.ServerHoldings {
-	s.Holdings = slices.Clone(s.Holdings)
-	for i := range s.Holdings {
-		s.Holdings[i].ReadyAt += by
-	}
-	return s
-}
-
-// residencyServers converts backend servers to the planner's input.
-func residencyServers(all []membership.ServerStatus) []residency.Server {
-	out := make([]residency.Server, 0, len(all))
-	for _, s := range all {
-		x := residency.Server{
-			Name: s.Name, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, Incarnation: s.Incarnation,
-			Sequence: s.Sequence, Leaving: s.Leaving, Silent: s.Silent,
-		}
-		for _, m := range s.Models {
-			if m.Adapter == "" {
-				x.Models = append(x.Models, residency.HeldModel{Model: m.Model, Adapters: adaptersOf(s.Models, m.Model)})
-			}
-		}
-		for _, c := range s.Cached {
-			switch c.Tier {
-			case membership.TierMemory:
-				x.InMemory = append(x.InMemory, c.Model)
-			case membership.TierDisk:
-				x.OnDisk = append(x.OnDisk, c.Model)
-			}
-		}
-		out = append(out, x)
-	}
-	return out
-}
-
-// limits returns the limits on requests that servers name, by server process.
-func (p *placer) limits() map[ratelimit.Process]float64 {
-	usage, _ := p.host.permitServer.Usage()
-	out := map[ratelimit.Process]float64{}
-	for _, u := range usage {
-		out[u.Process] = u.PerSecond
-	}
-	return out
-}
-
-// withLimits sets the limits on requests of the servers that name one.
-func withLimits(servers []residency.Server, limits map[ratelimit.Process]float64) []residency.Server {
-	for i, s := range servers {
-		p := ratelimit.Process{Server: s.Name, Incarnation: s.Incarnation}
-		if perSecond, ok := limits[p]; ok {
-			servers[i].Limited, servers[i].RequestsPerSecond = true, perSecond
-		}
-	}
-	return servers
-}
-
-// adaptersOf returns the adapters that are reported for a model.
-func adaptersOf(list []membership.ModelReport, model string) []string {
-	var out []string
-	for _, m := range list {
-		if m.Model == model && m.Adapter != "" {
-			out = append(out, m.Adapter)
-		}
-	}
-	return out
-}
-
-// publishedServices returns the services of the published route table, or nil if
-// none has been published.
-func publishedServices(s *state.State) []route.Service {
-	if s.Published == nil {
-		return nil
-	}
-	return s.Published.Table.Services
-}
--- a/node/host/routed_operator.go
+++ b/node/host/routed_operator.go
@@ -10,7 +10,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
-	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/admin"
 	"github.com/pollenwheel/pollenwheel/node/telemetry"
 )
@@ -70,21 +69,11 @@
 // createMetrics creates the metrics of this host.
 func (h *RoutedHost) createMetrics() error {
 	var err error
-	if h.metrics, err = telemetry.NewMetrics(h.logger); err != nil {
-		return err
-	}
-	meter := h.metrics.Meter()
-	if h.adminMetrics, err = admin.NewMetrics(meter); err != nil {
-		return err
-	}
-	if err := createNoticeMetrics(meter, h.noticeReporter()); err != nil {
-		return err
-	}
-	if err := createSuspectMetrics(meter, h.replica); err != nil {
+	if h.metrics, h.adminMetrics, err = newHostMetrics(h.logger, h.noticeReporter(), h.replica); err != nil {
 		return err
 	}
 	const events = "pollenwheel.decisions"
-	if _, err := meter.Int64ObservableCounter(events, metric.WithUnit("{event}"),
+	if _, err := h.metrics.Meter().Int64ObservableCounter(events, metric.WithUnit("{event}"),
 		metric.WithDescription("Events of requests and changes of state, by event of the decision log, also those that are not logged."),
 		metric.WithInt64Callback(h.observeDecisions)); err != nil {
 		return &telemetry.Error{Part: events, Err: err}
@@ -98,32 +87,3 @@
 	}
 	return nil
 }
-
-// createSuspectMetrics creates the metrics of the requests and prompt parts that may have
-// crashed backend servers.
-func createSuspectMetrics(meter metric.Meter, r admin.Replica) error {
-	const name = "pollenwheel.suspects"
-	callback := func(_ context.Context, o metric.Int64Observer) error {
-		var tried, quarantined int64
-		now := time.Now().UnixMilli()
-		r.View(func(s *state.State) {
-			for _, rec := range s.Suspects {
-				switch {
-				case rec.Barred(now):
-					quarantined++
-				case rec.Suspect(now):
-					tried++
-				}
-			}
-		})
-		o.Observe(tried, metric.WithAttributes(attribute.String("state", string(admin.SuspectTried))))
-		o.Observe(quarantined, metric.WithAttributes(attribute.String("state", string(admin.SuspectQuarantined))))
-		return nil
-	}
-	if _, err := meter.Int64ObservableGauge(name, metric.WithUnit("{suspect}"),
-		metric.WithDescription("Requests and prompt parts that may have crashed backend servers, by state."),
-		metric.WithInt64Callback(callback)); err != nil {
-		return &telemetry.Error{Part: name, Err: err}
-	}
-	return nil
-}
--- a/node/host/status.go
+++ b/node/host/status.go
@@ -34,19 +34,10 @@
 // createMetrics creates the metrics of this host.
 func (h *Host) createMetrics() error {
 	var err error
-	if h.metrics, err = telemetry.NewMetrics(h.logger); err != nil {
+	if h.metrics, h.adminMetrics, err = newHostMetrics(h.logger, noticeReporter{h.entry, h.permitServer}, h.replica); err != nil {
 		return err
 	}
 	meter := h.metrics.Meter()
-	if h.adminMetrics, err = admin.NewMetrics(meter); err != nil {
-		return err
-	}
-	if err := createNoticeMetrics(meter, noticeReporter{h.entry, h.permitServer}); err != nil {
-		return err
-	}
-	if err := createSuspectMetrics(meter, h.replica); err != nil {
-		return err
-	}
 	for _, i := range h.counters() {
 		if _, err := meter.Int64ObservableCounter(i.name, metric.WithUnit(i.unit),
 			metric.WithDescription(i.description), metric.WithInt64Callback(observe(i.read))); err != nil {
