--- a/core/ratelimit/grantor.go
+++ b/core/ratelimit/grantor.go
@@ -156,7 +156,7 @@
 // NextAt returns when the next permit is due that a host waits for, and false if none
 // is waited for.
 func (g *Grantor) NextAt(now time.Duration, reachable float64) (time.Duration, bool) {
-	earliest, any := time.Duration(0), false
+	earliest, found := time.Duration(0), false
 	for _, b := range g.servers {
 		if len(b.waiting) == 0 || !b.belief.limited {
 			continue
@@ -165,11 +165,11 @@
 		if rate := b.rate(reachable); b.tokens < 1 && rate > 0 {
 			at = max(now, b.filledAt+time.Duration(math.Ceil((1-b.tokens)/rate*float64(time.Second))))
 		}
-		if !any || at < earliest {
-			earliest, any = at, true
+		if !found || at < earliest {
+			earliest, found = at, true
 		}
 	}
-	return earliest, any
+	return earliest, found
 }
 
 // Limits returns the limits that are known and those that have ended lately, and their
--- a/core/routing/notice.go
+++ b/core/routing/notice.go
@@ -74,16 +74,16 @@
 	if t == nil || r.opts.Notices == nil {
 		return Restriction{}, false
 	}
-	first, any := Restriction{}, false
+	first, restricted := Restriction{}, false
 	for _, c := range t.candidates[:min(len(t.candidates), maxScanned)] {
 		if !r.available(now, c, q) {
 			continue
 		}
-		if found, ok := r.restrictionOf(now, c, q); ok && (!any || found.Delay < first.Delay) {
-			first, any = found, true
+		if x, ok := r.restrictionOf(now, c, q); ok && (!restricted || x.Delay < first.Delay) {
+			first, restricted = x, true
 		}
 	}
-	return first, any
+	return first, restricted
 }
 
 // restrictionOf returns the restriction of one candidate. A server that leaves has none,
