forward, state: find the model or adapter that crashes servers, and refuse requests for it

Cause: only whole requests and prompt parts were suspects of a crash. Change: on the users' platform the model and the adapter are parts of a request, before those of the prompt: same records, trials, quarantine, list and lift. The refusal names the model. Result: TestHarmfulModelStopsReachingServers, four loads in virtual time.

--- a/cmd/pollenctl/suspects.go
+++ b/cmd/pollenctl/suspects.go
@@ -15,7 +15,7 @@
 )
 
 func (e *environment) suspectsCommand(app *kingpin.Application) command {
-	clause := app.Command("suspects", "List the requests and prompt parts that may have crashed backend servers.")
+	clause := app.Command("suspects", "List the requests, prompt parts, models and adapters that may have crashed backend servers.")
 	return command{clause, func(ctx context.Context) (result, error) {
 		var out admin.SuspectsAnswer
 		err := e.fetch(ctx, "/suspects", &out)
--- a/core/evidence/evidence.go
+++ b/core/evidence/evidence.go
@@ -1,5 +1,5 @@
-// Package evidence remembers the prompt parts to which servers have begun to write an
-// answer. Such an answer shows that the part crashed no server before. The package
+// Package evidence remembers the parts of requests, such as the model and prompt parts,
+// with which servers have begun to write an answer. Such an answer shows that the part crashed no server before. The package
 // performs no I/O and reads no clock.
 package evidence
 
@@ -10,11 +10,11 @@
 // between two of them. A part that turns harmful is accused after this time.
 const freshFor = 2 * time.Second
 
-// maxParts is the number of prompt parts after which the older half of the memory is
+// maxParts is the number of parts after which the older half of the memory is
 // forgotten. An entry takes about 100 bytes, so a Begun stays below 4 MB.
 const maxParts = 1 << 14
 
-// Begun remembers, for each prompt part, the newest answer that has begun. It forgets
+// Begun remembers, for each part, the newest answer that has begun. It forgets
 // the parts that were not used for the longest time. It is not safe for concurrent use.
 type Begun struct {
 	// recent and older hold the newest answer by part. A part is in either.
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -242,7 +242,7 @@
 		t.Holder == other.Holder && t.Nonce == other.Nonce && t.ExpiresMS == other.ExpiresMS && slices.Equal(t.Parts, other.Parts)
 }
 
-// ClearSuspect clears a suspect request after a trial without a crash, or prompt parts
+// ClearSuspect clears a suspect request after a trial without a crash, or parts
 // after a server has begun to write an answer to a request with them.
 type ClearSuspect struct {
 	Fingerprint string   `json:"fingerprint,omitempty"`
--- a/core/state/part.go
+++ b/core/state/part.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
-// PartRecord is what is recorded of a prompt part beside its crashes. A part is a
-// suspect from a crash on until it is cleared. A crash under trial quarantines it.
+// PartRecord is what is recorded of a part of requests beside its crashes: a prompt part,
+// a model or an adapter, which several requests share. A part is a suspect from a crash
+// on until it is cleared. A crash under trial quarantines it.
 type PartRecord struct {
 	// Cleared is set once an answer to a request with the part has begun since the
 	// crashes. The record is kept to tell newer evidence from older.
@@ -36,21 +38,53 @@
 }
 
 const (
-	// firstQuarantine is the duration of the first quarantine of a prompt part. Its end
+	// firstQuarantine is the duration of the first quarantine of a part. Its end
 	// costs a server if the part is still harmful, so each further one lasts twice as
 	// long, up to maxQuarantine.
 	firstQuarantine = time.Minute
 	maxQuarantine   = 24 * time.Hour
 	// maxPartFingerprints and maxPartCrashes limit the fingerprints and crashes that a
-	// record of a prompt part keeps.
+	// record of a part keeps.
 	maxPartFingerprints = 4
 	maxPartCrashes      = 8
 )
 
-// PartKey returns the key of a prompt part in State.Suspects. Fingerprints are
-// hexadecimal, so no fingerprint equals it.
+// PartKey returns the key of a part in State.Suspects. Fingerprints are hexadecimal, so
+// no fingerprint equals it.
 func PartKey(id string) string { return "part:" + id }
 
+// modelPrefix and adapterPrefix are how the IDs begin of the parts that are a model or an
+// adapter.
+const (
+	modelPrefix   = "model:"
+	adapterPrefix = "adapter:"
+)
+
+// ModelPart returns the ID of the part that all requests for a model of a service share.
+func ModelPart(service, model string) string { return modelPrefix + service + "/" + model }
+
+// AdapterPart returns the ID of the part that all requests for an adapter share.
+func AdapterPart(service, model, adapter string) string {
+	return adapterPrefix + service + "/" + model + "/" + adapter
+}
+
+// IsPromptPart reports whether a part is a prompt part, and no model or adapter. Callers
+// choose the IDs of prompt parts.
+func IsPromptPart(id string) bool {
+	return !strings.HasPrefix(id, modelPrefix) && !strings.HasPrefix(id, adapterPrefix)
+}
+
+// DescribePart names a part for logs and refusals.
+func DescribePart(id string) string {
+	if name, ok := strings.CutPrefix(id, modelPrefix); ok {
+		return "model " + name
+	}
+	if name, ok := strings.CutPrefix(id, adapterPrefix); ok {
+		return "adapter " + name
+	}
+	return "prompt part " + id
+}
+
 // Barred reports whether requests are rejected at the given time, in Unix
 // milliseconds.
 func (r SuspectRecord) Barred(unixMS int64) bool {
@@ -179,11 +213,11 @@
 		rec := s.partRecord(id)
 		switch {
 		case rec.Part.Cleared:
-			return reject(CodeNotSuspect, "prompt part %s is not a suspect", id)
+			return reject(CodeNotSuspect, "%s is not a suspect", DescribePart(id))
 		case rec.Barred(s.ClockMS):
-			return reject(CodeQuarantined, "prompt part %s crashed backend servers", id)
+			return reject(CodeQuarantined, "%s crashed backend servers", DescribePart(id))
 		case s.trialOpen(rec.Trial) && !rec.Trial.Same(t):
-			return reject(CodeBusy, "a trial of prompt part %s runs on %s", id, rec.Trial.Server)
+			return reject(CodeBusy, "a trial of %s runs on %s", DescribePart(id), rec.Trial.Server)
 		}
 		alone = alone || rec.Part.UnclearedCrashes >= aloneAfterCrashes
 	}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -96,7 +96,7 @@
 	Outcome *Outcome `json:"outcome,omitempty"`
 }
 
-// SuspectRecord holds the crashes and the trial of a suspect request or prompt part.
+// SuspectRecord holds the crashes and the trial of a suspect request or part.
 type SuspectRecord struct {
 	// Crashes lists the server incarnations that ended with the request, or a request
 	// with the part, in flight, each as "server/incarnation".
@@ -107,7 +107,7 @@
 	Quarantined bool `json:"quarantined,omitempty"`
 	// LastIndex is the log index of the newest crash.
 	LastIndex uint64 `json:"last_index,omitempty"`
-	// Part holds what is recorded of prompt parts only.
+	// Part holds what is recorded of parts only.
 	Part *PartRecord `json:"part,omitempty"`
 }
 
@@ -142,7 +142,7 @@
 	Servers    map[string]Server          `json:"servers"`
 	Placements map[PlacementKey]Placement `json:"placements"`
 	Claims     map[string]ClaimRecord     `json:"claims"`
-	// Suspects contains suspect requests by fingerprint and prompt parts by PartKey.
+	// Suspects contains suspect requests by fingerprint and parts by PartKey.
 	Suspects map[string]SuspectRecord `json:"suspects"`
 	// SuspectsIndex is the index of the command that last changed Suspects.
 	SuspectsIndex uint64 `json:"suspects_index,omitempty"`
--- a/core/state/suspect.go
+++ b/core/state/suspect.go
@@ -49,7 +49,7 @@
 	return Result{}
 }
 
-// maxSuspects is the maximum number of suspect requests and prompt parts that are
+// maxSuspects is the maximum number of suspect requests and parts that are
 // kept, so that callers that send ever new ones do not fill the state.
 const maxSuspects = 4096
 
--- a/node/admin/suspects.go
+++ b/node/admin/suspects.go
@@ -27,10 +27,10 @@
 	Suspects []SuspectStatus `json:"suspects"`
 }
 
-// SuspectStatus is a request or a prompt part that may have crashed backend servers.
+// SuspectStatus is a request, a prompt part, a model or an adapter that may have crashed backend servers.
 type SuspectStatus struct {
 	// Key is the hash of the content of a request, or "part:" and the ID of a prompt
-	// part.
+	// part, "model:SERVICE/MODEL" or "adapter:SERVICE/MODEL/ADAPTER".
 	Key   string       `json:"key"`
 	State SuspectState `json:"state"`
 	// Crashes are the newest backend server processes that ended, each as
@@ -38,7 +38,7 @@
 	Crashes []string `json:"crashes"`
 	// TrialServer is the server of the open trial, if any.
 	TrialServer string `json:"trial_server,omitempty"`
-	// UntilMS is the end of the quarantine of a prompt part, in Unix milliseconds. The
+	// UntilMS is the end of the quarantine of a part, in Unix milliseconds. The
 	// quarantine of a request does not end by itself.
 	UntilMS int64 `json:"until_ms,omitempty"`
 }
--- a/node/forward/crash.go
+++ b/node/forward/crash.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// recordPeriod is how long a crash with accused prompt parts is proposed again if the
+	// recordPeriod is how long a crash with accused parts is proposed again if the
 	// log does not accept it, and recordPause the time between two proposals. It is
 	// longer than most outages of the control hosts.
 	recordPeriod = 30 * time.Second
@@ -28,15 +28,14 @@
 // one crashes the server before.
 type interruptedRequest struct {
 	id, fingerprint string
-	promptParts     []string
-	// answered and accused are the prompt parts that are known to be harmless, and the
-	// others.
+	parts           []string
+	// answered and accused are the parts that are known to be harmless, and the others.
 	answered, accused []string
 	trial             *state.Trial
 }
 
 // checkInterruption checks whether the server of an attempt whose connection broke has
-// crashed. It waits for the record of a crash if a prompt part may have caused it,
+// crashed. It waits for the record of a crash if a part of the request may have caused it,
 // because a repetition before could crash another server.
 func (c *call) checkInterruption(attempt routing.Attempt) {
 	f := c.forwarder
@@ -44,10 +43,10 @@
 		go f.checkCrash(attempt, nil)
 		return
 	}
-	request := &interruptedRequest{id: c.request.ID, fingerprint: c.fingerprint, promptParts: c.request.PromptParts, trial: c.trial}
+	request := &interruptedRequest{id: c.request.ID, fingerprint: c.fingerprint, parts: c.parts, trial: c.trial}
 	records := f.view.Load().suspects
 	f.mu.Lock()
-	request.answered, request.accused = f.begun.Split(f.opts.Now(), request.promptParts, records.crashes)
+	request.answered, request.accused = f.begun.Split(f.opts.Now(), request.parts, records.crashes)
 	f.mu.Unlock()
 	recorded := make(chan bool, 1)
 	go func() { recorded <- f.checkCrash(attempt, request) }()
@@ -94,7 +93,7 @@
 		end.Fingerprints, end.Trial = []string{request.fingerprint}, request.trial
 		end.Answered, end.Parts = request.answered, request.accused
 		fields[decision.FieldRequest], fields[decision.FieldFingerprint] = request.id, request.fingerprint
-		fields[decision.FieldPromptParts], fields[decision.FieldAccused] = strings.Join(request.promptParts, " "), strings.Join(end.Parts, " ")
+		fields[decision.FieldPromptParts], fields[decision.FieldAccused] = strings.Join(request.parts, " "), strings.Join(end.Parts, " ")
 		fields[decision.FieldTrial] = request.trial != nil
 	}
 	if alreadyReported && request == nil {
--- a/node/forward/crash_world_test.go
+++ b/node/forward/crash_world_test.go
@@ -62,6 +62,9 @@
 	// harmfulFirst puts the harmful part before the part that the request shares with
 	// sound ones.
 	harmfulFirst bool
+	// harmfulModel and harmfulAdapter make every request for one model, or for one adapter
+	// of the model that sound requests use, harmful. No two of them share a prompt part.
+	harmfulModel, harmfulAdapter bool
 	// crashEvery crashes servers without any cause in a request at this interval, and
 	// crashTogether is the number of servers that it hits at once.
 	crashEvery    time.Duration
@@ -89,9 +92,10 @@
 
 // worldCall is one request of a caller.
 type worldCall struct {
-	at      time.Duration
-	first   string
-	harmful bool
+	at             time.Duration
+	first          string
+	model, adapter string
+	harmful        bool
 	// begunAtFirst is set if the first attempt brought an event; served if any
 	// attempt brought the whole answer.
 	begunAtFirst, served bool
@@ -189,7 +193,9 @@
 	for i := range o.hosts {
 		w.startHost(ctx, i)
 	}
-	engine := &route.Engine{Slots: 96, MemoryMiB: 1000, Models: []route.Model{{Name: "m", MemoryMiB: 10, StoreLoad: 6 * time.Second}}}
+	engine := &route.Engine{Slots: 96, MemoryMiB: 1000, Models: []route.Model{
+		{Name: "m", MemoryMiB: 10, StoreLoad: 6 * time.Second, Adapters: 1}, {Name: "broken", MemoryMiB: 10, StoreLoad: 6 * time.Second},
+	}}
 	w.log.apply(state.Command{Publish: &state.Publish{Table: route.Table{
 		Version: 1, Services: []route.Service{{Name: "models", Engine: engine}}, Limits: route.Limits{BodyBytes: 1000},
 		Routes: []route.Route{{
@@ -247,7 +253,10 @@
 func (w *crashWorld) startServer(name, address string, incarnation uint64) {
 	s := &worldServer{world: w, status: membership.Server{
 		Name: name, Service: "models", Address: address, Incarnation: incarnation, Sequence: 1,
-		Models: []membership.ModelReport{{Model: "m", Phase: membership.ReportReady}},
+		Models: []membership.ModelReport{
+			{Model: "m", Phase: membership.ReportReady}, {Model: "m", Adapter: "a1", Phase: membership.ReportReady},
+			{Model: "broken", Phase: membership.ReportReady},
+		},
 	}}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 	w.mu.Lock()
@@ -330,7 +339,7 @@
 	for i := range int(w.opts.duration / interval) {
 		time.Sleep(interval)
 		at := w.now() - time.Second
-		call := worldCall{at: at, first: fmt.Sprintf("first-%d", rng.IntN(3))}
+		call := worldCall{at: at, first: fmt.Sprintf("first-%d", rng.IntN(3)), model: "m"}
 		parts := []string{call.first, fmt.Sprintf("second-%d", rng.IntN(347))}
 		harmful := rng.Float64() < w.opts.harmfulShare && at >= w.opts.harmfulFrom && at < w.opts.harmfulUntil
 		body := fmt.Sprintf("body-%d", i)
@@ -338,6 +347,10 @@
 		switch {
 		case harmful && w.opts.contentHarmful:
 			parts, body, call.harmful = []string{call.first, "second-0"}, "harmful body", true
+		case harmful && w.opts.harmfulModel:
+			parts, call.model, call.harmful = []string{call.first, fmt.Sprint("third-", i)}, "broken", true
+		case harmful && w.opts.harmfulAdapter:
+			parts, call.adapter, call.harmful = []string{call.first, fmt.Sprint("third-", i)}, "a1", true
 		case harmful && w.opts.harmfulFirst:
 			parts, call.harmful = []string{call.first, harmfulPart, "second-0"}, true
 		case harmful:
@@ -377,7 +390,7 @@
 		}
 		req.Host = "h"
 		for name, value := range map[string]string{
-			"T-Id": fmt.Sprint(id, "-", i), "T-Model": "m", "T-Deadline": "12000", "T-Parts": strings.Join(parts, " "), "T-After": last,
+			"T-Id": fmt.Sprint(id, "-", i), "T-Model": call.model, "T-Adapter": call.adapter, "T-Deadline": "12000", "T-Parts": strings.Join(parts, " "), "T-After": last,
 		} {
 			req.Header.Set(name, value)
 		}
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -94,7 +94,7 @@
 	permits *permits.Client
 	// requestSerial numbers the requests.
 	requestSerial atomic.Uint64
-	// unrecorded counts, by prompt part, the crashes that accuse it and are not recorded
+	// unrecorded counts, by part, the crashes that accuse it and are not recorded
 	// yet.
 	unrecorded map[string]int
 
@@ -117,7 +117,7 @@
 // A change replaces the complete view.
 type admissionView struct {
 	index *route.Index
-	// suspects are the suspect requests and prompt parts, and appliedIndex the log
+	// suspects are the suspect requests and parts, and appliedIndex the log
 	// index up to which they are known.
 	suspects     *suspects
 	appliedIndex uint64
--- a/node/forward/harmful_part_test.go
+++ b/node/forward/harmful_part_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/state"
 )
 
 // The limits of the platform's rules: crashes after which a harmful part must be known,
@@ -31,8 +33,22 @@
 	"the same request each time": {seed: 9, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, contentHarmful: true},
 }
 
-func TestHarmfulPromptPartStopsReachingServers(t *testing.T) {
-	for name, o := range harmfulPartLoads {
+// harmfulModelLoads are the loads under which a harmful model or adapter must be contained.
+var harmfulModelLoads = map[string]crashWorldOptions{
+	"a model":                {seed: 15, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, harmfulModel: true},
+	"a model, many hosts":    {seed: 16, hosts: 40, servers: 30, perSecond: 110, harmfulShare: 0.1, harmfulModel: true},
+	"an adapter":             {seed: 17, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, harmfulAdapter: true},
+	"a model, the log fails": {seed: 18, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.2, harmfulModel: true, logDownFrom: 4 * time.Second, logDownUntil: 8 * time.Second},
+}
+
+func TestHarmfulPromptPartStopsReachingServers(t *testing.T) { testContainment(t, harmfulPartLoads) }
+
+// TestHarmfulModelStopsReachingServers guards against a model or an adapter, for example with
+// damaged weights, that crashes one server after another whatever the prompt.
+func TestHarmfulModelStopsReachingServers(t *testing.T) { testContainment(t, harmfulModelLoads) }
+
+func testContainment(t *testing.T, loads map[string]crashWorldOptions) {
+	for name, o := range loads {
 		t.Run(name, func(t *testing.T) {
 			o.harmfulFrom, o.harmfulUntil, o.duration = 4*time.Second, 26*time.Second, 30*time.Second
 			synctest.Test(t, func(t *testing.T) {
@@ -58,7 +74,7 @@
 	known := time.Duration(0)
 	for i := range max(1, w.opts.harmfulParts) {
 		part := fmt.Sprint(harmfulPrefix, i)
-		if w.opts.contentHarmful {
+		if w.opts.contentHarmful || w.opts.harmfulModel || w.opts.harmfulAdapter {
 			part = ""
 		}
 		var crashes []time.Duration
@@ -100,9 +116,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := runCrashWorld(t, o)
 				t.Logf("%d parts were barred, %d proposals", len(w.log.barred), w.log.proposals)
-				for i := range 3 {
-					if part := fmt.Sprintf("first-%d", i); w.log.barred[part] {
-						t.Errorf("part %s, which a third of all requests share, was barred", part)
+				for _, part := range []string{"first-0", "first-1", "first-2", state.ModelPart("models", "m")} {
+					if w.log.barred[part] {
+						t.Errorf("part %s, which a third of all requests share or more, was barred", part)
 					}
 				}
 			})
@@ -121,6 +137,9 @@
 	if len(got) >= maxPromptParts+1 || got[len(got)-1] != "last" || len(got[len(got)-2]) > maxPartBytes {
 		t.Errorf("%d of %d parts can be suspects, the last ones are %q", len(got), len(parts), got[len(got)-2:])
 	}
+	if got := judgedParts([]string{state.ModelPart("models", "m")}); len(got) != 0 {
+		t.Errorf("a caller makes the model %q a suspect by the name of a prompt part", got)
+	}
 	if got := judgedParts(nil); len(got) != 0 {
 		t.Errorf("parts %q of a prompt without parts", got)
 	}
--- a/node/forward/refute.go
+++ b/node/forward/refute.go
@@ -16,21 +16,21 @@
 )
 
 // recordBegun records that a server has begun to write the answer to a request, which
-// clears its prompt parts.
+// clears its parts.
 func (f *Forwarder) recordBegun(c *call) {
-	if len(c.request.PromptParts) == 0 {
+	if len(c.parts) == 0 {
 		return
 	}
 	view := f.view.Load()
 	f.mu.Lock()
-	f.begun.Record(f.opts.Now(), c.request.PromptParts, view.appliedIndex)
+	f.begun.Record(f.opts.Now(), c.parts, view.appliedIndex)
 	f.mu.Unlock()
 	if t := c.trial; t != nil {
 		c.trial = nil
 		go f.commitSuspicion(state.Command{ClearSuspect: &state.ClearSuspect{Parts: t.Parts, SeenIndex: view.appliedIndex}}, t.Parts, "cleared by trial")
 		return
 	}
-	f.refute(view.suspects, c.request.PromptParts)
+	f.refute(view.suspects, c.parts)
 }
 
 // refuteAll reports the suspect parts of which this host knows an answer.
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -40,7 +40,9 @@
 	// fingerprint is a hash of the request's content. A repeated request has the
 	// same fingerprint.
 	fingerprint string
-	body        []byte
+	// parts are what the request shares with others and can crash servers.
+	parts []string
+	body  []byte
 	// countedBytes is the number of bytes of the body that count toward
 	// maxInFlightBodyBytes until the request ends.
 	countedBytes int64
@@ -105,7 +107,6 @@
 	f := c.forwarder
 	var err error
 	c.request, err = f.opts.Protocol.ParseRequest(c.inbound.Header)
-	c.request.PromptParts = judgedParts(c.request.PromptParts)
 	v := f.view.Load()
 	if v.index == nil || !f.opts.Ready() || f.admissionStopped.Load() {
 		return c.refuse(http.StatusServiceUnavailable, unavailableRetryAfter, "host is not ready or no longer accepts requests")
@@ -125,9 +126,6 @@
 		return false
 	}
 	c.fingerprint = c.computeFingerprint()
-	if s := v.suspects.of(c.fingerprint, c.request.PromptParts); s.refused {
-		return c.refuse(http.StatusServiceUnavailable, s.retryAfter, s.reason)
-	}
 	c.lastEventID = c.request.ResumeAfter
 	c.key = routing.Key{Service: c.route.ChooseService(f.randomFraction()), Model: c.request.Model, Adapter: c.request.Adapter}
 	svc, _ := v.index.Table().Service(c.key.Service)
@@ -136,6 +134,10 @@
 	} else if _, ok := svc.Engine.Model(c.key.Model); !ok {
 		return c.refuse(http.StatusNotFound, 0, "service has no such model")
 	}
+	c.parts = partsOf(c.key, c.request.PromptParts)
+	if s := v.suspects.of(c.fingerprint, c.parts); s.refused {
+		return c.refuse(http.StatusServiceUnavailable, s.retryAfter, s.reason)
+	}
 	c.exchange = exchange.New(exchange.Policy{
 		Idempotent: c.route.Idempotent(), RetryFailures: c.route.Kind == route.Safe,
 		MaxAttempts: c.route.Attempts(), Deadline: c.deadline,
--- a/node/forward/suspect.go
+++ b/node/forward/suspect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/evidence"
+	"github.com/pollenwheel/pollenwheel/core/routing"
 	"github.com/pollenwheel/pollenwheel/core/state"
 )
 
@@ -24,7 +25,7 @@
 	return &suspects{index: s.SuspectsIndex, records: maps.Clone(s.Suspects)}
 }
 
-// crashes returns what is recorded of the crashes with a prompt part.
+// crashes returns what is recorded of the crashes with a part.
 func (s *suspects) crashes(id string) evidence.Crashes {
 	if s == nil {
 		return evidence.Crashes{}
@@ -50,25 +51,38 @@
 func judgedParts(parts []string) []string {
 	out := make([]string, 0, min(len(parts), maxPromptParts))
 	for _, id := range parts[max(0, len(parts)-maxPromptParts):] {
-		if len(id) <= maxPartBytes {
+		if len(id) <= maxPartBytes && state.IsPromptPart(id) {
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
+// partsOf returns what a request for a target shares with others and can crash servers: the
+// model, the adapter and the prompt parts, in the order in which fewer requests share them.
+func partsOf(key routing.Key, promptParts []string) []string {
+	var out []string
+	if key.Model != "" {
+		out = append(out, state.ModelPart(key.Service, key.Model))
+	}
+	if key.Adapter != "" {
+		out = append(out, state.AdapterPart(key.Service, key.Model, key.Adapter))
+	}
+	return append(out, judgedParts(promptParts)...)
+}
+
 // suspicion is what the suspects say of one request.
 type suspicion struct {
 	// refused is set if the request is in quarantine, for retryAfter if that is known.
 	refused    bool
 	retryAfter time.Duration
 	reason     string
-	// parts are the suspect parts of its prompt, which need a trial.
+	// parts are its suspect parts, which need a trial.
 	parts []string
 }
 
-// of returns the suspicion of a request.
-func (s *suspects) of(fingerprint string, promptParts []string) suspicion {
+// of returns the suspicion of a request with the parts.
+func (s *suspects) of(fingerprint string, parts []string) suspicion {
 	if s == nil || len(s.records) == 0 {
 		return suspicion{}
 	}
@@ -77,13 +91,13 @@
 	}
 	now := time.Now().UnixMilli()
 	var out suspicion
-	for _, id := range promptParts {
+	for _, id := range parts {
 		rec, ok := s.records[state.PartKey(id)]
 		switch {
 		case !ok || rec.Part == nil:
 		case rec.Barred(now):
 			remaining := time.Duration(rec.Part.UntilMS-now) * time.Millisecond
-			return suspicion{refused: true, retryAfter: remaining, reason: "prompt part " + id + " is quarantined because it crashed backend servers"}
+			return suspicion{refused: true, retryAfter: remaining, reason: state.DescribePart(id) + " is quarantined because it crashed backend servers"}
 		case rec.Suspect(now):
 			out.parts = append(out.parts, id)
 		}
@@ -95,13 +109,13 @@
 // suspects before that is recorded, so that a host without the log puts no further
 // server at risk.
 func (f *Forwarder) suspicionOf(c *call) suspicion {
-	out := f.view.Load().suspects.of(c.fingerprint, c.request.PromptParts)
-	if out.refused || len(c.request.PromptParts) == 0 {
+	out := f.view.Load().suspects.of(c.fingerprint, c.parts)
+	if out.refused || len(c.parts) == 0 {
 		return out
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, id := range c.request.PromptParts {
+	for _, id := range c.parts {
 		if f.unrecorded[id] > 0 && !slices.Contains(out.parts, id) {
 			out.parts = append(out.parts, id)
 		}
--- a/node/forward/trial.go
+++ b/node/forward/trial.go
@@ -18,7 +18,7 @@
 	// fails. It is longer than the time to the first event of most requests.
 	trialTimeout = 5 * time.Second
 	// maxTrialWait is the maximum time that a request waits for another trial of its
-	// prompt parts, and trialRetryAfter the Retry-After value after it.
+	// parts, and trialRetryAfter the Retry-After value after it.
 	maxTrialWait    = time.Second
 	trialRetryAfter = 500 * time.Millisecond
 	// trialPollInterval is how often a request that waits for another trial looks for
@@ -69,10 +69,10 @@
 	f.endUnsentAttempt(attempt)
 	switch {
 	case err != nil:
-		c.endWithoutServer(trialRetryAfter, "the trial of a prompt part that may crash backend servers could not be recorded")
+		c.endWithoutServer(trialRetryAfter, "the trial of "+describeParts(parts)+", which may crash backend servers, could not be recorded")
 		return false, true
 	case *waited >= maxTrialWait || c.ctx.Err() != nil:
-		c.endWithoutServer(trialRetryAfter, "another trial of a prompt part that may crash backend servers runs")
+		c.endWithoutServer(trialRetryAfter, "another trial of "+describeParts(parts)+", which may crash backend servers, runs")
 		return false, true
 	}
 	start := f.opts.Now()
@@ -116,7 +116,7 @@
 	f.router.EndAttempt(f.opts.Now(), attempt, routing.Neutral)
 }
 
-// logSuspicion logs a change of what this host knows of the request's prompt parts.
+// logSuspicion logs a change of what this host knows of the request's parts.
 func (c *call) logSuspicion(attempt routing.Attempt, outcome string, parts []string) {
 	c.forwarder.opts.Decisions.RecordStateChange(decision.EventSuspicion, decision.Fields{
 		decision.FieldRequest: c.request.ID, decision.FieldServer: attempt.Server,
@@ -124,13 +124,22 @@
 	})
 }
 
+// describeParts names parts for logs and refusals.
+func describeParts(parts []string) string {
+	var names []string
+	for _, id := range parts {
+		names = append(names, state.DescribePart(id))
+	}
+	return strings.Join(names, " and ")
+}
+
 // releaseTrial ends a trial without a result.
 func (f *Forwarder) releaseTrial(t state.Trial) {
 	t.Release = true
 	f.commitSuspicion(state.Command{Trial: &t}, t.Parts, "released")
 }
 
-// commitSuspicion commits a command about prompt parts and logs its outcome.
+// commitSuspicion commits a command about parts and logs its outcome.
 func (f *Forwarder) commitSuspicion(c state.Command, parts []string, outcome string) {
 	ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
 	defer cancel()
--- a/node/host/metrics.go
+++ b/node/host/metrics.go
@@ -90,7 +90,7 @@
 	return nil
 }
 
-// createSuspectMetrics creates the metrics of the requests and prompt parts that may have
+// createSuspectMetrics creates the metrics of the requests and parts that may have
 // crashed backend servers.
 func createSuspectMetrics(meter metric.Meter, r admin.Replica) error {
 	const name = "pollenwheel.suspects"
@@ -112,7 +112,7 @@
 		return nil
 	}
 	if _, err := meter.Int64ObservableGauge(name, metric.WithUnit("{suspect}"),
-		metric.WithDescription("Requests and prompt parts that may have crashed backend servers, by state."),
+		metric.WithDescription("Requests, prompt parts, models and adapters that may have crashed backend servers, by state."),
 		metric.WithInt64Callback(callback)); err != nil {
 		return &telemetry.Error{Part: name, Err: err}
 	}
