residency: hold a model back whose load crashes one server after another

Change: the planner counts the processes in a row that ended while they loaded a model. A line load_crashed tells of each. Loads whose end a report shows count as complete, too, and get their line.

--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -142,7 +142,7 @@
 			replicas = max(0, replicas-1)
 		}
 		gain := p.replicaValue(svc, m, replicas)
-		if gain < loadCost {
+		if gain < loadCost || !p.mayBeLoaded(in.Now, m.Name) {
 			continue
 		}
 		maxLoads := p.storeConcurrency.limit
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -48,6 +48,10 @@
 	capacityShortages map[string]capacityShortage
 	// recentStoreLoads are the times of the recent loads from the weight store.
 	recentStoreLoads []time.Duration
+	// loadCrashes holds, by model, the server processes that ended while they loaded it.
+	loadCrashes map[string]loadCrashes
+	// newLoadCrashes are those since the last step.
+	newLoadCrashes   []LoadCrash
 	storeConcurrency storeConcurrency
 	// serverRates holds the rate up to which one server is used, by service. It is
 	// computed anew in each step.
@@ -85,7 +89,7 @@
 	return &Planner{
 		services: map[string]route.Service{}, catalogs: map[string]catalog{}, servers: map[string]*server{},
 		arrivals: map[string]*hostArrivals{}, rates: map[Target]*rate{}, demand: map[Target]*targetDemand{},
-		averageRunning: map[string]float64{}, capacityShortages: map[string]capacityShortage{},
+		averageRunning: map[string]float64{}, capacityShortages: map[string]capacityShortage{}, loadCrashes: map[string]loadCrashes{},
 		storeConcurrency: newStoreConcurrency(), serverRates: map[string]float64{},
 	}
 }
@@ -93,7 +97,8 @@
 // Step merges the input and returns the orders and inquiries that are due.
 func (p *Planner) Step(in Input) Output {
 	p.mergeInput(in)
-	var out Output
+	out := Output{LoadCrashes: p.newLoadCrashes}
+	p.newLoadCrashes = nil
 	for _, svc := range in.Services {
 		if svc.Engine == nil || in.SuspendOrders {
 			continue
@@ -103,6 +108,7 @@
 		p.planModels(in, svc, &out)
 	}
 	for _, s := range p.serversByName() {
+		p.forgetLoadCrashes(s.loadEnds)
 		out.LoadEnds = append(out.LoadEnds, s.loadEnds...)
 		s.loadEnds = nil
 		if s.needsReport(in.Now) && p.services[s.Service].Engine != nil {
@@ -181,13 +187,21 @@
 		present[a.Name] = true
 		s := p.servers[a.Name]
 		if s == nil || s.Incarnation != a.Incarnation {
+			if s != nil {
+				p.recordProcessEnd(in.Now, s)
+			}
 			s = &server{models: map[string]*holding{}}
 			p.servers[a.Name] = s
 		}
 		s.applyAnnouncement(in.Now, a)
 		p.learnFromLoads(s)
 	}
-	maps.DeleteFunc(p.servers, func(name string, _ *server) bool { return !present[name] })
+	for name, s := range p.servers {
+		if !present[name] {
+			p.recordProcessEnd(in.Now, s)
+			delete(p.servers, name)
+		}
+	}
 	p.sortedServers = slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
 	if !p.requestSeen {
 		p.presumeBusyModels(in.Now)
--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -110,6 +110,15 @@
 	StoreLoads int
 }
 
+// LoadCrash describes a server process that ended while it loaded a model.
+type LoadCrash struct {
+	Server, Model string
+	// Ends is the number of processes in a row that did, and HeldFor how long the model is
+	// not loaded again, if it is held back.
+	Ends    int
+	HeldFor time.Duration
+}
+
 // Result is the outcome of an order's transmission.
 type Result int
 
@@ -162,6 +171,8 @@
 	Inquiries []Inquiry
 	// LoadEnds are the loads that have ended since the previous step.
 	LoadEnds []LoadEnd
+	// LoadCrashes are the server processes that ended during a load since then.
+	LoadCrashes []LoadCrash
 }
 
 // Phase is the state of a holding.
--- a/core/residency/server.go
+++ b/core/residency/server.go
@@ -115,9 +115,7 @@
 		case !ok && h.phase == Ready && now-h.since > maxAnnouncementAge:
 			s.ordersKnown = false
 		case ok && h.phase == Loading:
-			s.loadEnds = append(s.loadEnds, LoadEnd{
-				Server: s.Name, Model: name, ActualDuration: now - h.since, ExpectedDuration: h.readyAt - h.since, StoreLoads: h.storeLoads,
-			})
+			s.loadEnds = append(s.loadEnds, s.loadEnd(now, name, h))
 			// The load may have ended before its predicted end.
 			h.phase, h.since, h.readyAt = Ready, now, now
 		}
@@ -127,6 +125,13 @@
 	}
 }
 
+// loadEnd describes the load of a model that has ended.
+func (s *server) loadEnd(now time.Duration, model string, h *holding) LoadEnd {
+	return LoadEnd{
+		Server: s.Name, Model: model, ActualDuration: now - h.since, ExpectedDuration: h.readyAt - h.since, StoreLoads: h.storeLoads,
+	}
+}
+
 // newHolding returns a ready holding for a model that an announcement or a report
 // lists.
 func newHolding(now time.Duration, listed HeldModel) *holding {
@@ -355,6 +360,11 @@
 					*a = *b
 				}
 			}
+		} else if before != nil && before.phase == Loading {
+			end := s.loadEnd(now, reported.Model, before)
+			// The load may have ended long before the report.
+			end.StoreLoads = 0
+			s.loadEnds = append(s.loadEnds, end)
 		}
 		s.models[reported.Model] = h
 	}
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -52,6 +52,10 @@
 	FieldLoss          = "loss"
 	FieldOtherReplicas = "copies"
 	FieldWaiting       = "waiting"
+	// FieldEnds is the number of server processes in a row that ended while they loaded a
+	// model, and FieldHeldMS how long it is not loaded again.
+	FieldEnds   = "ends"
+	FieldHeldMS = "held_ms"
 	// FieldFingerprint is the hash of the content of a request, FieldPromptParts the
 	// parts of its prompt that other requests may share, FieldAccused those of them that
 	// may have crashed a server, and FieldTrial tells whether the request ran as a trial.
@@ -86,13 +90,15 @@
 
 // Events that change a process's view of the cluster.
 const (
-	EventTable        = "table"
-	EventServer       = "server"
-	EventSuspect      = "suspect"
-	EventSuspicion    = "suspicion"
-	EventOrder        = "order"
-	EventReport       = "report"
-	EventLoaded       = "loaded"
+	EventTable     = "table"
+	EventServer    = "server"
+	EventSuspect   = "suspect"
+	EventSuspicion = "suspicion"
+	EventOrder     = "order"
+	EventReport    = "report"
+	EventLoaded    = "loaded"
+	// EventLoadCrashed is logged if a server process ended while it loaded a model.
+	EventLoadCrashed  = "load_crashed"
 	EventLeadership   = "leading"
 	EventAnnounce     = "announcement"
 	EventPublish      = "publication"
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -168,6 +168,11 @@
 			decision.FieldExpectedMS: e.ExpectedDuration.Milliseconds(),
 		})
 	}
+	for _, c := range out.LoadCrashes {
+		h.decisions.RecordStateChange(decision.EventLoadCrashed, decision.Fields{
+			decision.FieldServer: c.Server, decision.FieldModel: c.Model, decision.FieldEnds: c.Ends, decision.FieldHeldMS: c.HeldFor.Milliseconds(),
+		})
+	}
 	for _, o := range out.Orders {
 		go p.sendOrder(ctx, t, o)
 	}
