--- a/core/residency/limit_test.go
+++ b/core/residency/limit_test.go
@@ -71,6 +71,31 @@
 	}
 }
 
+// TestLoadOnALimitedServerDoesNotDelayAnother guards against a busy model that waits for a load on
+// a server which names a limit meanwhile, although another server could serve it.
+func TestLoadOnALimitedServerDoesNotDelayAnother(t *testing.T) {
+	f := limitedFixture(0.2, map[string][]HeldModel{"limited": nil, "other": {{Model: "b"}}})
+	limit := func(limited, otherSilent bool) {
+		for i := range f.in.Servers {
+			s := &f.in.Servers[i]
+			s.Limited, s.Silent = limited && s.Name == "limited", otherSilent && s.Name == "other"
+		}
+	}
+	d := Demand{Host: "h", Target: Target{Model: "a"}, Waiting: 1, EarliestExpiry: time.Minute}
+	// The load from the store takes 6 s; the limit comes after 2 s.
+	for step := range 40 {
+		limit(step >= 20, step < 20)
+		d.Arrivals++
+		for _, o := range f.step(100*time.Millisecond, d) {
+			f.planner.RecordResult(f.in.Now, o, Accepted)
+			if o.Server == "other" && o.Reason.LoadModel == "a" {
+				return
+			}
+		}
+	}
+	t.Error("no order on the other server for the sake of model a within 2 s of the limit")
+}
+
 // TestBusyModelIsNotLoadedOnALimitedServer guards against a server with few requests because
 // of its limit that is taken for an idle one.
 func TestBusyModelIsNotLoadedOnALimitedServer(t *testing.T) {
--- a/core/residency/model_demand.go
+++ b/core/residency/model_demand.go
@@ -109,7 +109,11 @@
 					p.addReplica(name, modelReplicas{ready: 1})
 				}
 			case Loading:
-				p.addReplica(name, modelReplicas{starting: 1, pending: true})
+				// A load that began before its server named a limit must not delay one
+				// on a server that can serve the model.
+				if !p.overLimit[s][name] {
+					p.addReplica(name, modelReplicas{starting: 1, pending: true})
+				}
 			}
 		}
 	}
