residency: let a new leader learn what is requested before it loads idle models

Change: earlier arrivals show that requests have come; for the 2 s after that the leader loads only models that are requested.

--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -141,6 +141,9 @@
 			// The reservation is for the replica that is considered here.
 			replicas = max(0, replicas-1)
 		}
+		if in.Now < p.learningUntil && !p.isRequested(m.Name) {
+			continue
+		}
 		gain := p.replicaValue(svc, m, replicas)
 		if gain < loadCost || !p.mayBeLoaded(in.Now, m.Name) {
 			continue
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -72,8 +72,10 @@
 	overLimit  map[*server]map[string]bool
 	spareLimit map[*server]float64
 	lastStep   time.Duration
-	// requestSeen is set once any request has arrived.
-	requestSeen bool
+	// requestSeen is set once any request has arrived, also before this leader. Until
+	// learningUntil, this leader does not know yet which models are requested.
+	requestSeen   bool
+	learningUntil time.Duration
 }
 
 // targetDemand is the demand for a target over all hosts.
--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -66,6 +66,32 @@
 	}
 }
 
+// TestNewLeaderDoesNotLoadIdleModelsFirst guards against a new leader that behaves as before the
+// first request: it starts loads of models that nobody requests, and the models that were
+// requested all along wait for the servers and the store.
+func TestNewLeaderDoesNotLoadIdleModelsFirst(t *testing.T) {
+	for _, arrivals := range []uint64{0, 100000} {
+		e := testEngine()
+		f := newFixture(&e, map[string][]HeldModel{"s": {{Model: "a"}}, "t": nil})
+		d := Demand{Host: "h", Target: Target{Model: "a"}, Arrivals: arrivals}
+		idleLoads := 0
+		for range 15 {
+			if arrivals > 0 {
+				d.Arrivals++
+			}
+			for _, o := range f.step(100*time.Millisecond, d) {
+				f.planner.RecordResult(f.in.Now, o, Accepted)
+				if o.Load && o.Model != "a" {
+					idleLoads++
+				}
+			}
+		}
+		if before := arrivals == 0; (idleLoads > 0) != before {
+			t.Errorf("with %d earlier arrivals, %d loads of models without requests began in 1.5 s, want loads only before the first request", arrivals, idleLoads)
+		}
+	}
+}
+
 // TestServerWithLocalWeightsIsPreferred guards against a model that is loaded
 // from the store, which takes 6 s, while a server has its weights on disk.
 func TestServerWithLocalWeightsIsPreferred(t *testing.T) {
--- a/core/residency/rates.go
+++ b/core/residency/rates.go
@@ -12,6 +12,10 @@
 	// chance.
 	slowAverageTime = 8 * time.Second
 	fastAverageTime = 1500 * time.Millisecond
+	// rateLearningTime is how long a new leader counts arrivals before it loads models that
+	// nobody seems to request. Such a load takes seconds, on servers and at the store that
+	// the models need which were requested all along.
+	rateLearningTime = 2 * time.Second
 	// idleFactor limits a rate by the time since the last arrival: at a
 	// higher rate, a request would have arrived in that time with a
 	// probability of 95%.
@@ -121,6 +125,9 @@
 	if d.Arrivals < before {
 		before = 0
 	}
+	if host.isNew && d.Arrivals > 0 && !p.requestSeen {
+		p.requestSeen, p.learningUntil = true, now+rateLearningTime
+	}
 	if host.isNew || d.Arrivals == before {
 		return
 	}
