--- a/cmd/pollenwheel/calls_test.go
+++ b/cmd/pollenwheel/calls_test.go
@@ -84,7 +84,7 @@
 		}
 		s := plain.Start(plain.Options{
 			Name: fmt.Sprintf("ledger-%d", i), Service: "supply-ledger", DataCentre: testDataCentres[i], Incarnation: 1,
-			Listener: listener, CallTime: callDuration, Journal: journal,
+			Listener: listener, CallTime: callDuration, Journal: journal, Faults: d.plainFaults,
 		})
 		d.t.Cleanup(s.Close)
 		go d.announce(ctx, s)
@@ -113,7 +113,12 @@
 // sendCall sends a call that must not be executed twice. The body of the call is its
 // idempotency key, so that countRuns finds the call in the journal.
 func (d *deployment) sendCall(ctx context.Context, p *process, key string) (status int, replayed bool, body string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, waitLimit)
+	return sendCallOver(ctx, d.client, p, key, waitLimit)
+}
+
+// sendCallOver is sendCall with a client and a timeout.
+func sendCallOver(ctx context.Context, client *http.Client, p *process, key string, timeout time.Duration) (status int, replayed bool, body string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.settings.CallerAddress+"/v1/services/supply-ledger/entries", strings.NewReader(key))
 	if err != nil {
@@ -122,7 +127,7 @@
 	req.Header.Set("Authorization", "Bearer "+callerKey)
 	req.Header.Set("X-Idempotent", "false")
 	req.Header.Set("Idempotency-Key", key)
-	resp, err := d.client.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0, false, "", err
 	}
--- a/cmd/pollenwheel/deployment_test.go
+++ b/cmd/pollenwheel/deployment_test.go
@@ -21,6 +21,7 @@
 	"github.com/pollenwheel/pollenwheel/node/host"
 	"github.com/pollenwheel/pollenwheel/node/settings"
 	"github.com/pollenwheel/pollenwheel/standin/engine"
+	"github.com/pollenwheel/pollenwheel/standin/plain"
 )
 
 // waitLimit limits every wait, so that a test fails instead of hanging.
@@ -65,6 +66,8 @@
 	models          []string
 	// adjust, if set, changes the configuration before it is applied.
 	adjust func(*config.Configuration)
+	// plainFaults are the faults of the plain servers.
+	plainFaults plain.Faults
 }
 
 func buildBinary(t testing.TB) string {
--- a/cmd/pollenwheel/forwarder_test.go
+++ b/cmd/pollenwheel/forwarder_test.go
@@ -43,6 +43,11 @@
 func (f *forwarder) close() {
 	_ = f.listener.Close()
 	f.setStalled(false)
+	f.closeConnections()
+}
+
+// closeConnections closes all connections; new ones are forwarded.
+func (f *forwarder) closeConnections() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range f.conns {
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -38,17 +38,6 @@
 	Says func(r *http.Request) map[string]string
 }
 
-// Faults selects the faults to inject. A fault occurs if its function is set and
-// returns true for the attempt.
-type Faults struct {
-	// LoseRequest closes the connection before the execution.
-	LoseRequest func(attempt string) bool
-	// LoseAnswer closes the connection after the execution.
-	LoseAnswer func(attempt string) bool
-	// Refuse answers that the server does not admit the call.
-	Refuse func(attempt string) bool
-}
-
 // Call describes one executed call.
 type Call struct {
 	Server  string
@@ -140,7 +129,7 @@
 	}
 	attempt, faults := r.Header.Get(backend.HeaderAttemptID), s.opts.Faults
 	body, err := io.ReadAll(r.Body)
-	if err != nil || faults.LoseRequest != nil && faults.LoseRequest(attempt) {
+	if err != nil || occurs(faults.LoseRequest, attempt) {
 		panic(http.ErrAbortHandler)
 	}
 	incarnation := r.Header.Get(backend.HeaderIncarnation)
@@ -148,18 +137,25 @@
 		refuse(w, backend.CodeWrongIncarnation, "the request names another incarnation")
 		return
 	}
-	if faults.Refuse != nil && faults.Refuse(attempt) {
+	switch {
+	case occurs(faults.Refuse, attempt):
 		refuse(w, backend.CodeNotAdmitted, "the server does not admit the request")
 		return
+	case occurs(faults.RepeatRefusal, attempt):
+		s.repeatRefusal(w, attempt)
+		return
 	}
-	s.opts.Journal.add(Call{s.opts.Name, attempt, r.Method, r.URL.RequestURI(), string(body)})
+	s.record(attempt, r, body)
 	s.addRunning(1)
 	defer s.addRunning(-1)
-	if !s.waitCall(string(body)) || faults.LoseAnswer != nil && faults.LoseAnswer(attempt) {
+	if !s.waitCall(string(body)) || occurs(faults.LoseAnswer, attempt) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(backend.HeaderAttemptID, attempt)
 	w.Header().Set("Content-Type", "text/plain")
+	if occurs(faults.StopInHead, attempt) && writePartialHead(w) == nil {
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.RequestURI(), body)
 }
 
@@ -187,11 +183,44 @@
 	s.running += n
 }
 
+// record adds an executed call to the journal.
+func (s *Server) record(attempt string, r *http.Request, body []byte) {
+	s.opts.Journal.add(Call{s.opts.Name, attempt, r.Method, r.URL.RequestURI(), string(body)})
+}
+
+// repeatRefusal refuses a call, and answers the next request on the connection, which is
+// executed, with the same refusal.
+func (s *Server) repeatRefusal(w http.ResponseWriter, attempt string) {
+	body := refusal(backend.CodeNotAdmitted, "the server does not admit the request")
+	w.Header().Set(backend.HeaderAttemptID, attempt)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	next, conn, err := refuseTwice(w, head(w.Header(), "503 Service Unavailable")+string(body))
+	if conn != nil {
+		defer func() { _ = conn.Close() }()
+	}
+	if err != nil || next.Header.Get(backend.HeaderAttemptID) == "" {
+		return
+	}
+	if text, err := io.ReadAll(next.Body); err == nil {
+		s.record(next.Header.Get(backend.HeaderAttemptID), next, text)
+	}
+}
+
 // refuse answers that a call was not executed, with status 503.
 func refuse(w http.ResponseWriter, code, reason string) {
-	var body backend.RefusalBody
-	body.Error.Code, body.Error.Execution, body.Error.Reason = code, "not_run", reason
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusServiceUnavailable)
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(refusal(code, reason))
+}
+
+// refusal returns the body of a refusal.
+func refusal(code, reason string) []byte {
+	var body backend.RefusalBody
+	body.Error.Code, body.Error.Execution, body.Error.Reason = code, "not_run", reason
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return text
 }
