--- a/core/evidence/evidence.go
+++ b/core/evidence/evidence.go
@@ -1,6 +1,6 @@
 // Package evidence remembers the parts of requests, such as the model and prompt parts,
-// with which servers have begun to write an answer. Such an answer shows that the part crashed no server before. The package
-// performs no I/O and reads no clock.
+// with which servers have begun to write an answer. Such an answer shows that the part
+// crashed no server before. The package performs no I/O and reads no clock.
 package evidence
 
 import "time"
--- a/core/residency/loadcrash.go
+++ b/core/residency/loadcrash.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// mayBeLoaded reports whether loads of a model have not crashed servers lately. A model
-// whose load has crashed one is loaded on one server at a time.
+// mayBeLoaded reports whether a model is not held back. From the second server on that
+// ended during its load, it is loaded on one server at a time.
 func (p *Planner) mayBeLoaded(now time.Duration, model string) bool {
 	c, ok := p.loadCrashes[model]
 	if !ok {
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -57,8 +57,9 @@
 	FieldEnds   = "ends"
 	FieldHeldMS = "held_ms"
 	// FieldFingerprint is the hash of the content of a request, FieldPromptParts the
-	// parts of its prompt that other requests may share, FieldAccused those of them that
-	// may have crashed a server, and FieldTrial tells whether the request ran as a trial.
+	// model, the adapter and the parts of its prompt that other requests may share,
+	// FieldAccused those of them that may have crashed a server, and FieldTrial tells
+	// whether the request ran as a trial.
 	FieldFingerprint = "fingerprint"
 	FieldPromptParts = "prompt_parts"
 	FieldAccused     = "accused"
--- a/node/forward/suspect.go
+++ b/node/forward/suspect.go
@@ -59,7 +59,7 @@
 }
 
 // partsOf returns what a request for a target shares with others and can crash servers: the
-// model, the adapter and the prompt parts, in the order in which fewer requests share them.
+// model, the adapter and the prompt parts. Those that more requests share come first.
 func partsOf(key routing.Key, promptParts []string) []string {
 	var out []string
 	if key.Model != "" {
