--- a/cmd/pollenwheel/soak_test.go
+++ b/cmd/pollenwheel/soak_test.go
@@ -186,7 +186,9 @@
 	d.checkRunning(p)
 	switch e.fault {
 	case faultKill:
-		d.endProcess(p, syscall.SIGKILL)
+		if err := d.endProcess(p, syscall.SIGKILL); err == nil {
+			d.t.Errorf("%s exited before it was killed", p.settings.Host)
+		}
 		time.Sleep(e.duration)
 		d.start(p)
 		d.awaitReady(p)
