residency: let a new leader unload models only once requests arrive, as before

Cause: since earlier arrivals counted as requests of the present, so a new leader unloaded models in its first step, when all rates are unknown. Change: earlier arrivals only delay loads of models that nobody requests; unloads need a new arrival.

--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -72,9 +72,10 @@
 	overLimit  map[*server]map[string]bool
 	spareLimit map[*server]float64
 	lastStep   time.Duration
-	// requestSeen is set once any request has arrived, also before this leader. Until
-	// learningUntil, this leader does not know yet which models are requested.
-	requestSeen   bool
+	// requestSeen is set once any request has arrived.
+	requestSeen bool
+	// learningUntil is set if requests arrived before this leader, and is when it knows
+	// which models are requested.
 	learningUntil time.Duration
 }
 
--- a/core/residency/rates.go
+++ b/core/residency/rates.go
@@ -125,8 +125,8 @@
 	if d.Arrivals < before {
 		before = 0
 	}
-	if host.isNew && d.Arrivals > 0 && !p.requestSeen {
-		p.requestSeen, p.learningUntil = true, now+rateLearningTime
+	if host.isNew && d.Arrivals > 0 && p.learningUntil == 0 {
+		p.learningUntil = now + rateLearningTime
 	}
 	if host.isNew || d.Arrivals == before {
 		return
