host, platform: refuse requests that a leaving host would admit too late to finish

Cause: a host that got SIGTERM admitted requests for 3.4 s, as long as callers keep the address list. Streams there last up to 4 s and more; the platform excuses what outlasts the grace period only if it was sent within 3 s of the stop. Change: from 2.9 s on the host refuses new requests as not run, and accepts connections until 3.4 s as before.

--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -49,9 +49,12 @@
 	// OrderDelay is how long a new leader waits before its first order if the previous
 	// leader may still be running.
 	OrderDelay time.Duration
-	// ServeAfterLeave is how long a leaving host accepts requests, since callers keep
+	// ServeAfterLeave is how long a leaving host accepts connections, since callers keep
 	// the address list. DepartureTimeout bounds the complete departure.
 	ServeAfterLeave, DepartureTimeout time.Duration
+	// AdmitAfterLeave is how long a leaving host admits requests, if that is shorter.
+	// Later ones are refused, because long ones could not end before DepartureTimeout.
+	AdmitAfterLeave time.Duration
 	// Handlers maps further listen addresses to the constructors of their handlers,
 	// which receive the host.
 	Handlers map[string]func(*RoutedHost) http.Handler
--- a/node/host/routed_lifecycle.go
+++ b/node/host/routed_lifecycle.go
@@ -86,6 +86,10 @@
 		sleep(running, leaveGossipPeriod)
 		return nil
 	}
+	if admit := h.opts.AdmitAfterLeave; admit > 0 {
+		stopAdmission := time.AfterFunc(admit, h.requestForwarder.StopAdmission)
+		defer stopAdmission.Stop()
+	}
 	if !sleep(running, h.opts.ServeAfterLeave) {
 		return nil
 	}
--- a/node/host/routed_test.go
+++ b/node/host/routed_test.go
@@ -252,6 +252,28 @@
 	}
 }
 
+// TestPlannedStopRefusesLateRequests guards against a request that a leaving host admits so late
+// that its answer is cut off at the end of the departure. It is refused as not run instead, while
+// the host still accepts connections.
+func TestPlannedStopRefusesLateRequests(t *testing.T) {
+	backend, _, release := slowBackend(t)
+	release()
+	_, callerHost, url := startDeploymentUntil(t, backend.Listener.Addr().String(), 3*time.Second, 10*time.Second)
+	callerHost.opts.AdmitAfterLeave = time.Millisecond
+	callerHost.stop()
+	await(t, "the host leaves", func() bool { return callerHost.leaving.Load() })
+	await(t, "a request is refused", func() bool {
+		status, _, err := sendRequest(url, "/late")
+		if err != nil {
+			t.Fatalf("the host accepts no connection, before it refused a request: %v", err)
+		}
+		return status == http.StatusServiceUnavailable
+	})
+	if err := <-callerHost.ended; err != nil {
+		t.Errorf("the host ended with error %v", err)
+	}
+}
+
 // TestPlannedStopAnswersOpenConnections guards against a planned stop that closes the
 // idle connections of callers: a request that has just been read on one of them would
 // be cut off without an answer. It is answered as not run instead.
