membership, forward: spread the software version of servers, and log streams that go on at another attempt

Cause: announcements name the version of a server's software, and nothing read it; a request that takes a stream up names it in a header that nothing read; no line showed where a stream that had begun went on. So the logs could not tell a stream continued by its host from one taken up by its caller, nor either from a stale belief of a version.

No decision changes.

--- a/core/membership/server.go
+++ b/core/membership/server.go
@@ -59,18 +59,21 @@
 // Server is a backend server's announcement. Sequence increases with every
 // announcement of one incarnation.
 type Server struct {
-	Name          string             `json:"name"`
-	Service       string             `json:"service"`
-	Kind          config.ServiceKind `json:"kind"`
-	DataCentre    string             `json:"data_centre"`
-	Address       string             `json:"address"`
-	Incarnation   uint64             `json:"incarnation"`
-	Sequence      uint64             `json:"sequence"`
-	Accelerators  int                `json:"accelerators"`
-	MemoryMiB     int64              `json:"memory_mib"`
-	Engine        string             `json:"engine,omitempty"`
-	ChecksFencing bool               `json:"checks_fencing"`
-	Leaving       bool               `json:"leaving,omitempty"`
+	Name         string             `json:"name"`
+	Service      string             `json:"service"`
+	Kind         config.ServiceKind `json:"kind"`
+	DataCentre   string             `json:"data_centre"`
+	Address      string             `json:"address"`
+	Incarnation  uint64             `json:"incarnation"`
+	Sequence     uint64             `json:"sequence"`
+	Accelerators int                `json:"accelerators"`
+	MemoryMiB    int64              `json:"memory_mib"`
+	Engine       string             `json:"engine,omitempty"`
+	// SoftwareVersion is the version of the server's software, as the server names it. It
+	// is not the version of any weights. It is empty if the server names none.
+	SoftwareVersion string `json:"software_version,omitempty"`
+	ChecksFencing   bool   `json:"checks_fencing"`
+	Leaving         bool   `json:"leaving,omitempty"`
 	// NewestOrder is the highest fencing number that the server has accepted.
 	NewestOrder uint64        `json:"newest_order,omitempty"`
 	Models      []ModelReport `json:"models,omitempty"`
--- a/core/routing/choose.go
+++ b/core/routing/choose.go
@@ -23,6 +23,9 @@
 	Server      string
 	Address     string
 	Incarnation uint64
+	// SoftwareVersion is that of the server.
+	SoftwareVersion string
+
 	candidate   *candidate
 	reportEpoch uint32
 	serial      uint64
@@ -173,7 +176,7 @@
 		c.pending = append(c.pending, pendingAttempt{r.serial, now})
 	}
 	return Attempt{
-		Server: c.server.Name, Address: c.server.Address, Incarnation: c.server.Incarnation,
+		Server: c.server.Name, Address: c.server.Address, Incarnation: c.server.Incarnation, SoftwareVersion: c.server.SoftwareVersion,
 		candidate: c, reportEpoch: c.server.reportEpoch, serial: r.serial, startedAt: now,
 	}
 }
--- a/core/routing/router.go
+++ b/core/routing/router.go
@@ -19,6 +19,8 @@
 	Address     string
 	DataCentre  string
 	Incarnation uint64
+	// SoftwareVersion is the version of the server's software.
+	SoftwareVersion string
 	// OutOfRotation is set if the server is out of rotation: it receives no new attempts,
 	// because it is leaving, is silent, announces another incarnation, or came back
 	// with models that have no placement.
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -70,14 +70,25 @@
 	FieldPerSecond  = "per_second"
 	FieldSent       = "sent_4s"
 	FieldPauseAsked = "pause_asked_ms"
+	// FieldSoftwareVersion is the version of a server's software, and FieldBegunVersion that
+	// of the server that began a stream, if it is known.
+	FieldSoftwareVersion = "software_version"
+	FieldBegunVersion    = "begun_version"
+	// FieldResumedStream is the ID of the request that brought the first event of a stream
+	// that is resumed, and FieldResumeAfter the ID of the last event that its caller has.
+	FieldResumedStream = "resumed_stream"
+	FieldResumeAfter   = "resume_after"
 )
 
 // Events of a request. EventAttempt is logged for each attempt that failed, and EventSent
 // for each one that is sent to a server with a limit.
 // EventAnswered is sampled; the others are always logged.
 const (
-	EventAttempt    = "attempt"
-	EventSent       = "sent"
+	EventAttempt = "attempt"
+	EventSent    = "sent"
+	// EventResumed is logged for the first event that a server adds to a stream that another
+	// attempt, or another request of the caller, began.
+	EventResumed    = "resumed"
 	EventAnswered   = "answered"
 	EventLate       = "late"
 	EventRefused    = "refused"
@@ -87,7 +98,7 @@
 )
 
 // RequestEvents lists all events of a request.
-var RequestEvents = []string{EventAttempt, EventSent, EventAnswered, EventLate, EventRefused, EventFailed, EventAborted, EventCallerLeft}
+var RequestEvents = []string{EventAttempt, EventSent, EventResumed, EventAnswered, EventLate, EventRefused, EventFailed, EventAborted, EventCallerLeft}
 
 // Events that change a process's view of the cluster.
 const (
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -138,7 +138,7 @@
 	c.forwarder.recordAnswerStart(attempt)
 	switch {
 	case resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
-		return c.forwardEvents(ctx, resp)
+		return c.forwardEvents(ctx, attempt, resp)
 	case c.headersSent:
 		return attemptResult{outcome: exchange.Failed, reason: fmt.Sprintf("answer with status %d cannot continue the stream", resp.StatusCode)}
 	}
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -25,6 +25,9 @@
 	PromptParts []string
 	// ResumeAfter is the ID of the last event that the caller has received, if any.
 	ResumeAfter string
+	// ResumedStream is the ID of the request that brought the caller the first event of the
+	// stream that it resumes with this one. It is empty for a new stream.
+	ResumedStream string
 }
 
 // Attempt holds the values that one attempt on a backend server adds to the
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -58,6 +58,9 @@
 	headersSent bool
 	lastEventID string
 	eventCount  int
+	// begunVersion is the software version of the server that began the stream, once it is
+	// known.
+	begunVersion string
 	// firstOutputAt is when the first event, or else the complete answer, was
 	// passed on, and lastEventAt when the last event was. longestPause is the
 	// longest time between two events, and waitTime the time spent waiting for a
--- a/node/forward/stream.go
+++ b/node/forward/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/pollenwheel/pollenwheel/core/exchange"
+	"github.com/pollenwheel/pollenwheel/core/routing"
 )
 
 // streamBufferBytes is the size of the read buffer of one stream.
@@ -15,7 +16,7 @@
 
 // forwardEvents passes on the complete events of a stream as they arrive. The
 // caller receives the headers of the first server that sent an event.
-func (c *call) forwardEvents(ctx context.Context, resp *http.Response) attemptResult {
+func (c *call) forwardEvents(ctx context.Context, attempt routing.Attempt, resp *http.Response) attemptResult {
 	reader := &eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes)}
 	for {
 		e, err := reader.next()
@@ -32,7 +33,7 @@
 		if err := http.NewResponseController(c.w).Flush(); err != nil {
 			return c.interruptedStream(ctx, err)
 		}
-		c.recordEvent()
+		c.recordEvent(attempt)
 		if e.id != "" {
 			c.lastEventID = e.id
 		}
@@ -40,7 +41,10 @@
 }
 
 // recordEvent updates the count and times of the events passed on.
-func (c *call) recordEvent() {
+func (c *call) recordEvent(attempt routing.Attempt) {
+	if !c.attemptBegun {
+		c.recordFirstEvent(attempt)
+	}
 	c.recordBegun()
 	now := c.forwarder.opts.Now()
 	if c.eventCount == 0 {
--- a/node/forward/view.go
+++ b/node/forward/view.go
@@ -115,6 +115,7 @@
 		}
 		servers = append(servers, routing.Server{
 			Name: s.Name, Address: s.Address, DataCentre: s.DataCentre, Incarnation: s.Incarnation, OutOfRotation: s.Leaving,
+			SoftwareVersion: s.SoftwareVersion,
 		})
 		if svc.Engine == nil {
 			replicas = append(replicas, routing.Replica{Server: s.Name, Key: routing.Key{Service: s.Service}})
--- a/node/peer/gossip.go
+++ b/node/peer/gossip.go
@@ -116,7 +116,7 @@
 		Name: s.Name, Service: s.Service, Kind: string(s.Kind), DataCentre: s.DataCentre, Address: s.Address,
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Revision: s.Revision, Silent: s.Silent,
 		Accelerators: int64(s.Accelerators), MemoryMib: s.MemoryMiB, Engine: s.Engine,
-		ChecksFencing: s.ChecksFencing, NewestOrder: s.NewestOrder, Leaving: s.Leaving,
+		ChecksFencing: s.ChecksFencing, NewestOrder: s.NewestOrder, Leaving: s.Leaving, SoftwareVersion: s.SoftwareVersion,
 	}
 	for _, r := range s.Models {
 		out.Models = append(out.Models, &peerpb.ModelReport{
@@ -137,6 +137,7 @@
 		Name: s.Name, Service: s.Service, Kind: config.ServiceKind(s.Kind), DataCentre: s.DataCentre, Address: s.Address,
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Accelerators: int(s.Accelerators), MemoryMiB: s.MemoryMib,
 		Engine: s.Engine, ChecksFencing: s.ChecksFencing, NewestOrder: s.NewestOrder, Leaving: s.Leaving,
+		SoftwareVersion: s.SoftwareVersion,
 	}}
 	for _, r := range s.Models {
 		out.Models = append(out.Models, membership.ModelReport{
