--- a/node/forward/crash_world_test.go
+++ b/node/forward/crash_world_test.go
@@ -158,13 +158,16 @@
 	return result
 }
 
-// follow returns a replica that applies the log until ctx ends.
+// follow returns a replica that has applied the log so far and applies it until ctx ends.
 func (l *worldLog) follow(ctx context.Context) *replica.Replica {
 	feed := make(chan state.Command, 1<<16)
+	l.mu.Lock()
 	l.followers = append(l.followers, feed)
-	r := replica.New(state.New())
+	first := l.index + 1
+	r := replica.New(l.leader.ForFollowers())
+	l.mu.Unlock()
 	go func() {
-		for index := uint64(1); ; index++ {
+		for index := first; ; index++ {
 			select {
 			case <-ctx.Done():
 				return
--- a/node/forward/forwarder_test.go
+++ b/node/forward/forwarder_test.go
@@ -32,7 +32,7 @@
 		err = nil
 	}
 	return Request{
-		ID: h.Get("T-Id"), Timeout: time.Duration(ms) * time.Millisecond, ResumeAfter: h.Get("T-After"),
+		ID: h.Get("T-Id"), Timeout: time.Duration(ms) * time.Millisecond, ResumeAfter: h.Get("T-After"), ResumedStream: h.Get("T-Resumes"),
 		Model: h.Get("T-Model"), Adapter: h.Get("T-Adapter"), PromptParts: strings.Fields(h.Get("T-Parts")),
 	}, err
 }
--- /dev/null
+++ b/node/forward/version_test.go
@@ -0,0 +1,124 @@
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/membership"
+)
+
+const seconds = time.Second
+
+// TestStreamsKeepTheirSoftwareVersion guards against streams that are continued by a server
+// of another software version than the one that began them.
+func TestStreamsKeepTheirSoftwareVersion(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		opts versionWorldOptions
+	}{
+		{"servers crash", versionWorldOptions{crashes: []time.Duration{8 * seconds, 11 * seconds, 14 * seconds}, crashShare: 0.3}},
+		{"connections of callers are reset", versionWorldOptions{resets: []time.Duration{8 * seconds, 10 * seconds, 12 * seconds}}},
+		{"hosts are killed", versionWorldOptions{hostKills: []time.Duration{8 * seconds, 12 * seconds}, killShare: 0.4, hostRestart: seconds}},
+		{"all hosts are killed while two versions serve", versionWorldOptions{hostKills: []time.Duration{9 * seconds}, killShare: 1, hostRestart: seconds / 2}},
+		{"all hosts are killed when the old version has left", versionWorldOptions{
+			hostKills: []time.Duration{5 * seconds}, killShare: 1, hostRestart: seconds / 2, releaseShare: 1, releaseGap: 100 * time.Millisecond, drain: seconds / 2,
+		}},
+		{"all at once", versionWorldOptions{
+			hostKills: []time.Duration{5 * seconds, 9050 * time.Millisecond}, killShare: 0.4, hostRestart: seconds,
+			crashes: []time.Duration{4500 * time.Millisecond, 9 * seconds, 14 * seconds}, crashShare: 0.3, resets: []time.Duration{6 * seconds, 14050 * time.Millisecond},
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				synctest.Test(t, func(t *testing.T) {
+					o := c.opts
+					o.seed, o.hosts, o.servers, o.perSecond, o.duration, o.releaseAt = seed, 8, 8, 60, 18*seconds, 4*seconds
+					if o.releaseShare == 0 {
+						o.releaseShare, o.releaseGap = 0.5, 400*time.Millisecond
+					}
+					got := runVersionWorld(t, o).counts()
+					t.Logf("seed %d: %+v", seed, got)
+					if got.mixed > 0 {
+						t.Errorf("seed %d: %d of %d streams hold events of two software versions", seed, got.mixed, got.begun)
+					}
+					if callersResume := len(o.resets)+len(o.hostKills) > 0; callersResume && got.resumed < 12 {
+						t.Errorf("seed %d: %d streams were resumed by callers, too few to show anything", seed, got.resumed)
+					}
+				})
+			}
+		})
+	}
+}
+
+// TestCutStreamIsContinuedBySameVersion guards against a host that continues a stream, after
+// its server broke off, at a server of another software version.
+func TestCutStreamIsContinuedBySameVersion(t *testing.T) {
+	for _, versions := range [][]string{{"v1", "v2", "v2", "v2"}, {"v1", "v1", "v2", "v2"}} {
+		t.Run(fmt.Sprint(versions), func(t *testing.T) {
+			same, mixed := 0, 0
+			for range 20 {
+				first, second := playCutStream(t, versions)
+				if second == "" {
+					continue
+				}
+				if first == second {
+					same++
+				} else {
+					mixed++
+				}
+			}
+			if mixed > 0 {
+				t.Errorf("%d streams were continued by another version, %d by the same", mixed, same)
+			}
+		})
+	}
+}
+
+// playCutStream has servers with the given software versions break off a stream after its
+// first event. It returns the versions of the servers that wrote its first and its second
+// event, empty if there is no second one.
+func playCutStream(t *testing.T, versions []string) (first, second string) {
+	t.Helper()
+	scripts := make([][]http.HandlerFunc, len(versions))
+	for i, v := range versions {
+		scripts[i] = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("T-Signed", "yes")
+			w.Header().Set("Content-Type", "text/event-stream")
+			if r.Header.Get("T-After") != "" {
+				_, _ = io.WriteString(w, "id: 2\ndata: "+v+"\n\n")
+				return
+			}
+			_, _ = io.WriteString(w, "id: 1\ndata: "+v+"\n\n")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}}
+	}
+	url, forwarder, _ := startForwarder(t, scripts...)
+	nameVersions(forwarder, versions)
+	_, body, _ := post(t, url, "/resumable/", "")
+	for _, event := range strings.Split(body, "\n\n") {
+		if _, v, ok := strings.Cut(event, "id: 1\ndata: "); ok {
+			first = v
+		}
+		if _, v, ok := strings.Cut(event, "id: 2\ndata: "); ok {
+			second = v
+		}
+	}
+	return first, second
+}
+
+// nameVersions makes the servers of a forwarder announce software versions.
+func nameVersions(f *Forwarder, versions []string) {
+	servers := f.opts.Servers()
+	for i, v := range versions {
+		servers[i].SoftwareVersion = v
+	}
+	f.opts.Servers = func() []membership.ServerStatus { return slices.Clone(servers) }
+	f.Refresh()
+}
