forward, origin: let streams go on only at the software version that began them

What callers saw: answers of two software versions of a backend server joined into one stream, with status 200 and nothing to show it.

Cause: what two software versions write does not fit together, but the version was no part of what the product knows of a server. A host continued a cut stream at any server with the model, and routed a request by which a caller resumes a stream like a new one.

Change: an origin (service and version) is bound to each resumable stream with its first event. Hosts report origins to the leader and ask it when a caller resumes a stream; versions are admitted in the replicated log before streams begin there, so that an origin is inferred only if it is certain.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -189,3 +189,17 @@
 	}
 	return r.Targets[len(r.Targets)-1].Service
 }
+
+// ServiceNames returns the services to which requests of the route may be sent.
+func (r Route) ServiceNames() []string {
+	var out []string
+	for _, t := range r.Targets {
+		if t.Weight > 0 {
+			out = append(out, t.Service)
+		}
+	}
+	return out
+}
+
+// Serves reports whether requests of the route may be sent to a service.
+func (r Route) Serves(service string) bool { return slices.Contains(r.ServiceNames(), service) }
--- a/core/routing/choose.go
+++ b/core/routing/choose.go
@@ -15,6 +15,9 @@
 	// server with a limit, and Priority is its priority among them; zero is the most urgent.
 	Request  uint64
 	Priority int
+	// AllowsVersion reports whether servers of a software version may receive the attempt.
+	// Nil means any.
+	AllowsVersion func(version string) bool
 }
 
 // Attempt is one attempt on the chosen server. Each attempt must be ended exactly
@@ -159,7 +162,7 @@
 func (r *Router) available(now time.Duration, c *candidate, q Query) bool {
 	s := c.server
 	atLimit := r.opts.MaxAttemptsPerServer > 0 && c.running >= r.opts.MaxAttemptsPerServer
-	available := !s.OutOfRotation && !s.ended && !s.stalled
+	available := !s.OutOfRotation && !s.ended && !s.stalled && (q.AllowsVersion == nil || q.AllowsVersion(s.SoftwareVersion))
 	return available && !atLimit && now >= s.TrialUntil && s.Name != q.Exclude && c.breaker.allows(now)
 }
 
--- a/core/routing/trial.go
+++ b/core/routing/trial.go
@@ -25,7 +25,7 @@
 func (r *Router) leastLoaded(now time.Duration, t *target, q Query, excluded func(server string) bool, eligible eligibility) *candidate {
 	var best *candidate
 	for _, c := range t.candidates {
-		if eligible(now, c, Query{Request: q.Request, Priority: q.Priority}) && !excluded(c.server.Name) && (best == nil || c.server.load() < best.server.load()) {
+		if eligible(now, c, Query{Request: q.Request, Priority: q.Priority, AllowsVersion: q.AllowsVersion}) && !excluded(c.server.Name) && (best == nil || c.server.load() < best.server.load()) {
 			best = c
 		}
 	}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -34,6 +34,8 @@
 	StoreLearned  *StoreLearned  `json:"learn,omitempty"`
 	Publish       *Publish       `json:"publish,omitempty"`
 	RecordLeader  *RecordLeader  `json:"lead,omitempty"`
+
+	SetSoftwareVersion *SetSoftwareVersion `json:"software_version,omitempty"`
 }
 
 // Configure replaces the configuration if Expected is its current version.
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"github.com/pollenwheel/pollenwheel/core/config"
+	"github.com/pollenwheel/pollenwheel/core/origin"
 )
 
 // Phase is the stage of a placement.
@@ -156,6 +157,10 @@
 	// Published is the current route table, if any.
 	Published *Publish `json:"published,omitempty"`
 
+	// SoftwareVersions are the admitted software versions of servers. The map and its
+	// lists are replaced and never modified, since copies of the state share them.
+	SoftwareVersions origin.Admitted `json:"software_versions,omitempty"`
+
 	// Learned is the data about loads and arrivals that a leader stored last.
 	Learned json.RawMessage `json:"learned,omitempty"`
 
@@ -229,6 +234,8 @@
 		return Result{PreviousLeader: &previous}
 	case c.Publish != nil:
 		return s.publish(*c.Publish)
+	case c.SetSoftwareVersion != nil:
+		return s.setSoftwareVersion(*c.SetSoftwareVersion)
 	}
 	return Result{}
 }
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -88,7 +88,10 @@
 	EventSent    = "sent"
 	// EventResumed is logged for the first event that a server adds to a stream that another
 	// attempt, or another request of the caller, began.
-	EventResumed    = "resumed"
+	EventResumed = "resumed"
+	// EventUnresumed is logged for a request that resumes a stream and is refused, because it
+	// is not known what began the stream or that is gone.
+	EventUnresumed  = "not_resumed"
 	EventAnswered   = "answered"
 	EventLate       = "late"
 	EventRefused    = "refused"
@@ -98,7 +101,7 @@
 )
 
 // RequestEvents lists all events of a request.
-var RequestEvents = []string{EventAttempt, EventSent, EventResumed, EventAnswered, EventLate, EventRefused, EventFailed, EventAborted, EventCallerLeft}
+var RequestEvents = []string{EventAttempt, EventSent, EventResumed, EventUnresumed, EventAnswered, EventLate, EventRefused, EventFailed, EventAborted, EventCallerLeft}
 
 // Events that change a process's view of the cluster.
 const (
@@ -118,6 +121,8 @@
 	EventSettings     = "settings"
 	// EventNotice is logged if what a server says of itself in its answers changes.
 	EventNotice = "notice"
+	// EventVersion is logged if a software version of servers is admitted or retired.
+	EventVersion = "software_version"
 )
 
 // Fields holds the fields of one line by name.
--- a/node/explain/explain_test.go
+++ b/node/explain/explain_test.go
@@ -89,7 +89,7 @@
 // Guards against an event that ends a request but has no description in reports.
 func TestEveryEndHasADescription(t *testing.T) {
 	for _, event := range decision.RequestEvents {
-		beforeTheEnd := event == decision.EventAttempt || event == decision.EventSent || event == decision.EventResumed
+		beforeTheEnd := event == decision.EventAttempt || event == decision.EventSent || event == decision.EventResumed || event == decision.EventUnresumed
 		if !beforeTheEnd && endDescriptions[event] == "" {
 			t.Errorf("the event %q has no description", event)
 		}
--- a/node/forward/accounting.go
+++ b/node/forward/accounting.go
@@ -91,7 +91,7 @@
 	defer f.mu.Unlock()
 	defer f.permits.NotifyLocked()
 	now := f.opts.Now()
-	q := routing.Query{Key: c.key, Prefix: c.request.Prefix, Exclude: c.avoidServer, Request: c.serial, Priority: c.route.Priority}
+	q := routing.Query{Key: c.key, Prefix: c.request.Prefix, Exclude: c.avoidServer, Request: c.serial, Priority: c.route.Priority, AllowsVersion: c.allowsVersion()}
 	if trial {
 		if attempt, ok = f.router.PickLeastLoaded(now, q, f.excludedFromTrial(c)); ok {
 			return attempt, nil, forecast, true
@@ -106,13 +106,14 @@
 			return attempt, nil, forecast, true
 		}
 	}
-	forecast = f.forecaster.forecast(c.key)
+	forecast, possible := f.forecastFor(c)
 	restriction, restricted := f.router.Restriction(now, q)
 	if c.restriction, c.restricted = restriction, restricted; restricted {
 		return attempt, f.rebuilt, forecast.OrAt(now + restriction.Delay), false
 	}
-	if c.mustAvoid && f.router.AvailableServers(c.key) > 0 {
-		// Only the server that has just refused the request holds the target.
+	if !possible || c.mustAvoid && f.router.AvailableServers(c.key) > 0 {
+		// Only the server that has just refused the request holds the target, or none of
+		// the software version that began the stream does.
 		return attempt, nil, forecast, false
 	}
 	return attempt, f.rebuilt, forecast, false
--- a/node/forward/forecast.go
+++ b/node/forward/forecast.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// addPlainServer adds a server of a service without an engine.
+func (f *forecaster) addPlainServer(s membership.ServerStatus) {
+	if !s.Leaving {
+		f.ready[routing.Key{Service: s.Service}] = true
+	}
+}
+
 func (f *forecaster) addHolding(now time.Duration, service string, h residency.Holding) {
 	key := routing.Key{Service: service, Model: h.Model, Adapter: h.Adapter}
 	switch {
@@ -81,6 +88,26 @@
 	return waitpolicy.Forecast{FastestLoad: f.shortestLoadTime(model)}
 }
 
+// holds reports whether a server is ready for the key or loads it.
+func (f *forecaster) holds(key routing.Key) bool {
+	_, loading := f.readyAt[key]
+	return loading || f.ready[key]
+}
+
+// forecastFor returns the forecast for a request. It returns false if waiting is in vain: the
+// stream has begun at a software version of whose servers none holds the target. A load for
+// the sake of one stream would end too late. f.mu must be held.
+func (f *Forwarder) forecastFor(c *call) (waitpolicy.Forecast, bool) {
+	if c.origin == nil {
+		return f.forecaster.forecast(c.key), true
+	}
+	servers := f.versionForecasters[*c.origin]
+	if servers == nil {
+		return waitpolicy.Forecast{}, false
+	}
+	return servers.forecast(c.key), servers.holds(c.key)
+}
+
 // shortestLoadTime returns how long a load of the model takes that begins now. It
 // is zero if a server is ready for the model, because loading an adapter takes
 // negligible time, or if the service's engine is unknown.
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/pollenwheel/pollenwheel/core/evidence"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/notice"
+	"github.com/pollenwheel/pollenwheel/core/origin"
 	"github.com/pollenwheel/pollenwheel/core/ratelimit"
 	"github.com/pollenwheel/pollenwheel/core/residency"
 	"github.com/pollenwheel/pollenwheel/core/retry"
@@ -19,6 +20,7 @@
 	"github.com/pollenwheel/pollenwheel/core/routing"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/decision"
+	"github.com/pollenwheel/pollenwheel/node/origins"
 	"github.com/pollenwheel/pollenwheel/node/permits"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 )
@@ -54,6 +56,9 @@
 	// AskPermits asks the leader for permits to send requests to servers that name a
 	// limit. If it is nil, the host uses its own share of each limit.
 	AskPermits permits.Ask
+	// AskOrigins tells and asks the leader which software versions began streams. If it is
+	// nil, this host is the only one.
+	AskOrigins origins.Ask
 	// OnLeaving is called when a server process says in an answer that it is leaving. It may
 	// be nil.
 	OnLeaving func(p notice.Process)
@@ -79,6 +84,9 @@
 	// requests that wait for a server.
 	rebuilt    chan struct{}
 	forecaster *forecaster
+	// versionForecasters predict, for streams that have begun, from the servers of their
+	// origin only.
+	versionForecasters map[origin.Origin]*forecaster
 	// nextReady is the next time at which a holding becomes ready without a further
 	// report, or zero.
 	nextReady time.Duration
@@ -92,6 +100,8 @@
 	// leader for permits to send to those with a limit.
 	notices *notice.Table
 	permits *permits.Client
+	// origins knows which software versions began streams.
+	origins *origins.Client
 	// requestSerial numbers the requests.
 	requestSerial atomic.Uint64
 	// unrecorded counts, by part, the crashes that accuse it and are not recorded
@@ -121,6 +131,8 @@
 	// index up to which they are known.
 	suspects     *suspects
 	appliedIndex uint64
+	// versions are the software versions at which streams may begin.
+	versions origin.Admitted
 }
 
 const (
@@ -155,6 +167,7 @@
 	f.permits = permits.NewClient(permits.ClientOptions{
 		Lock: &f.mu, Table: notices, Ask: o.AskPermits, Now: o.Now, Applied: f.permitsApplied,
 	})
+	f.origins = f.newOrigins()
 	f.waitingStopped = make(chan struct{})
 	f.stopWaiting = sync.OnceFunc(func() { close(f.waitingStopped) })
 	f.view.Store(&admissionView{})
@@ -167,6 +180,7 @@
 	if f.opts.AskPermits != nil {
 		go f.permits.Run(ctx)
 	}
+	go f.origins.Run(ctx)
 	for {
 		committed, serversChanged, holdingsChanged := f.opts.Replica.Changed(), f.opts.ServersChanged(), f.opts.Holdings.Changed()
 		f.Refresh()
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/exchange"
+	"github.com/pollenwheel/pollenwheel/core/origin"
 	"github.com/pollenwheel/pollenwheel/core/residency"
 	"github.com/pollenwheel/pollenwheel/core/route"
 	"github.com/pollenwheel/pollenwheel/core/routing"
@@ -58,9 +59,9 @@
 	headersSent bool
 	lastEventID string
 	eventCount  int
-	// begunVersion is the software version of the server that began the stream, once it is
-	// known.
-	begunVersion string
+	// origin is what a resumable stream must go on at, once its first event has been passed
+	// on or the caller has resumed it.
+	origin *origin.Origin
 	// firstOutputAt is when the first event, or else the complete answer, was
 	// passed on, and lastEventAt when the last event was. longestPause is the
 	// longest time between two events, and waitTime the time spent waiting for a
@@ -101,11 +102,13 @@
 	var cancel context.CancelFunc
 	c.ctx, cancel = context.WithTimeout(r.Context(), c.deadline-c.arrivedAt)
 	defer cancel()
-	c.run()
+	if c.findOrigin() && c.chooseTarget() {
+		c.run()
+	}
 }
 
-// admit reads the request and selects its route and service. It returns false if it
-// has refused the request.
+// admit reads the request and selects its route. It returns false if it has refused the
+// request.
 func (c *call) admit() bool {
 	f := c.forwarder
 	var err error
@@ -130,7 +133,21 @@
 	}
 	c.fingerprint = c.computeFingerprint()
 	c.lastEventID = c.request.ResumeAfter
-	c.key = routing.Key{Service: c.route.ChooseService(f.randomFraction()), Model: c.request.Model, Adapter: c.request.Adapter}
+	return true
+}
+
+// chooseTarget selects the service, that of the origin for a stream that the caller resumes,
+// and checks whether it may run the request. It returns false if it has refused the request.
+func (c *call) chooseTarget() bool {
+	f := c.forwarder
+	v := f.view.Load()
+	service := ""
+	if c.origin != nil {
+		service = c.origin.Service
+	} else {
+		service = c.route.ChooseService(f.randomFraction())
+	}
+	c.key = routing.Key{Service: service, Model: c.request.Model, Adapter: c.request.Adapter}
 	svc, _ := v.index.Table().Service(c.key.Service)
 	if svc.Engine == nil {
 		c.key.Model, c.key.Adapter = "", ""
--- a/node/forward/version_test.go
+++ b/node/forward/version_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/state"
 )
 
 const seconds = time.Second
@@ -50,6 +51,10 @@
 					if callersResume := len(o.resets)+len(o.hostKills) > 0; callersResume && got.resumed < 12 {
 						t.Errorf("seed %d: %d streams were resumed by callers, too few to show anything", seed, got.resumed)
 					}
+					// The streams of a version that has left cannot go on.
+					if served := o.releaseShare < 1; served && got.continued*2 < got.resumed {
+						t.Errorf("seed %d: %d of %d streams went on that callers resumed, want half or more", seed, got.continued, got.resumed)
+					}
 				})
 			}
 		})
@@ -120,5 +125,8 @@
 		servers[i].SoftwareVersion = v
 	}
 	f.opts.Servers = func() []membership.ServerStatus { return slices.Clone(servers) }
+	for i, v := range slices.Compact(slices.Sorted(slices.Values(versions))) {
+		f.opts.Replica.Apply(uint64(2+i), state.Command{SetSoftwareVersion: &state.SetSoftwareVersion{Service: "plain", Version: v}})
+	}
 	f.Refresh()
 }
--- a/node/forward/version_world_test.go
+++ b/node/forward/version_world_test.go
@@ -18,9 +18,11 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/origin"
 	"github.com/pollenwheel/pollenwheel/core/retry"
 	"github.com/pollenwheel/pollenwheel/core/route"
 	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/origins"
 	"github.com/pollenwheel/pollenwheel/standin/memnet"
 )
 
@@ -68,6 +70,9 @@
 	start time.Time
 	log   *worldLog
 	ctx   context.Context
+	// origins is the leader's side of the origins of streams, and registry admits versions.
+	origins  *origins.Server
+	registry *origin.Registry
 
 	mu      sync.Mutex
 	over    bool
@@ -117,8 +122,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &versionWorld{
 		opts: o, start: time.Now(), ctx: ctx, changed: make(chan struct{}),
-		log: &worldLog{leader: state.New(), barred: map[string]bool{}, available: func() bool { return true }},
+		log: &worldLog{leader: state.New(), barred: map[string]bool{}, available: func() bool { return true }}, registry: origin.NewRegistry(),
 	}
+	w.origins = origins.NewServer(origins.ServerOptions{
+		Term: func() (uint64, bool) { return 1, true }, Leader: func() string { return "" }, Admitted: w.admitted, Now: w.now,
+	})
 	for i := range o.servers {
 		w.startServer(fmt.Sprint("server-", i), fmt.Sprintf("10.0.0.%d:80", i+1), "v1", 1)
 	}
@@ -172,7 +180,40 @@
 		Protocol: testProtocol{}, Replica: w.log.follow(ctx), Log: w.log, Holdings: NewHoldings(), Self: state.HostProcess{Host: fmt.Sprint(i)},
 		Servers: w.statuses, ServersChanged: w.serversChanged, HostCount: func() int { return w.opts.hosts },
 		Now: func() time.Duration { return w.now() + time.Second }, Ready: func() bool { return true }, Dial: w.net.Dial,
-		RetryLimit: retry.Limit{Ratio: 0.2, Window: 10 * time.Second, Slack: 56}, DemandChanged: func() {},
+		RetryLimit: retry.Limit{Ratio: 0.2, Window: 10 * time.Second, Slack: 56}, DemandChanged: func() {}, AskOrigins: w.askOrigins,
+	}
+}
+
+// askOrigins sends a report to the leader.
+func (w *versionWorld) askOrigins(ctx context.Context, r origin.Report, timeout time.Duration) (origin.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if !pause(ctx, worldLinkDelay) {
+		return origin.Reply{}, ctx.Err()
+	}
+	reply, err := w.origins.Handle(ctx, r)
+	if err == nil && !pause(ctx, worldLinkDelay) {
+		return origin.Reply{}, ctx.Err()
+	}
+	return reply, err
+}
+
+// admitted returns the software versions that the leader's state admits.
+func (w *versionWorld) admitted() origin.Admitted {
+	w.log.mu.Lock()
+	defer w.log.mu.Unlock()
+	return w.log.leader.SoftwareVersions
+}
+
+// admit admits the software versions of the announced servers, as the leader does.
+func (w *versionWorld) admit() {
+	var announced []origin.Origin
+	for _, s := range w.statuses() {
+		announced = append(announced, origin.Origin{Service: s.Service, Version: s.SoftwareVersion})
+	}
+	for _, c := range w.registry.Step(w.now(), w.admitted(), announced) {
+		command := state.NewSetSoftwareVersion(c)
+		time.AfterFunc(worldCommitTime, func() { w.log.apply(state.Command{SetSoftwareVersion: &command}) })
 	}
 }
 
@@ -251,6 +292,7 @@
 		list = slices.DeleteFunc(list, func(old *versionServer) bool { return old.status.Name == name })
 		return append(list, s)
 	})
+	w.admit()
 }
 
 // crash ends a server process. It starts again after serverRestart, with the same version.
--- a/node/forward/view.go
+++ b/node/forward/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/origin"
 	"github.com/pollenwheel/pollenwheel/core/residency"
 	"github.com/pollenwheel/pollenwheel/core/route"
 	"github.com/pollenwheel/pollenwheel/core/routing"
@@ -72,6 +73,7 @@
 	next := &admissionView{index: old.index}
 	f.opts.Replica.View(func(s *state.State) {
 		next.suspects, next.appliedIndex = copySuspects(old.suspects, s), s.Index
+		next.versions = s.SoftwareVersions
 		if s.Published == nil || next.index != nil && next.index.Table().Version == s.Published.Table.Version {
 			return
 		}
@@ -107,7 +109,7 @@
 	var nextReady time.Duration
 	var servers []routing.Server
 	var replicas []routing.Replica
-	forecaster := newForecaster()
+	forecaster, byVersion := newForecaster(), map[origin.Origin]*forecaster{}
 	for _, s := range current {
 		svc, ok := table.Service(s.Service)
 		if !ok {
@@ -117,13 +119,19 @@
 			Name: s.Name, Address: s.Address, DataCentre: s.DataCentre, Incarnation: s.Incarnation, OutOfRotation: s.Leaving,
 			SoftwareVersion: s.SoftwareVersion,
 		})
+		of := origin.Origin{Service: s.Service, Version: s.SoftwareVersion}
+		if byVersion[of] == nil {
+			byVersion[of] = newForecaster()
+		}
 		if svc.Engine == nil {
+			byVersion[of].addPlainServer(s)
 			replicas = append(replicas, routing.Replica{Server: s.Name, Key: routing.Key{Service: s.Service}})
 			continue
 		}
 		holdings := f.holdingsOf(s)
 		replicas = append(replicas, readyReplicas(now, s, holdings)...)
 		forecaster.addServer(now, s, svc.Engine, holdings)
+		byVersion[of].addServer(now, s, svc.Engine, holdings)
 		nextReady = earliestReady(now, nextReady, holdings)
 	}
 	f.mu.Lock()
@@ -134,7 +142,7 @@
 		f.sequences[s.Name] = s.Sequence
 		f.router.RecordAnnouncement(s.Name, s.Incarnation, s.Sequence)
 	}
-	f.forecaster, f.nextReady = forecaster, nextReady
+	f.forecaster, f.versionForecasters, f.nextReady = forecaster, byVersion, nextReady
 	f.wakeWaiting()
 }
 
--- a/node/forward/wait.go
+++ b/node/forward/wait.go
@@ -45,7 +45,7 @@
 			return attempt, true
 		}
 		if rebuilt == nil {
-			c.endWithoutServer(unavailableRetryAfter, "no other backend server holds the target")
+			c.endWithoutServer(unavailableRetryAfter, c.noServerReason())
 			return attempt, false
 		}
 		now := f.opts.Now()
@@ -79,6 +79,14 @@
 	}
 }
 
+// noServerReason describes why waiting for a server is in vain.
+func (c *call) noServerReason() string {
+	if c.origin != nil {
+		return "no other backend server of software version " + c.origin.Version + ", which began the stream, holds the target"
+	}
+	return "no other backend server holds the target"
+}
+
 func (f *Forwarder) hasStoppedWaiting() bool {
 	select {
 	case <-f.waitingStopped:
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/origin"
 	"github.com/pollenwheel/pollenwheel/core/residency"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/control"
@@ -63,6 +64,7 @@
 // leaderTerm is the state of one term in which this host leads.
 type leaderTerm struct {
 	planner   *residency.Planner
+	registry  *origin.Registry
 	fence     uint64
 	startedAt time.Duration
 	// previousLeader is the process of the previous leader. ordersAllowed is set
@@ -110,7 +112,7 @@
 	}
 	t := &leaderTerm{
 		previousLeader: previousLeader,
-		planner:        residency.New(), fence: h.group.Status().Term, startedAt: h.now(),
+		planner:        residency.New(), registry: origin.NewRegistry(), fence: h.group.Status().Term, startedAt: h.now(),
 		holdings: map[string]residency.ServerHoldings{}, changed: make(chan struct{}), ended: make(chan struct{}),
 	}
 	p.setTerm(t)
@@ -156,6 +158,7 @@
 			return s.HasEnded(x.Name, x.Incarnation, x.Sequence)
 		})
 	})
+	p.admitVersions(ctx, t, servers)
 	in.Servers = withLimits(residencyServers(servers), p.limits())
 	p.mu.Lock()
 	in.Demand = p.unexpiredDemand(in.Now)
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -25,6 +25,7 @@
 	"github.com/pollenwheel/pollenwheel/node/control"
 	"github.com/pollenwheel/pollenwheel/node/decision"
 	"github.com/pollenwheel/pollenwheel/node/forward"
+	"github.com/pollenwheel/pollenwheel/node/origins"
 	"github.com/pollenwheel/pollenwheel/node/peer"
 	"github.com/pollenwheel/pollenwheel/node/permits"
 	"github.com/pollenwheel/pollenwheel/node/replica"
@@ -84,7 +85,9 @@
 	holdings         *forward.Holdings
 	placer           *placer
 	// permitServer is nil without the control role.
-	permitServer  *permits.Server
+	permitServer *permits.Server
+	// originServer is nil without the control role.
+	originServer  *origins.Server
 	demandChanged chan struct{}
 	metrics       *telemetry.Metrics
 	// adminMetrics counts the requests of operators.
@@ -131,12 +134,16 @@
 	rng := rand.New(rand.NewSource(int64(h.sender.Incarnation)))
 	h.follower = peer.NewFollower(h.peers, h.members, h.replica, h.logger, rng, o.Settings.Host, h.peerGroup())
 	h.placer = newPlacer(h, o.ServerClient, o.OrderDelay)
+	if h.group != nil {
+		h.originServer = h.newOriginServer()
+	}
 	h.requestForwarder = forward.New(forward.Options{
 		Protocol: o.Protocol, Replica: h.replica, Log: h.leaderClient, DataCentre: o.Settings.DataCentre, Self: h.sender,
 		Servers: h.members.Servers, ServersChanged: h.members.serversChanged, Holdings: h.holdings,
 		HostCount: h.callerHostCount, Now: h.now, Ready: h.Ready, RetryLimit: o.RetryLimit, DemandChanged: h.signalDemandChange, Decisions: h.decisions,
 		OnLeaving:  h.members.recordLeaving,
 		AskPermits: askPermits(h.leaderClient, permitHandler(h.permitServer), h.sender.Incarnation),
+		AskOrigins: askOrigins(h.leaderClient, originHandler(h.originServer)),
 	})
 	if err := h.createMetrics(); err != nil {
 		return nil, err
@@ -315,7 +322,8 @@
 func (h *RoutedHost) servePeers(g *runGroup) {
 	server := peer.NewServer(peer.Handlers{
 		Host: h.opts.Settings.Host, LogMember: h.peerGroup(), Gossip: h.members.receive, Demand: h.placer.acceptDemandReport,
-		Holdings: h.placer.streamHoldings, Permits: permitHandler(h.permitServer), Drain: h.beginDeparture, Burn: func() burn.Snapshot { return burn.Snapshot{} },
+		Holdings: h.placer.streamHoldings, Permits: permitHandler(h.permitServer), Origins: originHandler(h.originServer),
+		Drain: h.beginDeparture, Burn: func() burn.Snapshot { return burn.Snapshot{} },
 	})
 	g.Add(func() error { return server.Serve(h.peerListener) }, func(error) { server.Stop() })
 }
--- /dev/null
+++ b/node/origins/client.go
@@ -0,0 +1,171 @@
+package origins
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/origin"
+)
+
+const (
+	// minReportInterval is the shortest time between two reports of a host. The streams of
+	// a host that dies within it are unknown to the leader.
+	minReportInterval = 80 * time.Millisecond
+	// reportsPerSecond bounds the reports that the leader gets from all hosts together.
+	reportsPerSecond = 400
+	// refreshInterval is the shortest time between two reports of a host without news, by
+	// which it finds out that another host leads.
+	refreshInterval = 250 * time.Millisecond
+	// callTimeout bounds the wait for one reply of the leader.
+	callTimeout = 500 * time.Millisecond
+	// askPause is the pause before a question is asked again.
+	askPause = 50 * time.Millisecond
+	// settleTime is how long, beyond the time between two reports, a question is asked
+	// again although a leader does not know the stream. The host where it began may have
+	// to report it yet, for example to a new leader.
+	settleTime = 300 * time.Millisecond
+	// maxWait bounds the wait for an answer. It is longer than the election of a leader
+	// takes, and leaves time to refuse the caller early.
+	maxWait = time.Second
+)
+
+// ErrUnknown is the error for a stream of which neither this host nor the leader knows the
+// origin, although several are possible.
+var ErrUnknown = errors.New("origins: no host knows which software version began the stream")
+
+// ErrNoLeader is the error if no leader answers in time.
+var ErrNoLeader = errors.New("origins: no leader answers which software version began the stream")
+
+// Ask sends a report to the leader and waits for its reply for at most timeout.
+type Ask func(ctx context.Context, r origin.Report, timeout time.Duration) (origin.Reply, error)
+
+// ClientOptions configure a Client.
+type ClientOptions struct {
+	Ask Ask
+	Now func() time.Duration
+	// HostCount returns the number of hosts that report streams.
+	HostCount func() int
+}
+
+// Client notes the origins of the streams of one host, reports them to the leader and asks it
+// for those of other streams. It is safe for concurrent use.
+type Client struct {
+	opts ClientOptions
+	wake chan struct{}
+
+	mu      sync.Mutex
+	journal *origin.Journal
+}
+
+// NewClient returns a Client that knows no streams.
+func NewClient(o ClientOptions) *Client {
+	return &Client{opts: o, wake: make(chan struct{}, 1), journal: origin.NewJournal()}
+}
+
+// Begin notes the origin of a stream whose first event is passed on now.
+func (c *Client) Begin(r origin.Record) {
+	c.mu.Lock()
+	c.journal.Add(c.opts.Now(), r)
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run reports streams to the leader until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	for {
+		refresh := time.NewTimer(refreshInterval)
+		select {
+		case <-ctx.Done():
+		case <-c.wake:
+		case <-refresh.C:
+		}
+		refresh.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+		c.report(ctx)
+		if !sleep(ctx, c.reportInterval()) {
+			return
+		}
+	}
+}
+
+// reportInterval returns the time between two reports of this host.
+func (c *Client) reportInterval() time.Duration {
+	return max(minReportInterval, time.Duration(c.opts.HostCount())*time.Second/reportsPerSecond)
+}
+
+// report sends the streams that the leader does not know yet. Without any, it sends an empty
+// report if this host knows streams that a new leader has to be told.
+func (c *Client) report(ctx context.Context) {
+	c.mu.Lock()
+	now := c.opts.Now()
+	empty, records := c.journal.Empty(now), c.journal.Take(now)
+	c.mu.Unlock()
+	if empty {
+		return
+	}
+	reply, err := c.opts.Ask(ctx, origin.Report{Records: records}, callTimeout)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.journal.RecordFailure(records)
+	} else {
+		c.journal.RecordReply(reply.Term)
+	}
+	if c.journal.HasUnsent() {
+		select {
+		case c.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Find returns the origin of a stream, whose ID is empty if the caller did not name it. It asks
+// the leader unless this host knows the origin, and waits for at most maxWait. The error is
+// ErrUnknown, ErrNoLeader or that of ctx.
+func (c *Client) Find(ctx context.Context, q origin.Question) (origin.Answer, error) {
+	c.mu.Lock()
+	known, ok := c.journal.Find(q.Stream)
+	c.mu.Unlock()
+	if ok {
+		return origin.Answer{Known: true, Origin: known}, nil
+	}
+	begun := c.opts.Now()
+	result := ErrNoLeader
+	for {
+		reply, err := c.opts.Ask(ctx, origin.Report{Questions: []origin.Question{q}}, callTimeout)
+		waited := c.opts.Now() - begun
+		if err == nil && len(reply.Answers) == 1 {
+			if reply.Answers[0].Known {
+				return reply.Answers[0], nil
+			}
+			if result = ErrUnknown; waited > settleTime+c.reportInterval() {
+				return origin.Answer{}, result
+			}
+		}
+		if waited > maxWait {
+			return origin.Answer{}, result
+		}
+		if !sleep(ctx, askPause) {
+			return origin.Answer{}, ctx.Err()
+		}
+	}
+}
+
+// sleep waits for d. It returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/node/peer/errors.go
+++ b/node/peer/errors.go
@@ -23,6 +23,7 @@
 	OpBurn      Op = "burn"
 	OpHoldings  Op = "holdings"
 	OpPermits   Op = "permits"
+	OpOrigins   Op = "origins"
 )
 
 // Delivery states whether a failed call may have reached the other host.
--- a/node/peer/permits.go
+++ b/node/peer/permits.go
@@ -122,20 +122,6 @@
 // Permits asks the leader for permits, for at most timeout. If this host leads, local
 // serves the request. It may be nil.
 func (p *Proposer) Permits(ctx context.Context, r ratelimit.Request, timeout time.Duration, local PermitHandler) (ratelimit.Reply, error) {
-	host, address := p.chooseHost()
 	r.Host = p.self
-	var reply ratelimit.Reply
-	var err error
-	switch {
-	case host == p.self && local != nil:
-		ctx, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
-		reply, err = local(ctx, r)
-	case address == "":
-		err = &control.NotLeaderError{}
-	default:
-		reply, err = p.client.permits(ctx, address, r, timeout)
-	}
-	p.updateLeader(host, err)
-	return reply, err
+	return askLeader(ctx, p, r, timeout, local, p.client.permits)
 }
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -49,6 +49,9 @@
 	Holdings func(ctx context.Context, send func(HoldingsUpdate) error) error
 	// Permits grants permits while this host leads. It is nil on hosts that cannot lead.
 	Permits PermitHandler
+	// Origins serves reports of the origins of streams while this host leads. It is nil on
+	// hosts that cannot lead.
+	Origins OriginHandler
 	Drain   func()
 	Burn    func() burn.Snapshot
 	// Traffic counts the served calls and their bytes. It may be nil.
