--- a/node/backend/check.go
+++ b/node/backend/check.go
@@ -16,6 +16,10 @@
 	maxReports     = 10_000
 	maxCheckpoints = 10_000
 	maxCacheEvents = 10_000
+	// maxSequence is far above what a server reaches that numbers its announcements from
+	// zero. After a higher number, sent by another writer, the server's own announcements
+	// would count as older ones.
+	maxSequence = 1 << 53
 )
 
 var (
@@ -72,6 +76,10 @@
 		return &AnnouncementError{"address", "an IP address and port in canonical form"}
 	case s.Incarnation == 0:
 		return &AnnouncementError{"incarnation", "greater than 0"}
+	case s.Sequence > maxSequence:
+		return &AnnouncementError{"sequence", fmt.Sprintf("at most %d", uint64(maxSequence))}
+	case len(s.SoftwareVersion) > maxNameBytes:
+		return &AnnouncementError{"software_version", textAllowed}
 	}
 	return nil
 }
--- a/node/backend/fuzz_test.go
+++ b/node/backend/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -120,6 +121,8 @@
 		{"address", func(s *membership.Server) { s.Address = "[::ffff:127.0.0.1]:80" }},
 		{"address", func(s *membership.Server) { s.Address = "0.0.0.0:80" }},
 		{"address", func(s *membership.Server) { s.Address = "127.0.0.1:0" }},
+		{"sequence", func(s *membership.Server) { s.Sequence = math.MaxUint64 }},
+		{"software_version", func(s *membership.Server) { s.SoftwareVersion = strings.Repeat("v", 256) }},
 		{"models", func(s *membership.Server) { s.Models = make([]membership.ModelReport, 10_001) }},
 		{"cached", func(s *membership.Server) { s.Cached = make([]membership.Checkpoint, 10_001) }},
 		{"models[0].phase", func(s *membership.Server) { s.Models = []membership.ModelReport{{Model: "m"}} }},
