residency, forward: load models for streams on servers of the version that began them

What callers saw: streams that broke off, or were refused when taken up, although servers of their software version served.

Cause: since streams are bound to a version, a model on servers of another version is of no use to them, but the planner saw a model with replicas and loaded none. 53 requests and 56 begun answers ended with "no other backend server of software version v1 holds the target".

Change: hosts report which waiting requests are bound to which version; the leader loads the model, or its adapter, on a server of that version that has the weights in memory or on disk.

--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -58,6 +58,16 @@
 	// RunningOn is the number of running requests per backend server. If it is nil,
 	// every replica of a target with running requests counts as busy.
 	RunningOn map[string]int
+	// Bound is the part of Waiting that resumes streams, by the software version of servers
+	// that began them. Only its servers can serve it. This package does not use it: the
+	// streams that it places are resumed on the same server.
+	Bound []BoundDemand
+}
+
+// BoundDemand is the part of a Demand that only servers of one software version can serve.
+type BoundDemand struct {
+	SoftwareVersion string
+	Waiting         int
 }
 
 // Input is everything that a plan depends on, apart from what was learned.
--- a/core/residency/adapters.go
+++ b/core/residency/adapters.go
@@ -37,7 +37,7 @@
 		if p.hasAdapter(svc.Name, t) {
 			continue
 		}
-		if s := p.serverForAdapter(in.Now, svc, t); s != nil {
+		if s := p.adapterServer(in.Now, svc, t.Model, p.serversByName()); s != nil {
 			p.orderAdapter(in, svc.Engine, s, t, out)
 		}
 	}
@@ -65,23 +65,20 @@
 		if s.Service != service || s.Leaving || s.Silent || s.unreachable {
 			continue
 		}
-		if h := s.models[t.Model]; h != nil && h.phase == Ready && h.adapters[t.Adapter] != nil {
-			return true
-		}
-		if o := s.inFlight; o != nil && o.Load && o.Target == t {
+		if s.hasOrAwaits(t) {
 			return true
 		}
 	}
 	return false
 }
 
-// serverForAdapter returns the server that has the model loaded and the fewest
+// adapterServer returns the one of the servers that has the model loaded and the fewest
 // adapter slots in use, or nil.
-func (p *Planner) serverForAdapter(now time.Duration, svc route.Service, t Target) *server {
+func (p *Planner) adapterServer(now time.Duration, svc route.Service, model string, servers []*server) *server {
 	var best *server
 	bestScore := math.Inf(1)
-	for _, s := range p.serversByName() {
-		h := s.models[t.Model]
+	for _, s := range servers {
+		h := s.models[model]
 		if s.Service != svc.Name || h == nil || h.phase != Ready || !s.acceptsOrders() || s.modelOrderUnderWay() {
 			continue
 		}
--- a/core/residency/models.go
+++ b/core/residency/models.go
@@ -103,19 +103,24 @@
 		if !ok {
 			return
 		}
-		c.server.reservedModel, c.server.reservedAt = c.model.Name, in.Now
 		_, waiting, _ := p.demandFor(c.model.Name)
-		reason := c.reason(waiting)
-		if len(c.victims) > 0 {
-			p.sendOrder(in, c.server, Order{Target: Target{Model: c.victims[0]}, Reason: reason}, out)
-			continue
-		}
-		if c.server.loadsFromStore(c.model.Name) {
-			p.recentStoreLoads = append(p.recentStoreLoads, in.Now)
-		}
-		c.server.reservedModel = ""
-		p.sendOrder(in, c.server, Order{Load: true, Target: Target{Model: c.model.Name}, Reason: reason}, out)
+		p.orderLoad(in, c, c.reason(waiting), out)
+	}
+}
+
+// orderLoad orders the load of a candidate or, if the server lacks memory, the unload of its
+// first victim. The server is then reserved for the load.
+func (p *Planner) orderLoad(in Input, c candidate, reason OrderReason, out *Output) {
+	if len(c.victims) > 0 {
+		c.server.reservedModel, c.server.reservedAt = c.model.Name, in.Now
+		p.sendOrder(in, c.server, Order{Target: Target{Model: c.victims[0]}, Reason: reason}, out)
+		return
+	}
+	if c.server.loadsFromStore(c.model.Name) {
+		p.recentStoreLoads = append(p.recentStoreLoads, in.Now)
 	}
+	c.server.reservedModel = ""
+	p.sendOrder(in, c.server, Order{Load: true, Target: Target{Model: c.model.Name}, Reason: reason}, out)
 }
 
 // bestCandidate returns the permitted load with the highest score.
--- a/core/residency/planner.go
+++ b/core/residency/planner.go
@@ -85,6 +85,9 @@
 	// earliestExpiry is when the first of the waiting callers gives up.
 	earliestExpiry time.Duration
 	runningOn      map[string]int
+	// bound holds the number of waiting requests that only servers of a software version
+	// can serve.
+	bound map[string]int
 }
 
 // New returns a planner without servers.
@@ -107,6 +110,7 @@
 			continue
 		}
 		p.resendUnanswered(in, svc, &out)
+		p.planBound(in, svc, &out)
 		p.planAdapters(in, svc, &out)
 		p.planModels(in, svc, &out)
 	}
--- a/core/residency/rates.go
+++ b/core/residency/rates.go
@@ -63,7 +63,7 @@
 		}
 		t := p.demand[d.Target]
 		if t == nil {
-			t = &targetDemand{runningOn: map[string]int{}}
+			t = &targetDemand{runningOn: map[string]int{}, bound: map[string]int{}}
 			p.demand[d.Target] = t
 		}
 		if d.Waiting > 0 && (t.waiting == 0 || d.EarliestExpiry < t.earliestExpiry) {
@@ -74,6 +74,9 @@
 		for s, n := range d.RunningOn {
 			t.runningOn[s] += n
 		}
+		for _, b := range d.Bound {
+			t.bound[b.SoftwareVersion] += b.Waiting
+		}
 		p.addArrivals(in.Now, d)
 	}
 	elapsed := in.Now - p.lastStep
--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -28,6 +28,8 @@
 // Server is a backend server, as it announced itself last.
 type Server struct {
 	Name, Service, Address, DataCentre string
+	// SoftwareVersion is the version of the server's software.
+	SoftwareVersion string
 	// Incarnation distinguishes processes with the same name. It is the Unix
 	// time of the process start in milliseconds.
 	Incarnation uint64
@@ -57,6 +59,15 @@
 	EarliestExpiry time.Duration
 	// RunningOn counts the running requests by server.
 	RunningOn map[string]int
+	// Bound are the waiting requests that resume a stream, by the software version that
+	// began it. Only its servers can serve them.
+	Bound []BoundDemand
+}
+
+// BoundDemand is the part of a Demand that only servers of one software version can serve.
+type BoundDemand struct {
+	SoftwareVersion string
+	Waiting         int
 }
 
 // Input holds everything that a planning step depends on.
@@ -99,6 +110,9 @@
 	// OtherReplicas is the number of other replicas of the model, and Waiting the
 	// number of requests that wait for it.
 	OtherReplicas, Waiting int
+	// BoundVersion is set if the load serves requests that only servers of this software
+	// version can serve.
+	BoundVersion string
 }
 
 // LoadEnd describes a completed load, with its actual and its predicted duration.
--- a/node/forward/demand.go
+++ b/node/forward/demand.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -45,7 +46,7 @@
 		}
 		reported := residency.Demand{
 			Target: target, Waiting: d.waiting + len(d.retryAt), Running: d.running, Arrivals: d.arrivals, RunningOn: map[string]int{},
-			EarliestExpiry: d.earliestExpiry(),
+			EarliestExpiry: d.earliestExpiry(), Bound: d.boundDemand(),
 		}
 		for s, n := range d.runningOn {
 			reported.RunningOn[s] = n
@@ -83,6 +84,22 @@
 	return earliest
 }
 
+// boundDemand returns the waiting requests that resume a stream, by the software version that
+// began it.
+func (d *targetDemand) boundDemand() []residency.BoundDemand {
+	counts := map[string]int{}
+	for c := range d.giveUpAt {
+		if c.origin != nil {
+			counts[c.origin.Version]++
+		}
+	}
+	var out []residency.BoundDemand
+	for _, version := range slices.Sorted(maps.Keys(counts)) {
+		out = append(out, residency.BoundDemand{SoftwareVersion: version, Waiting: counts[version]})
+	}
+	return out
+}
+
 func (d *targetDemand) attemptStarted(server string) {
 	d.running++
 	d.runningOn[server]++
--- a/node/forward/forecast.go
+++ b/node/forward/forecast.go
@@ -88,15 +88,18 @@
 	return waitpolicy.Forecast{FastestLoad: f.shortestLoadTime(model)}
 }
 
-// holds reports whether a server is ready for the key or loads it.
-func (f *forecaster) holds(key routing.Key) bool {
-	_, loading := f.readyAt[key]
-	return loading || f.ready[key]
+// mayServe reports whether a server is ready for the key, loads it, or can load its model
+// quickly.
+func (f *forecaster) mayServe(key routing.Key) bool {
+	model := routing.Key{Service: key.Service, Model: key.Model}
+	_, loading := f.readyAt[model]
+	_, cached := f.cachedLoadTimes[model]
+	return f.ready[key] || f.ready[model] || loading || cached
 }
 
 // forecastFor returns the forecast for a request. It returns false if waiting is in vain: the
-// stream has begun at a software version of whose servers none holds the target. A load for
-// the sake of one stream would end too late. f.mu must be held.
+// stream has begun at a software version of whose servers none holds the model or its weights. A
+// load from the weight store would end too late. f.mu must be held.
 func (f *Forwarder) forecastFor(c *call) (waitpolicy.Forecast, bool) {
 	if c.origin == nil {
 		return f.forecaster.forecast(c.key), true
@@ -105,7 +108,7 @@
 	if servers == nil {
 		return waitpolicy.Forecast{}, false
 	}
-	return servers.forecast(c.key), servers.holds(c.key)
+	return servers.forecast(c.key), servers.mayServe(c.key)
 }
 
 // shortestLoadTime returns how long a load of the model takes that begins now. It
--- a/node/peer/demand.go
+++ b/node/peer/demand.go
@@ -64,6 +64,9 @@
 			}
 			m.RunningOn[server] = int64(n)
 		}
+		for _, b := range d.Bound {
+			m.Bound = append(m.Bound, &peerpb.BoundDemand{SoftwareVersion: b.SoftwareVersion, Waiting: int64(b.Waiting)})
+		}
 		if d.EarliestDeadline != 0 {
 			m.HasEarliest, m.EarliestInMs = true, (d.EarliestDeadline - r.Now).Milliseconds()
 		}
@@ -107,6 +110,9 @@
 			}
 			d.RunningOn[server] = int(n)
 		}
+		for _, b := range received.Bound {
+			d.Bound = append(d.Bound, placement.BoundDemand{SoftwareVersion: b.SoftwareVersion, Waiting: int(b.Waiting)})
+		}
 		if received.HasEarliest {
 			d.EarliestDeadline = nonZero(time.Duration(received.EarliestInMs) * time.Millisecond)
 		}
