origins, forward: hold the first event until the leader knows the stream, while several versions serve

What callers saw: streams that began less than 80 ms before their host was killed were refused each time they were taken up.

Cause: hosts reported origins every 80 ms, so those of the last 80 ms died with the host.

Change: while a service has several admitted versions, the first event waits for the leader's reply, for 40 ms at most; one message carries all streams that wait.

--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -116,11 +116,15 @@
 	waitingStopped chan struct{}
 	stopWaiting    func()
 
+	// departureEnd is when this host ends its requests in progress, or zero while it is not
+	// leaving.
+	departureEnd       atomic.Int64
 	keepAlivesDisabled atomic.Bool
 	admissionStopped   atomic.Bool
 	inFlight           atomic.Int64
 	requestsStarted    atomic.Int64
 	bodyBytes          atomic.Int64
+	originsUnconfirmed atomic.Int64
 }
 
 // admissionView is the immutable data by which requests are admitted and routed.
@@ -203,9 +207,19 @@
 // answer.
 func (f *Forwarder) DisableKeepAlives() { f.keepAlivesDisabled.Store(true) }
 
+// BeginDeparture tells the Forwarder when this host will cut off its requests in progress. From
+// StopAdmission on, requests that wait for a server, may not be repeated and may last
+// longer are refused.
+func (f *Forwarder) BeginDeparture(end time.Duration) { f.departureEnd.Store(int64(end)) }
+
 // StopAdmission makes the Forwarder refuse new requests with a status that guarantees
 // that they have not run.
-func (f *Forwarder) StopAdmission() { f.admissionStopped.Store(true) }
+func (f *Forwarder) StopAdmission() {
+	f.admissionStopped.Store(true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wakeWaiting()
+}
 
 // StopWaiting makes the Forwarder refuse the requests that wait for a server, and begin no
 // further attempts. Attempts in progress continue.
--- a/node/forward/stream.go
+++ b/node/forward/stream.go
@@ -26,6 +26,9 @@
 		if err != nil {
 			return c.interruptedStream(ctx, err)
 		}
+		if !c.attemptBegun {
+			c.prepareFirstEvent(attempt)
+		}
 		c.sendHeaders(resp)
 		if _, err := c.w.Write(e.bytes); err != nil {
 			return c.interruptedStream(ctx, err)
@@ -33,7 +36,7 @@
 		if err := http.NewResponseController(c.w).Flush(); err != nil {
 			return c.interruptedStream(ctx, err)
 		}
-		c.recordEvent(attempt)
+		c.recordEvent()
 		if e.id != "" {
 			c.lastEventID = e.id
 		}
@@ -41,10 +44,7 @@
 }
 
 // recordEvent updates the count and times of the events passed on.
-func (c *call) recordEvent(attempt routing.Attempt) {
-	if !c.attemptBegun {
-		c.recordFirstEvent(attempt)
-	}
+func (c *call) recordEvent() {
 	c.recordBegun()
 	now := c.forwarder.opts.Now()
 	if c.eventCount == 0 {
--- a/node/forward/version.go
+++ b/node/forward/version.go
@@ -13,6 +13,11 @@
 	"github.com/pollenwheel/pollenwheel/node/origins"
 )
 
+// maxOriginHold is the longest time for which the first event of a stream is held until the
+// leader knows its origin, while several software versions serve. Otherwise the stream could
+// not be resumed if this host died right after that event.
+const maxOriginHold = 40 * time.Millisecond
+
 // resumeGrace is how long after the deadline of a request its caller may still resume the
 // stream with another one.
 const resumeGrace = 30 * time.Second
@@ -76,9 +81,9 @@
 	return func(v string) bool { return admitted.Allows(service, v) }
 }
 
-// recordFirstEvent records the first event of an attempt on a stream. It notes the origin,
-// and logs the event if another attempt or another request began the stream.
-func (c *call) recordFirstEvent(attempt routing.Attempt) {
+// prepareFirstEvent is called before the first event of an attempt on a stream is passed on. It
+// notes the origin, and logs the event if another attempt or another request began the stream.
+func (c *call) prepareFirstEvent(attempt routing.Attempt) {
 	begun := ""
 	if c.origin != nil {
 		begun = c.origin.Version
@@ -96,11 +101,30 @@
 	if c.origin == nil {
 		c.origin = &origin.Origin{Service: c.key.Service, Version: attempt.SoftwareVersion}
 	}
-	if name := c.request.streamName(); name != "" {
-		c.forwarder.origins.Begin(origin.Record{Stream: origin.IDOf(name), Origin: *c.origin, Expires: c.deadline + resumeGrace})
+	c.noteOrigin()
+}
+
+// noteOrigin notes the origin of the stream for the leader.
+func (c *call) noteOrigin() {
+	name := c.request.streamName()
+	if name == "" {
+		return
+	}
+	f := c.forwarder
+	record := origin.Record{Stream: origin.IDOf(name), Origin: *c.origin, Expires: c.deadline + resumeGrace}
+	if versions := f.view.Load().versions[c.origin.Service]; len(versions) < 2 {
+		f.origins.Begin(record)
+		return
+	}
+	if !f.origins.BeginAndWait(c.ctx, record, maxOriginHold) {
+		f.originsUnconfirmed.Add(1)
 	}
 }
 
+// UnconfirmedOrigins returns the number of streams that began, while several software versions
+// served, before the leader knew their origin.
+func (f *Forwarder) UnconfirmedOrigins() int64 { return f.originsUnconfirmed.Load() }
+
 // newOrigins returns the client that reports origins to the leader. Without a leader to ask,
 // this host is the only one and answers itself.
 func (f *Forwarder) newOrigins() *origins.Client {
--- a/node/origins/client.go
+++ b/node/origins/client.go
@@ -10,11 +10,13 @@
 )
 
 const (
-	// minReportInterval is the shortest time between two reports of a host. The streams of
-	// a host that dies within it are unknown to the leader.
+	// minReportInterval is the shortest time between two reports of a host, if no caller
+	// waits for them. The streams of a host that dies within it are unknown to the leader.
 	minReportInterval = 80 * time.Millisecond
-	// reportsPerSecond bounds the reports that the leader gets from all hosts together.
-	reportsPerSecond = 400
+	// reportsPerSecond bounds the reports that the leader gets from all hosts together, if
+	// no caller waits for them, and urgentReportsPerSecond if callers do.
+	reportsPerSecond       = 400
+	urgentReportsPerSecond = 1000
 	// refreshInterval is the shortest time between two reports of a host without news, by
 	// which it finds out that another host leads.
 	refreshInterval = 250 * time.Millisecond
@@ -53,15 +55,22 @@
 // for those of other streams. It is safe for concurrent use.
 type Client struct {
 	opts ClientOptions
-	wake chan struct{}
+	// wake triggers a report, and urgent one without the pause between two reports.
+	wake, urgent chan struct{}
 
 	mu      sync.Mutex
 	journal *origin.Journal
+	// waiting holds what BeginAndWait waits for: it is closed once the leader knows the
+	// stream.
+	waiting map[origin.StreamID]chan struct{}
 }
 
 // NewClient returns a Client that knows no streams.
 func NewClient(o ClientOptions) *Client {
-	return &Client{opts: o, wake: make(chan struct{}, 1), journal: origin.NewJournal()}
+	return &Client{
+		opts: o, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
+		journal: origin.NewJournal(), waiting: map[origin.StreamID]chan struct{}{},
+	}
 }
 
 // Begin notes the origin of a stream whose first event is passed on now.
@@ -69,8 +78,45 @@
 	c.mu.Lock()
 	c.journal.Add(c.opts.Now(), r)
 	c.mu.Unlock()
+	notify(c.wake)
+}
+
+// BeginAndWait notes the origin of a stream and waits, for at most limit, until the leader knows
+// it. It reports whether the leader does.
+func (c *Client) BeginAndWait(ctx context.Context, r origin.Record, limit time.Duration) bool {
+	c.mu.Lock()
+	c.journal.Add(c.opts.Now(), r)
+	known := c.waiting[r.Stream]
+	if known == nil {
+		known = make(chan struct{})
+		c.waiting[r.Stream] = known
+	}
+	c.mu.Unlock()
+	defer c.stopWaiting(r.Stream, known)
+	notify(c.urgent)
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-known:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (c *Client) stopWaiting(s origin.StreamID, known chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting[s] == known {
+		delete(c.waiting, s)
+	}
+}
+
+// notify sends a value to a channel with a buffer of one, unless it is full.
+func notify(c chan struct{}) {
 	select {
-	case c.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -82,6 +128,7 @@
 		select {
 		case <-ctx.Done():
 		case <-c.wake:
+		case <-c.urgent:
 		case <-refresh.C:
 		}
 		refresh.Stop()
@@ -89,12 +136,31 @@
 			return
 		}
 		c.report(ctx)
-		if !sleep(ctx, c.reportInterval()) {
+		if !c.pause(ctx) {
 			return
 		}
 	}
 }
 
+// pause waits until the next report may be sent, which is earlier if a caller waits for it. It
+// returns false if ctx ends first.
+func (c *Client) pause(ctx context.Context) bool {
+	urgentInterval := time.Duration(c.opts.HostCount()) * time.Second / urgentReportsPerSecond
+	if !sleep(ctx, urgentInterval) {
+		return false
+	}
+	timer := time.NewTimer(c.reportInterval() - urgentInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.urgent:
+		notify(c.urgent)
+	case <-timer.C:
+	}
+	return true
+}
+
 // reportInterval returns the time between two reports of this host.
 func (c *Client) reportInterval() time.Duration {
 	return max(minReportInterval, time.Duration(c.opts.HostCount())*time.Second/reportsPerSecond)
@@ -117,11 +183,22 @@
 		c.journal.RecordFailure(records)
 	} else {
 		c.journal.RecordReply(reply.Term)
+		c.endWaiting(records)
 	}
-	if c.journal.HasUnsent() {
-		select {
-		case c.wake <- struct{}{}:
-		default:
+	switch {
+	case len(c.waiting) > 0 && c.journal.HasUnsent():
+		notify(c.urgent)
+	case c.journal.HasUnsent():
+		notify(c.wake)
+	}
+}
+
+// endWaiting ends the waits for streams that the leader knows. c.mu must be held.
+func (c *Client) endWaiting(records []origin.Record) {
+	for _, r := range records {
+		if known := c.waiting[r.Stream]; known != nil {
+			close(known)
+			delete(c.waiting, r.Stream)
 		}
 	}
 }
--- a/node/origins/origins_test.go
+++ b/node/origins/origins_test.go
@@ -153,3 +153,43 @@
 		}
 	})
 }
+
+// TestBeginAndWait guards against a first event that is passed on before the leader knows the
+// stream, so that it cannot be resumed if the host dies, and against one that is held for long.
+func TestBeginAndWait(t *testing.T) {
+	const limit = 40 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		leader leader
+		// reported is the number of streams that the host has reported just before.
+		reported int
+		want     bool
+		within   time.Duration
+	}{
+		{"the leader answers", leader{term: 1}, 0, true, 5 * time.Millisecond},
+		{"right after another report", leader{term: 1}, 1, true, 10 * time.Millisecond},
+		{"the leader does not answer", leader{term: 1, down: true}, 0, false, limit},
+		{"there is no leader", leader{}, 0, false, limit},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer func() { cancel(); time.Sleep(time.Second) }()
+				server, client, _ := newWorld(&c.leader)
+				go client.Run(ctx)
+				for i := range c.reported {
+					client.Begin(origin.Record{Stream: origin.StreamID(100 + i), Expires: time.Hour})
+					time.Sleep(2 * time.Millisecond)
+				}
+				begun := time.Now()
+				got := client.BeginAndWait(ctx, origin.Record{Stream: 1, Origin: origin.Origin{Service: "a", Version: "v1"}, Expires: time.Hour}, limit)
+				if took := time.Since(begun); got != c.want || took > c.within {
+					t.Errorf("known %v after %s, want %v within %s", got, took, c.want, c.within)
+				}
+				if known := server.Streams() > c.reported; known != c.want {
+					t.Errorf("the leader knows the stream: %v, want %v", known, c.want)
+				}
+			})
+		})
+	}
+}
