forward: let a leaving host send nothing that it could cut off

A report of other operators: in a planned stop, requests that came late in the grace were passed on and cut at its end, among them requests that may not be repeated. Requests that come late are refused here since. What could still happen: such a request that came early waited for a server, was passed on late and cut off at the end of the departure, so that nobody knows whether it has run.

Change: once a leaving host admits nothing more, a request that waits, may not be repeated and may last beyond the departure is refused (503, not run). TestLeavingHostSendsNothingThatItCouldCutOff failed in the two cases of such requests.

--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -136,6 +136,15 @@
 	return true
 }
 
+const outlastsDepartureReason = "host is leaving and could cut off the request, which may not be repeated"
+
+// outlastsDeparture reports whether this host, which admits no more requests, could cut off the
+// request, which may not be repeated, at the end of its departure.
+func (c *call) outlastsDeparture() bool {
+	end := time.Duration(c.forwarder.departureEnd.Load())
+	return end > 0 && c.forwarder.admissionStopped.Load() && c.route.Kind == route.Unsafe && c.deadline > end
+}
+
 // chooseTarget selects the service, that of the origin for a stream that the caller resumes,
 // and checks whether it may run the request. It returns false if it has refused the request.
 func (c *call) chooseTarget() bool {
--- a/node/forward/wait.go
+++ b/node/forward/wait.go
@@ -29,6 +29,10 @@
 			c.endWithoutServer(unavailableRetryAfter, "host is leaving and waits for no further server")
 			return routing.Attempt{}, false
 		}
+		if c.outlastsDeparture() {
+			c.endWithoutServer(unavailableRetryAfter, outlastsDepartureReason)
+			return routing.Attempt{}, false
+		}
 		suspected := f.suspicionOf(c)
 		if suspected.refused {
 			c.endWithoutServer(suspected.retryAfter, suspected.reason)
--- a/node/host/routed_lifecycle.go
+++ b/node/host/routed_lifecycle.go
@@ -78,6 +78,7 @@
 	h.leaving.Store(true)
 	h.members.leave()
 	h.requestForwarder.DisableKeepAlives()
+	h.requestForwarder.BeginDeparture(h.now() + h.opts.DepartureTimeout)
 	h.decisions.RecordStateChange(decision.EventSettings, decision.Fields{decision.FieldOutcome: "leaving"})
 	if h.group != nil {
 		transferLeader(running, h.group, h.opts.Settings.Host, routedTransferTimeout, h.logger)
