peer, bootclock, origin, forward: one copy of leader calls, sleeps and bound demand; split long functions and files

No behaviour changes. Calls that only the leader serves (demand, permits, origins) shared three copies of the same handling; sleep stood three times; the demand bound to a version had two types and two converters; rebuildRouter and the test world of versions had grown long.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -70,6 +70,13 @@
 	Answers []Answer
 }
 
+// BoundDemand counts the waiting requests for a target that resume streams of one software
+// version. Only its servers can serve them.
+type BoundDemand struct {
+	Version string
+	Waiting int
+}
+
 // Admitted holds the admitted software versions by service. A service without any has
 // servers that name none.
 type Admitted map[string][]string
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/origin"
 	"github.com/pollenwheel/pollenwheel/core/state"
 )
 
@@ -61,13 +62,7 @@
 	// Bound is the part of Waiting that resumes streams, by the software version of servers
 	// that began them. Only its servers can serve it. This package does not use it: the
 	// streams that it places are resumed on the same server.
-	Bound []BoundDemand
-}
-
-// BoundDemand is the part of a Demand that only servers of one software version can serve.
-type BoundDemand struct {
-	SoftwareVersion string
-	Waiting         int
+	Bound []origin.BoundDemand
 }
 
 // Input is everything that a plan depends on, apart from what was learned.
--- a/core/residency/bound_test.go
+++ b/core/residency/bound_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/origin"
 )
 
 // TestModelIsLoadedForStreamsOfItsVersion guards against streams that break off because the servers of
@@ -44,7 +46,7 @@
 			}
 			d := Demand{Host: "h", Target: Target{Model: "a", Adapter: c.adapter}, Waiting: 1, Arrivals: 5, EarliestExpiry: time.Minute}
 			if c.bound != "" {
-				d.Bound = []BoundDemand{{SoftwareVersion: c.bound, Waiting: 1}}
+				d.Bound = []origin.BoundDemand{{Version: c.bound, Waiting: 1}}
 			}
 			var got []Order
 			for range 40 {
--- a/core/residency/rates.go
+++ b/core/residency/rates.go
@@ -75,7 +75,7 @@
 			t.runningOn[s] += n
 		}
 		for _, b := range d.Bound {
-			t.bound[b.SoftwareVersion] += b.Waiting
+			t.bound[b.Version] += b.Waiting
 		}
 		p.addArrivals(in.Now, d)
 	}
--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"github.com/pollenwheel/pollenwheel/core/origin"
 	"github.com/pollenwheel/pollenwheel/core/route"
 )
 
@@ -61,13 +62,7 @@
 	RunningOn map[string]int
 	// Bound are the waiting requests that resume a stream, by the software version that
 	// began it. Only its servers can serve them.
-	Bound []BoundDemand
-}
-
-// BoundDemand is the part of a Demand that only servers of one software version can serve.
-type BoundDemand struct {
-	SoftwareVersion string
-	Waiting         int
+	Bound []origin.BoundDemand
 }
 
 // Input holds everything that a planning step depends on.
--- a/node/bootclock/bootclock.go
+++ b/node/bootclock/bootclock.go
@@ -4,6 +4,7 @@
 package bootclock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -25,3 +26,16 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// Sleep waits for d. It returns false at once if ctx ends first. Suspensions of the machine
+// do not count.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/node/forward/demand.go
+++ b/node/forward/demand.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/pollenwheel/pollenwheel/core/origin"
 	"github.com/pollenwheel/pollenwheel/core/residency"
 )
 
@@ -86,16 +87,16 @@
 
 // boundDemand returns the waiting requests that resume a stream, by the software version that
 // began it.
-func (d *targetDemand) boundDemand() []residency.BoundDemand {
+func (d *targetDemand) boundDemand() []origin.BoundDemand {
 	counts := map[string]int{}
 	for c := range d.giveUpAt {
 		if c.origin != nil {
 			counts[c.origin.Version]++
 		}
 	}
-	var out []residency.BoundDemand
+	var out []origin.BoundDemand
 	for _, version := range slices.Sorted(maps.Keys(counts)) {
-		out = append(out, residency.BoundDemand{SoftwareVersion: version, Waiting: counts[version]})
+		out = append(out, origin.BoundDemand{Version: version, Waiting: counts[version]})
 	}
 	return out
 }
--- a/node/forward/view.go
+++ b/node/forward/view.go
@@ -101,48 +101,63 @@
 	return current
 }
 
-// rebuildRouter updates the router and the forecaster from the servers and their
-// holdings, and wakes the waiting requests.
-func (f *Forwarder) rebuildRouter(table *route.Table) {
-	current := f.liveServers()
+// serverView is what the router and the forecasters are built from.
+type serverView struct {
+	servers    []routing.Server
+	replicas   []routing.Replica
+	forecaster *forecaster
+	// byVersion are forecasters that know the servers of one origin only.
+	byVersion map[origin.Origin]*forecaster
+	// nextReady is the next time at which a holding becomes ready without a further
+	// report, or zero.
+	nextReady time.Duration
+}
+
+// newServerView returns the view of the servers whose services are in the route table.
+func (f *Forwarder) newServerView(table *route.Table, current []membership.ServerStatus) *serverView {
+	v := &serverView{forecaster: newForecaster(), byVersion: map[origin.Origin]*forecaster{}}
 	now := f.opts.Now()
-	var nextReady time.Duration
-	var servers []routing.Server
-	var replicas []routing.Replica
-	forecaster, byVersion := newForecaster(), map[origin.Origin]*forecaster{}
 	for _, s := range current {
 		svc, ok := table.Service(s.Service)
 		if !ok {
 			continue
 		}
-		servers = append(servers, routing.Server{
+		v.servers = append(v.servers, routing.Server{
 			Name: s.Name, Address: s.Address, DataCentre: s.DataCentre, Incarnation: s.Incarnation, OutOfRotation: s.Leaving,
 			SoftwareVersion: s.SoftwareVersion,
 		})
 		of := origin.Origin{Service: s.Service, Version: s.SoftwareVersion}
-		if byVersion[of] == nil {
-			byVersion[of] = newForecaster()
+		if v.byVersion[of] == nil {
+			v.byVersion[of] = newForecaster()
 		}
 		if svc.Engine == nil {
-			byVersion[of].addPlainServer(s)
-			replicas = append(replicas, routing.Replica{Server: s.Name, Key: routing.Key{Service: s.Service}})
+			v.byVersion[of].addPlainServer(s)
+			v.replicas = append(v.replicas, routing.Replica{Server: s.Name, Key: routing.Key{Service: s.Service}})
 			continue
 		}
 		holdings := f.holdingsOf(s)
-		replicas = append(replicas, readyReplicas(now, s, holdings)...)
-		forecaster.addServer(now, s, svc.Engine, holdings)
-		byVersion[of].addServer(now, s, svc.Engine, holdings)
-		nextReady = earliestReady(now, nextReady, holdings)
+		v.replicas = append(v.replicas, readyReplicas(now, s, holdings)...)
+		v.forecaster.addServer(now, s, svc.Engine, holdings)
+		v.byVersion[of].addServer(now, s, svc.Engine, holdings)
+		v.nextReady = earliestReady(now, v.nextReady, holdings)
 	}
+	return v
+}
+
+// rebuildRouter updates the router and the forecasters from the servers and their
+// holdings, and wakes the waiting requests.
+func (f *Forwarder) rebuildRouter(table *route.Table) {
+	current := f.liveServers()
+	v := f.newServerView(table, current)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.router.Rebuild(servers, replicas)
+	f.router.Rebuild(v.servers, v.replicas)
 	clear(f.sequences)
 	for _, s := range current {
 		f.sequences[s.Name] = s.Sequence
 		f.router.RecordAnnouncement(s.Name, s.Incarnation, s.Sequence)
 	}
-	f.forecaster, f.versionForecasters, f.nextReady = forecaster, byVersion, nextReady
+	f.forecaster, f.versionForecasters, f.nextReady = v.forecaster, v.byVersion, v.nextReady
 	f.wakeWaiting()
 }
 
--- a/node/host/leadership.go
+++ b/node/host/leadership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/placement"
+	"github.com/pollenwheel/pollenwheel/node/bootclock"
 	"github.com/pollenwheel/pollenwheel/node/control"
 	"github.com/pollenwheel/pollenwheel/node/peer"
 )
@@ -25,7 +26,7 @@
 // carried over from an earlier term.
 func (l *leadership) run(ctx context.Context) error {
 	for {
-		if !sleep(ctx, leaseCheckInterval) {
+		if !bootclock.Sleep(ctx, leaseCheckInterval) {
 			return nil
 		}
 		if l.host.group.CheckLease() {
@@ -47,7 +48,7 @@
 	h.logger.Info("this host became the leader")
 	go func() {
 		for h.group.CheckLease() {
-			if !sleep(ctx, leaseCheckInterval) {
+			if !bootclock.Sleep(ctx, leaseCheckInterval) {
 				return
 			}
 		}
--- a/node/host/lifecycle.go
+++ b/node/host/lifecycle.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/pollenwheel/pollenwheel/node/bootclock"
 	"github.com/pollenwheel/pollenwheel/node/peer"
 )
 
@@ -23,7 +24,7 @@
 // ctx ends first.
 func waitCaughtUp(ctx context.Context, m *members, f *peer.Follower) bool {
 	for !m.synced() {
-		if !sleep(ctx, syncInterval) {
+		if !bootclock.Sleep(ctx, syncInterval) {
 			return false
 		}
 	}
@@ -60,7 +61,7 @@
 	h.members.leave()
 	h.logger.Info("leaving: this host was removed from the address list")
 	h.transferLeader(running)
-	if !sleep(running, h.settings.AddressListTTL) {
+	if !bootclock.Sleep(running, h.settings.AddressListTTL) {
 		return nil
 	}
 	// An error means that another component of the process ended, which Run reports.
@@ -101,13 +102,3 @@
 		logger.WithError(err).Warn("leadership was not transferred to another host")
 	}
 }
-
-// sleep waits for d. It returns false at once if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -10,6 +10,7 @@
 	"github.com/pollenwheel/pollenwheel/core/origin"
 	"github.com/pollenwheel/pollenwheel/core/residency"
 	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/bootclock"
 	"github.com/pollenwheel/pollenwheel/node/control"
 	"github.com/pollenwheel/pollenwheel/node/decision"
 	"github.com/pollenwheel/pollenwheel/node/peer"
@@ -96,7 +97,7 @@
 		if p.host.group.CheckLease() {
 			p.runTerm(ctx)
 		}
-		if !sleep(ctx, leaseCheckInterval) {
+		if !bootclock.Sleep(ctx, leaseCheckInterval) {
 			return nil
 		}
 	}
--- a/node/host/placer_input.go
+++ b/node/host/placer_input.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
-	"github.com/pollenwheel/pollenwheel/core/placement"
 	"github.com/pollenwheel/pollenwheel/core/ratelimit"
 	"github.com/pollenwheel/pollenwheel/core/residency"
 	"github.com/pollenwheel/pollenwheel/core/route"
@@ -27,22 +26,13 @@
 			out = append(out, residency.Demand{
 				Host: host, Target: residency.Target{Model: d.Model, Adapter: d.Adapter},
 				Waiting: d.Waiting, Running: d.Running, Arrivals: d.Arrivals, RunningOn: d.RunningOn,
-				EarliestExpiry: d.EarliestDeadline, Bound: boundDemand(d.Bound),
+				EarliestExpiry: d.EarliestDeadline, Bound: d.Bound,
 			})
 		}
 	}
 	return out
 }
 
-// boundDemand converts the demand that is bound to software versions.
-func boundDemand(list []placement.BoundDemand) []residency.BoundDemand {
-	var out []residency.BoundDemand
-	for _, b := range list {
-		out = append(out, residency.BoundDemand(b))
-	}
-	return out
-}
-
 // residencyServers converts backend servers to the planner's input.
 func residencyServers(all []membership.ServerStatus) []residency.Server {
 	out := make([]residency.Server, 0, len(all))
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -18,7 +18,6 @@
 	"github.com/pollenwheel/pollenwheel/core/burn"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/placement"
-	"github.com/pollenwheel/pollenwheel/core/residency"
 	"github.com/pollenwheel/pollenwheel/core/retry"
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/admin"
@@ -269,21 +268,12 @@
 	for _, d := range h.requestForwarder.Demand() {
 		out = append(out, placement.Demand{
 			Model: d.Model, Adapter: d.Adapter, Waiting: d.Waiting, Running: d.Running, Arrivals: d.Arrivals, RunningOn: d.RunningOn,
-			EarliestDeadline: d.EarliestExpiry, Bound: placementBound(d.Bound),
+			EarliestDeadline: d.EarliestExpiry, Bound: d.Bound,
 		})
 	}
 	return out
 }
 
-// placementBound converts the demand that is bound to software versions.
-func placementBound(list []residency.BoundDemand) []placement.BoundDemand {
-	var out []placement.BoundDemand
-	for _, b := range list {
-		out = append(out, placement.BoundDemand(b))
-	}
-	return out
-}
-
 // holdingsRetryInterval is the time between attempts to find and follow the leader.
 const holdingsRetryInterval = 100 * time.Millisecond
 
@@ -296,7 +286,7 @@
 			err := h.peers.Holdings(ctx, address, h.mergeHoldings)
 			h.logger.WithError(err).Debug("the stream of holdings from the leader ended")
 		}
-		if !sleep(ctx, holdingsRetryInterval) {
+		if !bootclock.Sleep(ctx, holdingsRetryInterval) {
 			return nil
 		}
 	}
--- a/node/host/routed_lifecycle.go
+++ b/node/host/routed_lifecycle.go
@@ -10,6 +10,7 @@
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/route"
 	"github.com/pollenwheel/pollenwheel/core/state"
+	"github.com/pollenwheel/pollenwheel/node/bootclock"
 	"github.com/pollenwheel/pollenwheel/node/decision"
 )
 
@@ -84,14 +85,14 @@
 		transferLeader(running, h.group, h.opts.Settings.Host, routedTransferTimeout, h.logger)
 	}
 	if len(callers) == 0 {
-		sleep(running, leaveGossipPeriod)
+		bootclock.Sleep(running, leaveGossipPeriod)
 		return nil
 	}
 	if admit := h.opts.AdmitAfterLeave; admit > 0 {
 		stopAdmission := time.AfterFunc(admit, h.requestForwarder.StopAdmission)
 		defer stopAdmission.Stop()
 	}
-	if !sleep(running, h.opts.ServeAfterLeave) {
+	if !bootclock.Sleep(running, h.opts.ServeAfterLeave) {
 		return nil
 	}
 	h.requestForwarder.StopAdmission()
--- a/node/origins/client.go
+++ b/node/origins/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/origin"
+	"github.com/pollenwheel/pollenwheel/node/bootclock"
 )
 
 const (
@@ -146,7 +147,7 @@
 // returns false if ctx ends first.
 func (c *Client) pause(ctx context.Context) bool {
 	urgentInterval := time.Duration(c.opts.HostCount()) * time.Second / urgentReportsPerSecond
-	if !sleep(ctx, urgentInterval) {
+	if !bootclock.Sleep(ctx, urgentInterval) {
 		return false
 	}
 	timer := time.NewTimer(c.reportInterval() - urgentInterval)
@@ -229,20 +230,8 @@
 		if waited > maxWait {
 			return origin.Answer{}, result
 		}
-		if !sleep(ctx, askPause) {
+		if !bootclock.Sleep(ctx, askPause) {
 			return origin.Answer{}, ctx.Err()
 		}
 	}
 }
-
-// sleep waits for d. It returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -200,23 +200,10 @@
 // Demand sends a demand report to the leader at address and returns the leader's
 // predictions. If that host does not lead, the error is *control.NotLeaderError.
 func (c *Client) Demand(ctx context.Context, address string, r DemandReport) ([]Prediction, error) {
-	var out []Prediction
-	var notLeader error
-	err := c.callUnary(ctx, OpDemand, address, func(ctx context.Context, stub peerpb.PeerClient) error {
-		reply, err := stub.Demand(ctx, demandToProto(r))
-		if err != nil {
-			return err
-		}
-		if reply.NotLeader {
-			notLeader = &control.NotLeaderError{Leader: reply.Leader}
-		}
-		out = predictionsFromProto(reply.Predictions)
-		return nil
+	reply, err := callLeader(ctx, c, callTimeout, OpDemand, address, func(ctx context.Context, stub peerpb.PeerClient) (*peerpb.DemandReply, error) {
+		return stub.Demand(ctx, demandToProto(r))
 	})
-	if err == nil {
-		err = notLeader
-	}
-	return out, err
+	return predictionsFromProto(reply.GetPredictions()), err
 }
 
 // propose sends a command to the host at address and returns its result. Its
--- a/node/peer/demand.go
+++ b/node/peer/demand.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pollenwheel/pollenwheel/core/origin"
 	"github.com/pollenwheel/pollenwheel/core/placement"
 	"github.com/pollenwheel/pollenwheel/node/peer/peerpb"
 )
@@ -65,7 +66,7 @@
 			m.RunningOn[server] = int64(n)
 		}
 		for _, b := range d.Bound {
-			m.Bound = append(m.Bound, &peerpb.BoundDemand{SoftwareVersion: b.SoftwareVersion, Waiting: int64(b.Waiting)})
+			m.Bound = append(m.Bound, &peerpb.BoundDemand{SoftwareVersion: b.Version, Waiting: int64(b.Waiting)})
 		}
 		if d.EarliestDeadline != 0 {
 			m.HasEarliest, m.EarliestInMs = true, (d.EarliestDeadline - r.Now).Milliseconds()
@@ -111,7 +112,7 @@
 			d.RunningOn[server] = int(n)
 		}
 		for _, b := range received.Bound {
-			d.Bound = append(d.Bound, placement.BoundDemand{SoftwareVersion: b.SoftwareVersion, Waiting: int(b.Waiting)})
+			d.Bound = append(d.Bound, origin.BoundDemand{Version: b.SoftwareVersion, Waiting: int(b.Waiting)})
 		}
 		if received.HasEarliest {
 			d.EarliestDeadline = nonZero(time.Duration(received.EarliestInMs) * time.Millisecond)
--- a/node/peer/origins.go
+++ b/node/peer/origins.go
@@ -64,8 +64,8 @@
 }
 
 func originReplyFromProto(m *peerpb.OriginsReply) origin.Reply {
-	out := origin.Reply{Term: m.Term}
-	for _, a := range m.Answers {
+	out := origin.Reply{Term: m.GetTerm()}
+	for _, a := range m.GetAnswers() {
 		out.Answers = append(out.Answers, origin.Answer{
 			Known: a.Known, Inferred: a.Inferred, Origin: origin.Origin{Service: a.Service, Version: a.SoftwareVersion},
 		})
@@ -92,23 +92,10 @@
 // origins sends a report to the leader at address and waits for the reply for at most
 // timeout.
 func (c *Client) origins(ctx context.Context, address string, r origin.Report, timeout time.Duration) (origin.Reply, error) {
-	var out origin.Reply
-	var notLeader error
-	err := c.callWithin(ctx, timeout, OpOrigins, address, func(ctx context.Context, stub peerpb.PeerClient) error {
-		reply, err := stub.Origins(ctx, originReportToProto(r))
-		if err != nil {
-			return err
-		}
-		if reply.NotLeader {
-			notLeader = &control.NotLeaderError{Leader: reply.Leader}
-		}
-		out = originReplyFromProto(reply)
-		return nil
+	reply, err := callLeader(ctx, c, timeout, OpOrigins, address, func(ctx context.Context, stub peerpb.PeerClient) (*peerpb.OriginsReply, error) {
+		return stub.Origins(ctx, originReportToProto(r))
 	})
-	if err == nil {
-		err = notLeader
-	}
-	return out, err
+	return originReplyFromProto(reply), err
 }
 
 // Origins sends a report to the leader and waits for the reply for at most timeout. If this
--- a/node/peer/permits.go
+++ b/node/peer/permits.go
@@ -72,8 +72,8 @@
 }
 
 func permitsReplyFromProto(m *peerpb.PermitsReply) ratelimit.Reply {
-	out := ratelimit.Reply{Version: m.Version, Limits: sightingsFromProto(m.Limits)}
-	for _, g := range m.Grants {
+	out := ratelimit.Reply{Version: m.GetVersion(), Limits: sightingsFromProto(m.GetLimits())}
+	for _, g := range m.GetGrants() {
 		out.Grants = append(out.Grants, ratelimit.Grant{
 			Process: ratelimit.Process{Server: g.Server, Incarnation: g.Incarnation}, Permits: int(g.Permits),
 			Interval: time.Duration(g.IntervalMs) * time.Millisecond,
@@ -100,23 +100,10 @@
 
 // permits asks the leader at address for permits, for at most timeout.
 func (c *Client) permits(ctx context.Context, address string, r ratelimit.Request, timeout time.Duration) (ratelimit.Reply, error) {
-	var out ratelimit.Reply
-	var notLeader error
-	err := c.callWithin(ctx, timeout, OpPermits, address, func(ctx context.Context, stub peerpb.PeerClient) error {
-		reply, err := stub.Permits(ctx, permitsRequestToProto(r))
-		if err != nil {
-			return err
-		}
-		if reply.NotLeader {
-			notLeader = &control.NotLeaderError{Leader: reply.Leader}
-		}
-		out = permitsReplyFromProto(reply)
-		return nil
+	reply, err := callLeader(ctx, c, timeout, OpPermits, address, func(ctx context.Context, stub peerpb.PeerClient) (*peerpb.PermitsReply, error) {
+		return stub.Permits(ctx, permitsRequestToProto(r))
 	})
-	if err == nil {
-		err = notLeader
-	}
-	return out, err
+	return permitsReplyFromProto(reply), err
 }
 
 // Permits asks the leader for permits, for at most timeout. If this host leads, local
--- a/node/permits/client.go
+++ b/node/permits/client.go
@@ -7,6 +7,7 @@
 
 	"github.com/pollenwheel/pollenwheel/core/notice"
 	"github.com/pollenwheel/pollenwheel/core/ratelimit"
+	"github.com/pollenwheel/pollenwheel/node/bootclock"
 )
 
 const (
@@ -73,7 +74,7 @@
 			outstanding++
 			go c.exchange(ctx)
 		}
-		if !sleep(ctx, minPause) {
+		if !bootclock.Sleep(ctx, minPause) {
 			return
 		}
 		wake := c.wake
@@ -88,7 +89,7 @@
 		case replied := <-c.ended:
 			outstanding--
 			start = outstanding == 0
-			if !replied && !sleep(ctx, retryPause) {
+			if !replied && !bootclock.Sleep(ctx, retryPause) {
 				return
 			}
 		}
@@ -119,15 +120,3 @@
 	c.opts.Applied(changes, granted)
 	c.NotifyLocked()
 }
-
-// sleep waits for d. It returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
