--- a/node/origins/origins_test.go
+++ b/node/origins/origins_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 
 // leader is one leader after another. A term of zero means that nobody leads.
 type leader struct {
+	mu       sync.Mutex
 	term     uint64
 	admitted origin.Admitted
 	// endsWhileServing makes the lease end while a report is served.
@@ -23,6 +26,8 @@
 }
 
 func (l *leader) currentTerm() (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.checks++
 	if l.endsWhileServing && l.checks%2 == 0 {
 		return 0, false
@@ -58,7 +63,7 @@
 	two := origin.Admitted{"a": {"v1", "v2"}}
 	for _, c := range []struct {
 		name   string
-		leader leader
+		leader *leader
 		// begun notes the stream on the other host, and then leader changes by change.
 		begun  bool
 		change func(*leader)
@@ -66,26 +71,26 @@
 		err    error
 		within time.Duration
 	}{
-		{"reported", leader{term: 1, admitted: two}, true, nil, origin.Answer{Known: true, Origin: origin.Origin{Service: "a", Version: "v2"}}, nil, 10 * time.Millisecond},
-		{"the leader changes after the report", leader{term: 1, admitted: two}, true, func(l *leader) { l.term = 2 }, origin.Answer{Known: true, Origin: origin.Origin{Service: "a", Version: "v2"}}, nil, maxWait},
-		{"lost, two versions", leader{term: 1, admitted: two}, false, nil, origin.Answer{}, ErrUnknown, time.Second},
-		{"lost, one version", leader{term: 1, admitted: origin.Admitted{"a": {"v1"}}}, false, nil, origin.Answer{Known: true, Inferred: true, Origin: origin.Origin{Service: "a", Version: "v1"}}, nil, 10 * time.Millisecond},
-		{"no leader", leader{admitted: origin.Admitted{"a": {"v1"}}}, false, nil, origin.Answer{}, ErrNoLeader, maxWait + 2*askPause},
-		{"the lease ends while the leader answers", leader{term: 1, admitted: origin.Admitted{"a": {"v1"}}, endsWhileServing: true}, false, nil, origin.Answer{}, ErrNoLeader, maxWait + 2*askPause},
-		{"the leader cannot be reached", leader{term: 1, admitted: origin.Admitted{"a": {"v1"}}, down: true}, false, nil, origin.Answer{}, ErrNoLeader, maxWait + 2*askPause},
+		{"reported", &leader{term: 1, admitted: two}, true, nil, origin.Answer{Known: true, Origin: origin.Origin{Service: "a", Version: "v2"}}, nil, 10 * time.Millisecond},
+		{"the leader changes after the report", &leader{term: 1, admitted: two}, true, func(l *leader) { l.mu.Lock(); defer l.mu.Unlock(); l.term = 2 }, origin.Answer{Known: true, Origin: origin.Origin{Service: "a", Version: "v2"}}, nil, maxWait},
+		{"lost, two versions", &leader{term: 1, admitted: two}, false, nil, origin.Answer{}, ErrUnknown, time.Second},
+		{"lost, one version", &leader{term: 1, admitted: origin.Admitted{"a": {"v1"}}}, false, nil, origin.Answer{Known: true, Inferred: true, Origin: origin.Origin{Service: "a", Version: "v1"}}, nil, 10 * time.Millisecond},
+		{"no leader", &leader{admitted: origin.Admitted{"a": {"v1"}}}, false, nil, origin.Answer{}, ErrNoLeader, maxWait + 2*askPause},
+		{"the lease ends while the leader answers", &leader{term: 1, admitted: origin.Admitted{"a": {"v1"}}, endsWhileServing: true}, false, nil, origin.Answer{}, ErrNoLeader, maxWait + 2*askPause},
+		{"the leader cannot be reached", &leader{term: 1, admitted: origin.Admitted{"a": {"v1"}}, down: true}, false, nil, origin.Answer{}, ErrNoLeader, maxWait + 2*askPause},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer func() { cancel(); time.Sleep(time.Second) }()
-				_, other, client := newWorld(&c.leader)
+				_, other, client := newWorld(c.leader)
 				go other.Run(ctx)
 				if c.begun {
 					other.Begin(origin.Record{Stream: stream, Origin: origin.Origin{Service: "a", Version: "v2"}, Expires: time.Hour})
 				}
 				time.Sleep(200 * time.Millisecond)
 				if c.change != nil {
-					c.change(&c.leader)
+					c.change(c.leader)
 				}
 				begun := time.Now()
 				got, err := client.Find(ctx, question)
@@ -121,10 +126,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer func() { cancel(); time.Sleep(time.Second) }()
-			reports := 0
+			var reports atomic.Int64
 			c := NewClient(ClientOptions{
 				Ask: func(context.Context, origin.Report, time.Duration) (origin.Reply, error) {
-					reports++
+					reports.Add(1)
 					return origin.Reply{Term: 1}, nil
 				},
 				Now: func() time.Duration { return time.Second }, HostCount: func() int { return hosts },
@@ -134,7 +139,7 @@
 				c.Begin(origin.Record{Stream: i, Expires: time.Hour})
 				time.Sleep(5 * time.Millisecond)
 			}
-			if perSecond := float64(reports*hosts) / 10; perSecond > 1.1*reportsPerSecond {
+			if perSecond := float64(int(reports.Load())*hosts) / 10; perSecond > 1.1*reportsPerSecond {
 				t.Errorf("%d hosts send the leader %.0f reports a second, want at most %d", hosts, perSecond, reportsPerSecond)
 			}
 		})
@@ -160,22 +165,22 @@
 	const limit = 40 * time.Millisecond
 	for _, c := range []struct {
 		name   string
-		leader leader
+		leader *leader
 		// reported is the number of streams that the host has reported just before.
 		reported int
 		want     bool
 		within   time.Duration
 	}{
-		{"the leader answers", leader{term: 1}, 0, true, 5 * time.Millisecond},
-		{"right after another report", leader{term: 1}, 1, true, 10 * time.Millisecond},
-		{"the leader does not answer", leader{term: 1, down: true}, 0, false, limit},
-		{"there is no leader", leader{}, 0, false, limit},
+		{"the leader answers", &leader{term: 1}, 0, true, 5 * time.Millisecond},
+		{"right after another report", &leader{term: 1}, 1, true, 10 * time.Millisecond},
+		{"the leader does not answer", &leader{term: 1, down: true}, 0, false, limit},
+		{"there is no leader", &leader{}, 0, false, limit},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer func() { cancel(); time.Sleep(time.Second) }()
-				server, client, _ := newWorld(&c.leader)
+				server, client, _ := newWorld(c.leader)
 				go client.Run(ctx)
 				for i := range c.reported {
 					client.Begin(origin.Record{Stream: origin.StreamID(100 + i), Expires: time.Hour})
