forward: guard the registry of the test world with a lock

Seen once as "concurrent map writes" in 24 runs of TestStreamsKeepTheirSoftwareVersion (and, cut off, in a whole run of the package): two timers of the test admitted versions at the same time. On the leader one goroutine does. With the race detector the tests of versions and departures pass.

--- a/node/forward/version_world_test.go
+++ b/node/forward/version_world_test.go
@@ -66,9 +66,11 @@
 	start time.Time
 	log   *worldLog
 	ctx   context.Context
-	// origins is the leader's side of the origins of streams, and registry admits versions.
-	origins  *origins.Server
-	registry *origin.Registry
+	// origins is the leader's side of the origins of streams, and registry, guarded by
+	// registryMu, admits versions.
+	origins    *origins.Server
+	registryMu sync.Mutex
+	registry   *origin.Registry
 
 	mu      sync.Mutex
 	over    bool
@@ -190,6 +192,8 @@
 	for _, s := range w.statuses() {
 		announced = append(announced, origin.Origin{Service: s.Service, Version: s.SoftwareVersion})
 	}
+	w.registryMu.Lock()
+	defer w.registryMu.Unlock()
 	for _, c := range w.registry.Step(w.now(), w.admitted(), announced) {
 		command := state.NewSetSoftwareVersion(c)
 		time.AfterFunc(worldCommitTime, func() { w.log.apply(state.Command{SetSoftwareVersion: &command}) })
