origins: give each host a burst of reports that first events wait for

Cause: a fixed pause between two reports of a host, made for the bound over all hosts, held first events although the bound was far away. With 95 hosts and 245 streams a second, 640 of 2450 first events were passed on before the leader knew the stream (TestManyHostsShareTheLeader, new).

Change: a burst of four reports from each host, and 2000 instead of 1000 a second over all hosts.

--- a/node/origins/client.go
+++ b/node/origins/client.go
@@ -15,9 +15,11 @@
 	// waits for them. The streams of a host that dies within it are unknown to the leader.
 	minReportInterval = 80 * time.Millisecond
 	// reportsPerSecond bounds the reports that the leader gets from all hosts together, if
-	// no caller waits for them, and urgentReportsPerSecond if callers do.
+	// no caller waits for them, and urgentReportsPerSecond if callers do, beyond a burst of
+	// urgentBurst from each host: streams begin at random times.
 	reportsPerSecond       = 400
-	urgentReportsPerSecond = 1000
+	urgentReportsPerSecond = 2000
+	urgentBurst            = 4
 	// refreshInterval is the shortest time between two reports of a host without news, by
 	// which it finds out that another host leads.
 	refreshInterval = 250 * time.Millisecond
@@ -58,6 +60,9 @@
 	opts ClientOptions
 	// wake triggers a report, and urgent one without the pause between two reports.
 	wake, urgent chan struct{}
+	// budgetAt is when the reports sent so far have been earned at the rate of
+	// urgentReportsPerSecond. Only Run uses it.
+	budgetAt time.Duration
 
 	mu      sync.Mutex
 	journal *origin.Journal
@@ -146,11 +151,14 @@
 // pause waits until the next report may be sent, which is earlier if a caller waits for it. It
 // returns false if ctx ends first.
 func (c *Client) pause(ctx context.Context) bool {
-	urgentInterval := time.Duration(c.opts.HostCount()) * time.Second / urgentReportsPerSecond
-	if !bootclock.Sleep(ctx, urgentInterval) {
+	interval := time.Duration(c.opts.HostCount()) * time.Second / urgentReportsPerSecond
+	now := c.opts.Now()
+	c.budgetAt = max(c.budgetAt, now) + interval
+	beforeUrgent := max(0, c.budgetAt-now-urgentBurst*interval)
+	if !bootclock.Sleep(ctx, beforeUrgent) {
 		return false
 	}
-	timer := time.NewTimer(c.reportInterval() - urgentInterval)
+	timer := time.NewTimer(c.reportInterval() - beforeUrgent)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
