--- a/node/forward/version_test.go
+++ b/node/forward/version_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/core/origin"
 	"github.com/pollenwheel/pollenwheel/core/state"
 )
 
@@ -130,3 +131,44 @@
 	}
 	f.Refresh()
 }
+
+// TestResumedStreamGoesToItsOrigin guards against a stream that is resumed at a service or a software
+// version that did not begin it, or that is refused although its origin serves.
+func TestResumedStreamGoesToItsOrigin(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		versions []string
+		// known is the origin that the leader knows, if any.
+		known        *origin.Origin
+		headers      []string
+		status, sent int
+	}{
+		{"its version serves", []string{"v1", "v2"}, &origin.Origin{Service: "plain", Version: "v1"}, []string{"T-After", "1", "T-Resumes", "r1"}, 200, 1},
+		{"its version is gone", []string{"v2", "v2"}, &origin.Origin{Service: "plain", Version: "v1"}, []string{"T-After", "1", "T-Resumes", "r1"}, 503, 0},
+		{"the route leads to another service", []string{"v1", "v2"}, &origin.Origin{Service: "other", Version: "v1"}, []string{"T-After", "1", "T-Resumes", "r1"}, 503, 0},
+		{"nobody knows it, one version", []string{"v1", "v1"}, nil, []string{"T-After", "1", "T-Resumes", "r1"}, 200, 1},
+		{"nobody knows it, two versions", []string{"v1", "v2"}, nil, []string{"T-After", "1", "T-Resumes", "r1"}, 503, 0},
+		{"the caller does not name it, one version", []string{"v1", "v1"}, nil, []string{"T-After", "1"}, 200, 1},
+		{"the caller does not name it, two versions", []string{"v1", "v2"}, &origin.Origin{Service: "plain", Version: "v1"}, []string{"T-After", "1"}, 503, 0},
+		{"a new stream", []string{"v1", "v2"}, nil, nil, 200, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			whole := eventStream(2, 3, "", true)
+			url, forwarder, backends := startForwarder(t, []http.HandlerFunc{whole}, []http.HandlerFunc{whole})
+			nameVersions(forwarder, c.versions)
+			if c.known != nil {
+				forwarder.origins.Begin(origin.Record{Stream: origin.IDOf("r1"), Origin: *c.known, Expires: time.Hour})
+			}
+			resp, _, err := post(t, url, "/resumable/", "", c.headers...)
+			if sent := backends[0].requestCount() + backends[1].requestCount(); err != nil || resp.status != c.status || sent != c.sent {
+				t.Errorf("status %d, sent %d times, error %v; want %d and %d", resp.status, sent, err, c.status, c.sent)
+			}
+			if resp.status == http.StatusServiceUnavailable && resp.header.Get("Retry-After") == "" {
+				t.Error("the refusal has no Retry-After header")
+			}
+			if backends[1].requestCount() > 0 && c.known != nil {
+				t.Error("the stream went on at the server of another version")
+			}
+		})
+	}
+}
--- a/node/host/routed_operator.go
+++ b/node/host/routed_operator.go
@@ -78,6 +78,31 @@
 		metric.WithInt64Callback(h.observeDecisions)); err != nil {
 		return &telemetry.Error{Part: events, Err: err}
 	}
+	return h.createOriginMetrics()
+}
+
+// createOriginMetrics creates the metrics of the origins of streams.
+func (h *RoutedHost) createOriginMetrics() error {
+	const unconfirmed, known = "pollenwheel.streams.unconfirmed", "pollenwheel.streams.origins"
+	if _, err := h.metrics.Meter().Int64ObservableCounter(unconfirmed, metric.WithUnit("{stream}"),
+		metric.WithDescription("Streams that began, while several software versions served, before the leader knew which one began them."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(h.requestForwarder.UnconfirmedOrigins())
+			return nil
+		})); err != nil {
+		return &telemetry.Error{Part: unconfirmed, Err: err}
+	}
+	if h.originServer == nil {
+		return nil
+	}
+	if _, err := h.metrics.Meter().Int64ObservableGauge(known, metric.WithUnit("{stream}"),
+		metric.WithDescription("Streams of which this host knows, as the leader, which software version began them."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(h.originServer.Streams()))
+			return nil
+		})); err != nil {
+		return &telemetry.Error{Part: known, Err: err}
+	}
 	return nil
 }
 
