notice: count the whole trial after a pause again, as before

Cause: (requests that wait out a pause) expected a trial to end within 100 ms. On the users' platform that held requests for a server that did not answer, and the routing of both interfaces asks the same table.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -71,9 +71,6 @@
 	// trialTime is how long after a pause a host waits for the answer to one request before
 	// it sends another.
 	trialTime = time.Second
-	// expectedTrialTime is how long the answer to that request is expected to take at least
-	// from now on. Most servers begin to answer sooner, or turn the request away at once.
-	expectedTrialTime = 100 * time.Millisecond
 	// countWindow is the time over which requests to a server with a limit are counted.
 	countWindow = 4 * time.Second
 	// retention is how long a notice of a server is kept after its last answer. A process
@@ -203,8 +200,8 @@
 	return s != nil && s.leaving
 }
 
-// UntilWanted returns how long a server process is expected to want no request from this host. It
-// is zero without a pause.
+// UntilWanted returns how long a server process wants no request from this host. It is zero
+// without a pause.
 func (t *Table) UntilWanted(now time.Duration, p Process) time.Duration {
 	s := t.servers[p]
 	switch {
@@ -215,7 +212,7 @@
 	case s.trialAt == 0:
 		return 0
 	}
-	return min(expectedTrialTime, max(0, s.trialAt+trialTime-now))
+	return max(0, s.trialAt+trialTime-now)
 }
 
 // Take records that a request is sent to a server process. It uses a permit if the server has
