--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -17,6 +17,9 @@
 	body               string
 	model              string
 	deadline           time.Duration
+	// patience is how long the client waits for the end of the answer, or zero for a second
+	// more than the deadline.
+	patience time.Duration
 }
 
 // answer is what the client saw. status is zero if there was no complete answer.
@@ -31,7 +34,11 @@
 // send sends one client attempt to an entry host, on a new connection.
 func (c *cluster) send(h *host, q request) answer {
 	a := answer{id: fmt.Sprintf("%016x", rand.Uint64())}
-	ctx, cancel := context.WithTimeout(context.Background(), q.deadline+time.Second)
+	limit := q.deadline + time.Second
+	if q.patience > 0 {
+		limit = q.patience
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	var body io.Reader
 	if q.body != "" {
--- a/review/standin/idle.go
+++ b/review/standin/idle.go
@@ -107,7 +107,7 @@
 		})
 	}()
 	every(time.Second/rateOfAllClients, 90*time.Second, func(n int) {
-		h := c.entries()[n%entryHosts]
+		h := c.entry(n)
 		begun := time.Now()
 		conn, err := c.idleClient(h, n)
 		opened.Add(1)
