--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -60,12 +59,10 @@
 	start := time.Now()
 	resp, err := newHTTPClient(0).Do(req)
 	if err == nil {
-		var data []byte
-		data, err = io.ReadAll(io.LimitReader(resp.Body, 32<<20))
+		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, 32<<20))
 		_ = resp.Body.Close()
 		if err == nil {
 			a.status, a.stamped = resp.StatusCode, resp.Header.Get("Response-Stamp") != ""
-			_ = bytes.TrimSpace(data)
 		}
 	}
 	a.err, a.took = err, time.Since(start)
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -308,8 +308,8 @@
 }
 
 // limitMemory plays the platform: a process that uses more than its MemoryMb is killed and
-// is started again after a short delay. It returns when ctx ends. kills receives the name of
-// each host that is killed; peak receives the highest figure seen.
+// is started again after a short delay. It returns when ctx ends. It calls seen with each
+// figure in MB, and killed with the one at which the process is killed.
 func (c *cluster) limitMemory(ctx context.Context, h *host, killed func(mb float64), seen func(mb float64)) {
 	for ctx.Err() == nil {
 		time.Sleep(5 * time.Millisecond)
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -105,7 +105,7 @@
 	x.c.rec.line("runner %s has crashed", x.id)
 }
 
-// report is the state that a runner tells of itself.
+// heldModels lists the models that the runner holds, as it tells of them. The caller holds mu.
 func (x *runner) heldModels() []map[string]any {
 	out := []map[string]any{}
 	for name := range x.held {
