--- a/review/standin/idle.go
+++ b/review/standin/idle.go
@@ -19,13 +19,13 @@
 
 // idleClient sends one request on a new connection, as clients do, and keeps the connection
 // open without using it again. It returns the connection, or nil if there was no answer.
-func (c *cluster) idleClient(h *host, n int) (net.Conn, error) {
+func (c *cluster) idleClient(h *host, id string, n int) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", c.frontAddress(h), time.Second)
 	if err != nil {
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
-	_, err = fmt.Fprintf(conn, "GET /status/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: %016x\r\nDeadline-Ms: 3000\r\n\r\n", n, clientHost, rand.Uint64())
+	_, err = fmt.Fprintf(conn, "GET /status/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\n\r\n", n, clientHost, id)
 	if err == nil {
 		var resp *http.Response
 		if resp, err = http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
@@ -47,10 +47,7 @@
 		return false, fmt.Errorf("the clients need %d descriptors and have %d", 3*maxDescriptors, own.Cur)
 	}
 	for i := range 3 {
-		c.newRunner(i, "supply-ledger", zones[i], func(_ *runner, w http.ResponseWriter, r *http.Request) {
-			time.Sleep(20 * time.Millisecond)
-			answerSound(w, r, 800)
-		})
+		c.newRunner(i, "supply-ledger", zones[i], sound(20*time.Millisecond))
 	}
 	if err := c.start(map[string]any{
 		"Routes":   []any{route("r-status", "/status/", "safe", "supply-ledger", 3*time.Second, 300*time.Millisecond, 2)},
@@ -109,19 +106,21 @@
 	every(time.Second/rateOfAllClients, 90*time.Second, func(n int) {
 		h := c.entry(n)
 		begun := time.Now()
-		conn, err := c.idleClient(h, n)
+		id := fmt.Sprintf("%016x", rand.Uint64())
+		conn, err := c.idleClient(h, id, n)
 		opened.Add(1)
 		mu.Lock()
 		defer mu.Unlock()
 		s := states[h.name]
 		if err != nil {
-			rec.line("client %d at %s: no answer: %v", n, h.name, err)
+			rec.line("client %d: %s GET /status/%d to %s: no answer: %v", n, id, n, h.name, err)
 			s.failed++
 			if stretch := begun.Sub(s.lastServed); s.failed >= 7 && stretch > s.longest {
 				s.longest, s.tried = stretch, s.failed
 			}
 			return
 		}
+		rec.line("client %d: %s GET /status/%d to %s: answered on a new connection", n, id, n, h.name)
 		s.lastServed, s.failed = time.Now(), 0
 		if !trouble {
 			_ = conn.Close()
