--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -38,6 +38,7 @@
 	"pause":         {2, longPause},
 	"leave-and-end": {3, leaveAndEnd},
 	"encoded-slash": {2, encodedSlash},
+	"same-path":     {3, samePath},
 	"safe-events":   {2, safeEvents},
 	"adapters":      {3, adapterSlots},
 	"first-start":   {2, firstStart},
--- a/review/standin-2/other.go
+++ b/review/standin-2/other.go
@@ -78,7 +78,7 @@
 		return false, err
 	}
 	_ = others
-	rounds, broken := 8, 0
+	rounds, broken := 10, 0
 	for round := range rounds {
 		r := t.addRunners("huvo11a", 1)[0]
 		r.copies = []string{model, rare}
--- a/review/standin-2/poison.go
+++ b/review/standin-2/poison.go
@@ -267,3 +267,60 @@
 	t.say("the request reached runners %d times and crashed %d; %d times later than 3 s after the third crash (allowed: 3)", len(h.arrivals), len(h.crashes), n)
 	return ok && n > 3, nil
 }
+
+// samePath sends harmful and sound prompts with one path and no body, as in the example of the
+// platform's page: they differ in Prompt-Prefix only.
+func samePath(t *trial) (bool, error) {
+	runners, err := t.startEngines(6)
+	if err != nil {
+		return false, err
+	}
+	h := t.crashOn(runners, crashBefore, func(r *http.Request) bool { return holdsPart(r, harmfulPart) })
+	alike := func(kind string, i int, prompt string) request {
+		q := stream(kind, i, prompt)
+		q.path, q.body = "/lohu930/2f", ""
+		return q
+	}
+	stop := make(chan struct{})
+	var mu sync.Mutex
+	var answers []answer
+	t.clients.every(150*time.Millisecond, stop, func(i int) {
+		a := t.clients.send(alike("sound", i, prompt("a0000001", "a0000002", fmt.Sprintf("b0%06x", i))))
+		mu.Lock()
+		defer mu.Unlock()
+		answers = append(answers, a)
+	})
+	time.Sleep(8 * time.Second)
+	begun := time.Now()
+	t.clients.every(1500*time.Millisecond, stop, func(i int) {
+		t.clients.send(alike("harmful", i, prompt("a0000001", harmfulPart, fmt.Sprintf("c0%06x", i))))
+	})
+	time.Sleep(45 * time.Second)
+	close(stop)
+	t.clients.wg.Wait()
+	return t.judgeSound(h, answers, begun), nil
+}
+
+// judgeSound judges LOST: the sound requests outside the disruption, which begins at the given
+// time, against those from 2 x ContactWindowMs after the fifth crash, or the last one, on.
+func (t *trial) judgeSound(h *harm, answers []answer, begun time.Time) bool {
+	h.mu.Lock()
+	crashes := h.crashes
+	h.mu.Unlock()
+	from := begun
+	if len(crashes) > 0 {
+		from = crashes[min(len(crashes), 5)-1].Add(2 * contactWindow)
+	}
+	var outside, during tally
+	for _, a := range answers {
+		switch {
+		case a.sentAt.Before(begun):
+			outside.add(a)
+		case a.sentAt.After(from):
+			during.add(a)
+		}
+	}
+	t.say("%d runners crashed; sound requests with the same first part that began: %d of %d outside, %d of %d from 6 s after the fifth or last crash on",
+		len(crashes), outside.begun, outside.sent, during.begun, during.sent)
+	return outside.sent >= 20 && during.sent >= 20 && during.share() < outside.share()/2
+}
