--- a/review/standin-2/config.go
+++ b/review/standin-2/config.go
@@ -6,12 +6,13 @@
 	hostName = "ficu95.example"
 	model    = "daka510000"
 	rare     = "rada7437b5"
+	rarer    = "ravo486f6a"
 )
 
 // configuration is that of a small deployment: one service of models, one plain one.
 func configuration(version int) []byte {
 	models := []map[string]any{}
-	for _, name := range []string{model, rare} {
+	for _, name := range []string{model, rare, rarer} {
 		models = append(models, map[string]any{
 			"Name": name, "WeightsMb": 16100.0, "LoadS": 6.0, "Adapters": 32, "AdapterMb": 14.0, "WarmS": 0.27, "DiskS": 0.35,
 		})
@@ -47,7 +48,7 @@
 		z := i % len(t.fleet.zones)
 		out = append(out, &runner{
 			fleet: t.fleet, rec: t.rec, service: service, zone: t.fleet.zones[z], plain: service == "wuno96b",
-			ip: fmt.Sprintf("127.%d.%d.%d", t.fleet.base, z+1, 100+len(t.runners)), copies: []string{model, rare},
+			ip: fmt.Sprintf("127.%d.%d.%d", t.fleet.base, z+1, 100+len(t.runners)), copies: []string{model, rare, rarer},
 		})
 		t.runners = append(t.runners, out[i])
 	}
--- a/review/standin-2/other.go
+++ b/review/standin-2/other.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -70,76 +71,123 @@
 	return broken, nil
 }
 
-// leaveAndEnd lets a runner that holds a rare model leave, and kills the control host that has
-// acknowledged that right after its answer. The host comes back after a second.
-func leaveAndEnd(t *trial) (bool, error) {
-	others, err := t.startEngines(3)
+// leaver is a runner that holds a rare model and leaves.
+type leaver struct {
+	runner  *runner
+	process *process
+	mu      sync.Mutex
+	// acked is when the leave notice was acknowledged, and late are the times after that at which
+	// requests reached the runner.
+	acked time.Time
+	late  []time.Duration
+}
+
+// startLeaver starts a runner that holds one of the rare models.
+func (t *trial) startLeaver(held string) (*leaver, error) {
+	l := &leaver{runner: t.addRunners("huvo11a", 1)[0]}
+	l.runner.onRequest = func(_ *process, _ *http.Request) verdict {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if !l.acked.IsZero() {
+			l.late = append(l.late, time.Since(l.acked))
+		}
+		return serve
+	}
+	if err := l.runner.start(held); err != nil {
+		return nil, err
+	}
+	l.process = l.runner.current
+	return l, nil
+}
+
+// leave sends the leave notice to a control host and reports whether it was acknowledged.
+func (l *leaver) leave(t *trial, host *node, onAnswer func()) bool {
+	conn, err := net.Dial("tcp", net.JoinHostPort(host.ip, strconv.Itoa(t.fleet.portControl)))
 	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	l.process.stopAnnouncing()
+	_ = conn.SetDeadline(time.Now().Add(time.Second))
+	if _, err := fmt.Fprintf(conn, "DELETE /v1/instances/%s HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", l.process.id); err != nil {
+		return false
+	}
+	buf := make([]byte, 512)
+	n, err := conn.Read(buf)
+	if err != nil || n < 12 || string(buf[9:12]) != "200" {
+		return false
+	}
+	onAnswer()
+	l.mu.Lock()
+	l.acked = time.Now()
+	l.mu.Unlock()
+	t.rec.add("leave-acknowledged", "runner", l.process.id, "by", host.name)
+	return true
+}
+
+// leaveAndEnd lets two of fourteen runners leave, which hold a rare model each, and kills the control
+// host that acknowledges that right after its first answer. The host comes back after a second.
+func leaveAndEnd(t *trial) (bool, error) {
+	if _, err := t.startEngines(12); err != nil {
 		return false, err
 	}
-	_ = others
-	rounds, broken := 10, 0
+	const rounds = 10
+	broken, acknowledged := 0, 0
 	for round := range rounds {
-		r := t.addRunners("huvo11a", 1)[0]
-		r.copies = []string{model, rare}
-		if err := r.start(rare); err != nil {
-			return false, err
-		}
-		time.Sleep(3 * time.Second)
-		p := r.current
-		var mu sync.Mutex
-		var late []time.Duration
-		var acked time.Time
-		r.onRequest = func(_ *process, _ *http.Request) verdict {
-			mu.Lock()
-			defer mu.Unlock()
-			if !acked.IsZero() {
-				late = append(late, time.Since(acked))
+		var leavers []*leaver
+		for _, held := range []string{rare, rarer} {
+			l, err := t.startLeaver(held)
+			if err != nil {
+				return false, err
 			}
-			return serve
-		}
-		host := t.fleet.controls[round%3]
-		conn, err := net.Dial("tcp", net.JoinHostPort(host.ip, strconv.Itoa(t.fleet.portControl)))
-		if err != nil {
-			return false, err
-		}
-		p.stopAnnouncing()
-		if _, err := fmt.Fprintf(conn, "DELETE /v1/instances/%s HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", p.id); err != nil {
-			return false, err
-		}
-		buf := make([]byte, 512)
-		n, err := conn.Read(buf)
-		if t.trouble {
-			host.signal(syscall.SIGKILL)
+			leavers = append(leavers, l)
 		}
-		mu.Lock()
-		acked = time.Now()
-		mu.Unlock()
-		if err != nil || n < 12 || string(buf[9:12]) != "200" {
-			return false, fmt.Errorf("the leave notice was not acknowledged: %q %v", buf[:n], err)
+		time.Sleep(3 * time.Second)
+		host := t.fleet.controls[round%len(t.fleet.controls)]
+		var once sync.Once
+		var wg sync.WaitGroup
+		var first atomic.Int64
+		for _, l := range leavers {
+			wg.Go(func() {
+				if l.leave(t, host, func() {
+					if t.trouble {
+						once.Do(func() { host.signal(syscall.SIGKILL) })
+					}
+				}) {
+					first.Add(1)
+				}
+			})
 		}
-		_ = conn.Close()
-		t.rec.add("leave-acknowledged", "runner", p.id, "by", host.name)
+		wg.Wait()
+		acknowledged += int(first.Load())
 		time.Sleep(time.Second)
 		if t.trouble {
 			<-host.exited
+			t.rec.add("killed", "host", host.name)
 			if err := t.fleet.start(host); err != nil {
 				return false, err
 			}
 		}
 		time.Sleep(3500 * time.Millisecond)
-		for _, f := range t.fleet.fronts {
-			q := stream("rare", round, prompt("a0000001", "b0000001"))
-			q.model, q.deadline = rare, 2*time.Second
-			t.clients.sendTo(f, q)
-		}
-		p.crash()
-		mu.Lock()
-		t.say("round %d: %d requests reached the runner, %v after the acknowledgement", round, len(late), late)
-		if len(late) > 0 {
-			broken++
+		for i, held := range []string{rare, rarer} {
+			for _, f := range t.fleet.fronts {
+				q := stream("rare", 10*round+i, prompt("a0000001", "b0000001"))
+				q.model, q.deadline = held, 2*time.Second
+				t.clients.sendTo(f, q)
+			}
+			l := leavers[i]
+			l.process.crash()
+			l.mu.Lock()
+			if len(l.late) > 0 {
+				broken++
+				t.say("round %d: %d requests reached %s, %v after the acknowledgement", round, len(l.late), l.process.id, l.late)
+			}
+			l.mu.Unlock()
 		}
-		mu.Unlock()
 	}
+	if acknowledged == 0 {
+		return false, fmt.Errorf("no leave notice was acknowledged")
+	}
+	t.say("%d leave notices were acknowledged; requests reached %d of these runners later than DrainMs after it", acknowledged, broken)
 	return broken > 0, nil
 }
