state: quarantine the parts that crashed together as a group

Cause: a crash under trial quarantined the last suspect part of the request, without evidence against that one. While it was refused, no request with it could run, so nothing could clear it; and the harmful part, which always stood beside it, was never tried on its own.

Change: the accused parts of the request are quarantined as a group. Requests with all of them are refused, those with some of them run as trials. An answer removes its parts from the group; a further crash leaves the parts that were in flight at both. Parts that were no suspects before belong to the group too: a sound suspect was quarantined alone when a part that nobody had held before crashed the server of its trial. The administration API and pollenctl suspects name the other parts of a group.

--- a/cmd/pollenctl/suspects.go
+++ b/cmd/pollenctl/suspects.go
@@ -25,7 +25,7 @@
 
 func printSuspects(w io.Writer, list admin.SuspectsAnswer) {
 	t := newTable(w)
-	t.row("KEY", "STATE", "UNTIL", "TRIAL ON", "CRASHED SERVERS")
+	t.row("KEY", "STATE", "WITH", "UNTIL", "TRIAL ON", "CRASHED SERVERS")
 	for _, s := range list.Suspects {
 		until := "-"
 		switch {
@@ -38,7 +38,11 @@
 		if s.TrialServer != "" {
 			trial = s.TrialServer
 		}
-		t.row(s.Key, s.State, until, trial, strings.Join(s.Crashes, ", "))
+		with := "-"
+		if len(s.Beside) > 0 {
+			with = strings.Join(s.Beside, ", ")
+		}
+		t.row(s.Key, s.State, with, until, trial, strings.Join(s.Crashes, ", "))
 	}
 	t.flush()
 }
--- a/core/state/part.go
+++ b/core/state/part.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 )
 
 // PartRecord is what is recorded of a part of requests beside its crashes: a prompt part,
@@ -36,17 +35,12 @@
 	UntilMS int64 `json:"until_ms,omitempty"`
 	// Quarantines is the number of quarantines since the part was last cleared.
 	Quarantines int `json:"quarantines,omitempty"`
-	// Beside are the other suspect parts of the request whose trial led to the
-	// quarantine. If one of them is quarantined later, it explains that crash.
+	// Beside are the other parts that may have caused the crash under trial. While there are
+	// any, only requests with all of them are rejected.
 	Beside []string `json:"beside,omitempty"`
 }
 
 const (
-	// firstQuarantine is the duration of the first quarantine of a part. Its end
-	// costs a server if the part is still harmful, so each further one lasts twice as
-	// long, up to maxQuarantine.
-	firstQuarantine = time.Minute
-	maxQuarantine   = 24 * time.Hour
 	// maxPartFingerprints and maxPartCrashes limit the fingerprints and crashes that a
 	// record of a part keeps.
 	maxPartFingerprints = 4
@@ -97,20 +91,37 @@
 	return "prompt part " + id
 }
 
-// Barred reports whether requests are rejected at the given time, in Unix
+// Barred reports whether the request or part is in quarantine at the given time, in Unix
 // milliseconds.
 func (r SuspectRecord) Barred(unixMS int64) bool {
 	return r.Quarantined && (r.Part == nil || unixMS < r.Part.UntilMS)
 }
 
-// Suspect reports whether a request needs a trial at the given time, in Unix
-// milliseconds.
+// Rejects reports whether a request with the parts, which include that of the record, is
+// rejected at the given time, in Unix milliseconds.
+func (r SuspectRecord) Rejects(unixMS int64, parts []string) bool {
+	return r.Barred(unixMS) && containsAll(parts, r.beside())
+}
+
+// beside returns the other parts of the quarantine, if there are any.
+func (r SuspectRecord) beside() []string {
+	if r.Part == nil {
+		return nil
+	}
+	return r.Part.Beside
+}
+
+// Suspect reports whether a request that is not rejected needs a trial at the given time, in
+// Unix milliseconds.
 func (r SuspectRecord) Suspect(unixMS int64) bool {
-	return !r.Barred(unixMS) && (r.Part == nil || !r.Part.Cleared && !r.Part.aged(unixMS))
+	if r.Barred(unixMS) {
+		return len(r.beside()) > 0
+	}
+	return r.Part == nil || !r.Part.Cleared && !r.Part.aged(unixMS)
 }
 
-// suspectParts records a crash for the parts of a request. If the request ran as their
-// trial and no other trial ran on the server, the crash quarantines one of them.
+// suspectParts records a crash for the parts of a request. If the request ran as the trial of
+// one of them and no other trial ran on the server, the crash quarantines them.
 func (s *State) suspectParts(c Suspect, crash string) {
 	for _, id := range c.Answered {
 		if rec := s.partRecord(id); !slices.Contains(rec.Crashes, crash) {
@@ -118,7 +129,7 @@
 			s.Suspects[PartKey(id)] = rec
 		}
 	}
-	var tried []string
+	conclusive := false
 	for _, id := range c.Parts {
 		rec := s.partRecord(id)
 		if !slices.Contains(rec.Crashes, crash) {
@@ -132,15 +143,13 @@
 		// open: its holder reports how it ends.
 		if c.endsTrial(rec.Trial) {
 			// Crashes by equal requests speak against the request rather than its parts.
-			if !rec.Part.TrialShared && len(rec.Part.Fingerprints) > 1 {
-				tried = append(tried, id)
-			}
+			conclusive = conclusive || !rec.Part.TrialShared && len(rec.Part.Fingerprints) > 1
 			rec.Trial, rec.Part.TrialShared = nil, false
 		}
 		s.Suspects[PartKey(id)] = rec
 	}
-	if len(tried) > 0 {
-		s.quarantinePart(tried[len(tried)-1], tried[:len(tried)-1])
+	if conclusive {
+		s.quarantineParts(c.Parts)
 	}
 }
 
@@ -180,33 +189,6 @@
 // lastOf returns the last n elements of list, or all if it has fewer.
 func lastOf(list []string, n int) []string { return list[max(0, len(list)-n):] }
 
-// quarantinePart quarantines the part whose trial crashed a server. The other suspect
-// parts of that request stay suspects. The last part is taken for the cause, because
-// fewer requests share it: if another one is, its own trial shows that, and ends the
-// quarantine of the former.
-func (s *State) quarantinePart(id string, beside []string) {
-	rec := s.Suspects[PartKey(id)]
-	part := *rec.Part
-	duration := maxQuarantine
-	if part.Quarantines < 16 {
-		duration = min(maxQuarantine, firstQuarantine<<part.Quarantines)
-	}
-	part.Quarantines++
-	part.UntilMS = s.ClockMS + duration.Milliseconds()
-	part.RefutingIndex = s.Index
-	part.Beside = slices.Clone(beside)
-	rec.Part, rec.Quarantined = &part, true
-	s.Suspects[PartKey(id)] = rec
-	for key, other := range s.Suspects {
-		if other.Quarantined && other.Part != nil && slices.Contains(other.Part.Beside, id) {
-			changed := *other.Part
-			changed.Beside, changed.Quarantines, changed.UntilMS = nil, 0, 0
-			other.Part, other.Quarantined = &changed, false
-			s.Suspects[key] = other
-		}
-	}
-}
-
 // aloneAfterCrashes is the number of crashes after which a part is tried alone on its
 // server. Trials after the first crash may share a server, because most suspects are
 // sound requests that were on the server of a harmful one.
@@ -226,7 +208,7 @@
 		switch {
 		case rec.Part.Cleared:
 			return reject(CodeNotSuspect, "%s is not a suspect", DescribePart(id))
-		case rec.Barred(s.ClockMS):
+		case rec.Rejects(s.ClockMS, t.Parts):
 			return reject(CodeQuarantined, "%s crashed backend servers", DescribePart(id))
 		case s.trialOpen(rec.Trial) && !rec.Trial.Same(t):
 			return reject(CodeBusy, "a trial of %s runs on %s", DescribePart(id), rec.Trial.Server)
@@ -279,11 +261,16 @@
 // clearParts clears parts of which an answer has begun, unless a newer crash shows
 // that the evidence is too old.
 func (s *State) clearParts(c ClearSuspect) Result {
+	var sound []string
 	for _, id := range c.Parts {
 		rec, ok := s.Suspects[PartKey(id)]
-		if !ok || rec.Part == nil || rec.Part.Cleared || !c.Lift && c.SeenIndex < rec.Part.RefutingIndex {
-			continue
+		if ok && rec.Part != nil && !rec.Part.Cleared && (c.Lift || c.SeenIndex >= rec.Part.RefutingIndex) {
+			sound = append(sound, id)
 		}
+	}
+	s.excludeFromQuarantines(sound)
+	for _, id := range sound {
+		rec := s.Suspects[PartKey(id)]
 		rec.Part = &PartRecord{Cleared: true, ClearedMS: s.ClockMS}
 		rec.Trial, rec.Quarantined = nil, false
 		s.Suspects[PartKey(id)] = rec
--- a/node/admin/suspects.go
+++ b/node/admin/suspects.go
@@ -41,6 +41,9 @@
 	// UntilMS is the end of the quarantine of a part, in Unix milliseconds. The
 	// quarantine of a request does not end by itself.
 	UntilMS int64 `json:"until_ms,omitempty"`
+	// Beside are the other parts that may have caused the crashes. While there are any, only
+	// requests with all of them are refused; those with some of them are tried.
+	Beside []string `json:"beside,omitempty"`
 }
 
 // LiftAnswer confirms that a suspect is cleared.
@@ -75,7 +78,7 @@
 	}
 	out.State = SuspectQuarantined
 	if rec.Part != nil {
-		out.UntilMS = rec.Part.UntilMS
+		out.UntilMS, out.Beside = rec.Part.UntilMS, slices.Clone(rec.Part.Beside)
 	}
 	return out, true
 }
--- a/node/entry/part.go
+++ b/node/entry/part.go
@@ -29,7 +29,7 @@
 		rec := suspects[state.PartKey(id)]
 		switch {
 		case rec.Part == nil:
-		case rec.Barred(now):
+		case rec.Rejects(now, req.promptParts):
 			out.quarantined = true
 		case rec.Suspect(now):
 			out.suspect = true
--- a/node/forward/crash_world_test.go
+++ b/node/forward/crash_world_test.go
@@ -62,6 +62,12 @@
 	// harmfulFirst puts the harmful part before the part that the request shares with
 	// sound ones.
 	harmfulFirst bool
+	// harmfulRenewed puts a part after the harmful one that no request has held before. Sound
+	// requests hold it too, from renewedAfter after the first harmful one on.
+	harmfulRenewed bool
+	// promptParts is the number of further parts that all requests share. They stand after a
+	// harmful part, and before the other parts of a sound request.
+	promptParts int
 	// harmfulModel and harmfulAdapter make every request for one model, or for one adapter
 	// of the model that sound requests use, harmful. No two of them share a prompt part.
 	harmfulModel, harmfulAdapter bool
@@ -361,10 +367,18 @@
 			parts, call.model, call.harmful = []string{call.first, fmt.Sprint("third-", i)}, "broken", true
 		case harmful && w.opts.harmfulAdapter:
 			parts, call.adapter, call.harmful = []string{call.first, fmt.Sprint("third-", i)}, "a1", true
+		case harmful && w.opts.harmfulRenewed:
+			parts, call.harmful = []string{call.first, harmfulPart, renewedPart}, true
+		case harmful && w.opts.promptParts > 0:
+			parts, call.harmful = append([]string{harmfulPart}, w.sharedParts()...), true
 		case harmful && w.opts.harmfulFirst:
 			parts, call.harmful = []string{call.first, harmfulPart, "second-0"}, true
 		case harmful:
 			parts, call.harmful = []string{call.first, "second-0", harmfulPart}, true
+		case w.opts.harmfulRenewed && at >= w.opts.harmfulFrom+renewedAfter:
+			parts = []string{call.first, renewedPart}
+		case w.opts.promptParts > 0:
+			parts = append(w.sharedParts(), parts...)
 		}
 		hosts := [2]int{rng.IntN(w.opts.hosts), rng.IntN(w.opts.hosts)}
 		group.Go(func() {
@@ -374,6 +388,21 @@
 	group.Wait()
 }
 
+// renewedPart is a new part of prompts, and renewedAfter when sound requests begin to hold it.
+const (
+	renewedPart  = "renewed"
+	renewedAfter = 3 * time.Second
+)
+
+// sharedParts returns the further parts that all requests share.
+func (w *crashWorld) sharedParts() []string {
+	var out []string
+	for i := range w.opts.promptParts {
+		out = append(out, fmt.Sprint("shared-", i))
+	}
+	return out
+}
+
 // crashServers crashes servers at the interval of the options until ctx ends.
 func (w *crashWorld) crashServers(ctx context.Context, rng *rand.Rand) {
 	for pause(ctx, w.opts.crashEvery) {
--- a/node/forward/harmful_part_test.go
+++ b/node/forward/harmful_part_test.go
@@ -30,6 +30,8 @@
 	"one host only":              {seed: 8, hosts: 1, servers: 9, perSecond: 36, harmfulShare: 0.05},
 	"three harmful parts":        {seed: 10, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.1, harmfulParts: 3},
 	"the log fails for 4 s":      {seed: 14, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.2, logDownFrom: 4 * time.Second, logDownUntil: 8 * time.Second},
+	"beside a new shared part":   {seed: 19, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, harmfulRenewed: true},
+	"beside one, many hosts":     {seed: 20, hosts: 40, servers: 30, perSecond: 110, harmfulShare: 0.2, harmfulRenewed: true},
 	"the same request each time": {seed: 9, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, contentHarmful: true},
 }
 
--- a/node/forward/suspect.go
+++ b/node/forward/suspect.go
@@ -97,9 +97,9 @@
 		rec, ok := s.records[state.PartKey(id)]
 		switch {
 		case !ok || rec.Part == nil:
-		case rec.Barred(now):
+		case rec.Rejects(now, parts):
 			remaining := time.Duration(rec.Part.UntilMS-now) * time.Millisecond
-			return suspicion{refused: true, retryAfter: remaining, reason: state.DescribePart(id) + " is quarantined because it crashed backend servers"}
+			return suspicion{refused: true, retryAfter: remaining, reason: describeQuarantine(id, rec.Part.Beside)}
 		case rec.Suspect(now):
 			out.parts = append(out.parts, id)
 		}
@@ -112,6 +112,14 @@
 	return out
 }
 
+// describeQuarantine names the part or parts in quarantine for a refusal.
+func describeQuarantine(id string, beside []string) string {
+	if len(beside) == 0 {
+		return state.DescribePart(id) + " is quarantined because it crashed backend servers"
+	}
+	return "requests with " + describeParts(append(slices.Clone(beside), id)) + " are quarantined because one of these crashed backend servers"
+}
+
 // rememberedRequest returns the request as a part if answers to equal ones are remembered: those that
 // are safe to repeat often come again, others hardly ever do.
 func (c *call) rememberedRequest() []string {
