forward: judge every part of a prompt, wherever it stands

Cause: only the last 64 parts of a prompt could be suspects, so that a caller could not fill the records. The harmful part stood before them, and sound requests cleared the others, so no crash accused anything.

Change: all parts are judged. Log lines list 64 parts, refusals name three, and one command clears all parts that an answer proves instead of one command for each.

TestPartsOfOnePromptAreBounded asserted the limit itself. TestEachPartOfAPromptCanBeASuspect replaces it: every part is judged, IDs stay short, and a caller still cannot name a model; TestListsOfPartsAreBounded bounds the lines.

--- a/node/forward/crash.go
+++ b/node/forward/crash.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"syscall"
 	"time"
 
@@ -93,7 +92,7 @@
 		end.Fingerprints, end.Trial = []string{request.fingerprint}, request.trial
 		end.Answered, end.Parts = request.answered, request.accused
 		fields[decision.FieldRequest], fields[decision.FieldFingerprint] = request.id, request.fingerprint
-		fields[decision.FieldPromptParts], fields[decision.FieldAccused] = strings.Join(request.parts, " "), strings.Join(end.Parts, " ")
+		fields[decision.FieldPromptParts], fields[decision.FieldAccused] = listParts(request.parts), listParts(end.Parts)
 		fields[decision.FieldTrial] = request.trial != nil
 	}
 	if alreadyReported && request == nil {
--- a/node/forward/crash_world_test.go
+++ b/node/forward/crash_world_test.go
@@ -65,8 +65,8 @@
 	// harmfulRenewed puts a part after the harmful one that no request has held before. Sound
 	// requests hold it too, from renewedAfter after the first harmful one on.
 	harmfulRenewed bool
-	// promptParts is the number of further parts that all requests share. They stand after a
-	// harmful part, and before the other parts of a sound request.
+	// promptParts is the number of further parts that all requests share. They stand after the
+	// others, also after the harmful one.
 	promptParts int
 	// harmfulModel and harmfulAdapter make every request for one model, or for one adapter
 	// of the model that sound requests use, harmful. No two of them share a prompt part.
@@ -378,7 +378,7 @@
 		case w.opts.harmfulRenewed && at >= w.opts.harmfulFrom+renewedAfter:
 			parts = []string{call.first, renewedPart}
 		case w.opts.promptParts > 0:
-			parts = append(w.sharedParts(), parts...)
+			parts = append(parts, w.sharedParts()...)
 		}
 		hosts := [2]int{rng.IntN(w.opts.hosts), rng.IntN(w.opts.hosts)}
 		group.Go(func() {
--- a/node/forward/harmful_part_test.go
+++ b/node/forward/harmful_part_test.go
@@ -31,6 +31,8 @@
 	"three harmful parts":        {seed: 10, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.1, harmfulParts: 3},
 	"the log fails for 4 s":      {seed: 14, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.2, logDownFrom: 4 * time.Second, logDownUntil: 8 * time.Second},
 	"beside a new shared part":   {seed: 19, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, harmfulRenewed: true},
+	"before 70 shared parts":     {seed: 21, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, promptParts: 70},
+	"before 1,000, many hosts":   {seed: 22, hosts: 40, servers: 30, perSecond: 110, harmfulShare: 0.05, promptParts: 1000},
 	"beside one, many hosts":     {seed: 20, hosts: 40, servers: 30, perSecond: 110, harmfulShare: 0.2, harmfulRenewed: true},
 	"the same request each time": {seed: 9, hosts: 8, servers: 9, perSecond: 36, harmfulShare: 0.05, contentHarmful: true},
 }
@@ -128,16 +130,20 @@
 	}
 }
 
-// Guards against a caller that fills the records of all hosts with one request.
-func TestPartsOfOnePromptAreBounded(t *testing.T) {
-	var parts []string
-	for i := range 10 * maxPromptParts {
-		parts = append(parts, fmt.Sprint("part-", i))
-	}
-	parts = append(parts, strings.Repeat("x", maxPartBytes+1), "last")
+// Guards against a part of a prompt that can never be a suspect, because of its place or its ID,
+// and against a caller that fills the records of all hosts with long IDs.
+func TestEachPartOfAPromptCanBeASuspect(t *testing.T) {
+	long := strings.Repeat("x", maxPartBytes+1)
+	parts := append(numbered(1000), long, long+"y", "last", "part-0")
 	got := judgedParts(parts)
-	if len(got) >= maxPromptParts+1 || got[len(got)-1] != "last" || len(got[len(got)-2]) > maxPartBytes {
-		t.Errorf("%d of %d parts can be suspects, the last ones are %q", len(got), len(parts), got[len(got)-2:])
+	if want := len(parts) - 1; len(got) != want || got[0] != "part-0" || got[want-1] != "last" {
+		t.Fatalf("%d of %d different parts can be suspects", len(got), want)
+	}
+	if a, b := got[1000], got[1001]; len(a) > maxPartBytes || len(b) > maxPartBytes || a == b || a == long[:len(a)] {
+		t.Errorf("long IDs are recorded as %q and %q", a, b)
+	}
+	if again := judgedParts([]string{long}); again[0] != got[1000] {
+		t.Errorf("a long ID is recorded as %q and as %q", got[1000], again[0])
 	}
 	if got := judgedParts([]string{state.ModelPart("models", "m")}); len(got) != 0 {
 		t.Errorf("a caller makes the model %q a suspect by the name of a prompt part", got)
@@ -146,3 +152,25 @@
 		t.Errorf("parts %q of a prompt without parts", got)
 	}
 }
+
+// Guards against log lines and refusals that grow with the prompt of a caller.
+func TestListsOfPartsAreBounded(t *testing.T) {
+	parts := judgedParts(strings.Fields(strings.Repeat("0123456789abcdef", 4) + " " + strings.Join(numbered(4000), " ")))
+	if n := len(listParts(parts)); n > 2*maxListedParts*maxPartBytes {
+		t.Errorf("a log line lists %d bytes of parts", n)
+	}
+	if n := len(describeQuarantine(parts[0], parts[1:])); n > 1000 {
+		t.Errorf("a refusal has %d bytes", n)
+	}
+	if got := listParts([]string{"a", "b"}); got != "a b" {
+		t.Errorf("two parts are listed as %q", got)
+	}
+}
+
+func numbered(n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprint("part-", i))
+	}
+	return out
+}
--- a/node/forward/refute.go
+++ b/node/forward/refute.go
@@ -7,13 +7,10 @@
 	"github.com/pollenwheel/pollenwheel/core/state"
 )
 
-const (
-	// refutationDelayPerHost, for each host, is the maximum random delay before a host
-	// reports that an answer to a suspect part has begun. Often all hosts know it, and
-	// the first report, which takes some tens of milliseconds, makes the others
-	// superfluous.
-	refutationDelayPerHost = 10 * time.Millisecond
-)
+// refutationDelayPerHost, for each host, is the maximum random delay before a host reports
+// that answers to suspect parts have begun. Often all hosts know them, and the first report,
+// which takes some tens of milliseconds, makes the others superfluous.
+const refutationDelayPerHost = 10 * time.Millisecond
 
 // recordBegun records that a server has begun to write the answer to a request, which
 // clears its parts and itself.
@@ -54,8 +51,22 @@
 	if s == nil || len(s.records) == 0 {
 		return
 	}
+	answered := f.refutedParts(s, parts)
+	if len(answered) == 0 {
+		return
+	}
 	maxDelay := time.Duration(max(1, f.opts.HostCount())) * refutationDelayPerHost
 	f.mu.Lock()
+	delay := time.Duration(f.rng.Int64N(int64(maxDelay)))
+	f.mu.Unlock()
+	time.AfterFunc(delay, func() { f.commitRefutations(answered) })
+}
+
+// refutedParts returns the parts that are to be reported, by the log index that the newest answer
+// with them began after.
+func (f *Forwarder) refutedParts(s *suspects, parts []string) map[uint64][]string {
+	answered := map[uint64][]string{}
+	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, id := range parts {
 		rec := s.records[state.PartKey(id)]
@@ -66,19 +77,26 @@
 		if !refutes {
 			continue
 		}
-		delay := time.Duration(f.rng.Int64N(int64(maxDelay)))
-		time.AfterFunc(delay, func() { f.commitRefutation(id, index) })
+		answered[index] = append(answered[index], id)
 	}
+	return answered
 }
 
-// commitRefutation clears a part, unless it has been cleared meanwhile.
-func (f *Forwarder) commitRefutation(id string, index uint64) {
-	cleared := true
-	f.opts.Replica.View(func(s *state.State) {
-		rec := s.Suspects[state.PartKey(id)]
-		cleared = rec.Part == nil || rec.Part.Cleared || index < rec.Part.RefutingIndex
-	})
-	if !cleared {
-		f.commitSuspicion(state.Command{ClearSuspect: &state.ClearSuspect{Parts: []string{id}, SeenIndex: index}}, []string{id}, "cleared by an answer")
+// commitRefutations clears parts, unless they have been cleared meanwhile. The answers to a long
+// prompt concern many parts, which one command clears together.
+func (f *Forwarder) commitRefutations(answered map[uint64][]string) {
+	for index, parts := range answered {
+		var uncleared []string
+		f.opts.Replica.View(func(s *state.State) {
+			for _, id := range parts {
+				rec := s.Suspects[state.PartKey(id)]
+				if rec.Part != nil && !rec.Part.Cleared && index >= rec.Part.RefutingIndex {
+					uncleared = append(uncleared, id)
+				}
+			}
+		})
+		if len(uncleared) > 0 {
+			f.commitSuspicion(state.Command{ClearSuspect: &state.ClearSuspect{Parts: uncleared, SeenIndex: index}}, uncleared, "cleared by an answer")
+		}
 	}
 }
--- a/node/forward/suspect.go
+++ b/node/forward/suspect.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"maps"
 	"slices"
 	"time"
@@ -40,25 +42,34 @@
 	return out
 }
 
-const (
-	// maxPromptParts is the number of parts of one prompt that can be suspects, and
-	// maxPartBytes the length of their IDs, so that a caller cannot fill the records.
-	maxPromptParts = 64
-	maxPartBytes   = 64
-)
+// maxPartBytes is the length up to which the ID of a prompt part is kept as it is, so that a
+// caller cannot fill the records with long ones.
+const maxPartBytes = 64
 
-// judgedParts returns the parts of a prompt that can be suspects: the last ones, which
-// fewer requests share.
+// judgedParts returns the different parts of a prompt, each of which can be a suspect: any of them
+// may crash servers. Their number is bounded by the size of a request's head, that of the records
+// by core/state, and that of the remembered answers by core/evidence.
 func judgedParts(parts []string) []string {
-	out := make([]string, 0, min(len(parts), maxPromptParts))
-	for _, id := range parts[max(0, len(parts)-maxPromptParts):] {
-		if len(id) <= maxPartBytes && state.IsPromptPart(id) {
+	out := make([]string, 0, len(parts))
+	seen := make(map[string]bool, len(parts))
+	for _, id := range parts {
+		if len(id) > maxPartBytes {
+			id = shortPartID(id)
+		}
+		if !seen[id] && state.IsPromptPart(id) {
+			seen[id] = true
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
+// shortPartID returns the ID by which a part with a long ID is recorded.
+func shortPartID(id string) string {
+	sum := sha256.Sum256([]byte(id))
+	return hex.EncodeToString(sum[:])
+}
+
 // partsOf returns what a request for a target shares with others and can crash servers: the
 // model, the adapter and the prompt parts. Those that more requests share come first.
 func partsOf(key routing.Key, promptParts []string) []string {
--- a/node/forward/trial.go
+++ b/node/forward/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -120,16 +121,34 @@
 func (c *call) logSuspicion(attempt routing.Attempt, outcome string, parts []string) {
 	c.forwarder.opts.Decisions.RecordStateChange(decision.EventSuspicion, decision.Fields{
 		decision.FieldRequest: c.request.ID, decision.FieldServer: attempt.Server,
-		decision.FieldPromptParts: strings.Join(parts, " "), decision.FieldOutcome: outcome,
+		decision.FieldPromptParts: listParts(parts), decision.FieldOutcome: outcome,
 	})
 }
 
-// describeParts names parts for logs and refusals.
+const (
+	// maxListedParts is the number of parts that a log line lists, and maxDescribedParts the
+	// number that a refusal names.
+	maxListedParts    = 64
+	maxDescribedParts = 3
+)
+
+// listParts lists parts for logs.
+func listParts(parts []string) string {
+	if rest := len(parts) - maxListedParts; rest > 0 {
+		return strings.Join(parts[:maxListedParts], " ") + fmt.Sprintf(" and %d more", rest)
+	}
+	return strings.Join(parts, " ")
+}
+
+// describeParts names parts for refusals.
 func describeParts(parts []string) string {
 	var names []string
-	for _, id := range parts {
+	for _, id := range parts[:min(len(parts), maxDescribedParts)] {
 		names = append(names, state.DescribePart(id))
 	}
+	if rest := len(parts) - maxDescribedParts; rest > 0 {
+		names = append(names, fmt.Sprintf("%d more", rest))
+	}
 	return strings.Join(names, " and ")
 }
 
@@ -148,6 +167,6 @@
 		outcome += ", not recorded: " + err.Error()
 	}
 	f.opts.Decisions.RecordStateChange(decision.EventSuspicion, decision.Fields{
-		decision.FieldPromptParts: strings.Join(parts, " "), decision.FieldOutcome: outcome,
+		decision.FieldPromptParts: listParts(parts), decision.FieldOutcome: outcome,
 	})
 }
