consensus: a waiting control host introduces itself to all members

What operators saw: on a deployment with five control hosts no change was accepted any more and the configuration was not read back after a fault that the deployment bears ("no leader accepted the command in 16 attempts").

Cause: a control host that is no member introduced itself to its seeds and to hosts that it had heard from. Only the leader acts on such offers. The replies named the members, but the host did not introduce itself to these. If its seeds did not include the leader, it never voted, the host that it replaced stayed a voter, and the loss of two further disks left two of five voters.

Change: core/consensus Directory decides to whom a host introduces itself: hosts heard from, members that any of them names, and seeds, which may be replaced while it waits. Waiting hosts, offers and a tolerance below the one asked for are logged and have gauges. The simulation uses the directory in place of offers to every host, and the rig replaces control hosts, whose seeds do not lead.

--- a/cmd/pollenwheel/platform.go
+++ b/cmd/pollenwheel/platform.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		if !sameSeeds(s.SeedPeerAddresses(), next.SeedPeerAddresses()) {
-			h.SetSeeds(next.SeedPeerAddresses())
+			h.SetSeeds(next.ProductSettings().Voters)
 			s = next
 		}
 	}
--- a/cmd/pollenwheel/rig_cluster_test.go
+++ b/cmd/pollenwheel/rig_cluster_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -44,17 +45,26 @@
 
 // rigHost is one machine with one process of the product.
 type rigHost struct {
-	index          int
-	name, ip, zone string
-	control        bool
-	mu             sync.Mutex
-	cmd            *exec.Cmd
-	ended          chan struct{}
-	// expected tells that the process is to end, frozen that a scene has stopped it.
-	expected, frozen   bool
-	starts, peakRSSMiB int
+	index   int
+	zone    string
+	control bool
+	// identity changes when another machine takes the place of this one.
+	identity atomic.Pointer[rigIdentity]
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	ended    chan struct{}
+	// expected tells that the process is to end, frozen that a scene has stopped it, and
+	// joining that the machine has not started before.
+	expected, frozen, joining bool
+	starts, peakRSSMiB        int
 }
 
+// rigIdentity is what distinguishes a machine from the one that it replaces.
+type rigIdentity struct{ name, ip string }
+
+func (h *rigHost) name() string { return h.identity.Load().name }
+func (h *rigHost) ip() string   { return h.identity.Load().ip }
+
 // rigCluster is a deployment of the product on loopback addresses, one for each host.
 type rigCluster struct {
 	t       *testing.T
@@ -72,7 +82,9 @@
 	journal   *os.File
 	rngMu     sync.Mutex
 	rng       *rand.Rand
-	closing   chan struct{}
+	// replaced is the number of control hosts that were replaced.
+	replaced atomic.Int32
+	closing  chan struct{}
 }
 
 // newRigCluster prepares a deployment and starts no process.
@@ -97,9 +109,9 @@
 
 func (c *rigCluster) addHost(class, ip string, i int, control bool) {
 	zone := testDataCentres[i%len(testDataCentres)]
-	c.hosts = append(c.hosts, &rigHost{
-		index: len(c.hosts), name: fmt.Sprintf("%s-%s-%d", class, zone, i/len(testDataCentres)+1), ip: ip, zone: zone, control: control,
-	})
+	h := &rigHost{index: len(c.hosts), zone: zone, control: control}
+	h.identity.Store(&rigIdentity{fmt.Sprintf("%s-%s-%d", class, zone, i/len(testDataCentres)+1), ip})
+	c.hosts = append(c.hosts, h)
 }
 
 // chooseAddresses looks for a subnet of 127.0.0.0/8 and ports that are free. The ports lie
@@ -131,7 +143,7 @@
 func (c *rigCluster) ip(n int) string { return c.subnet + fmt.Sprint(n) }
 
 func (c *rigCluster) address(h *rigHost, offset int) string {
-	return fmt.Sprintf("%s:%d", h.ip, c.port+offset)
+	return fmt.Sprintf("%s:%d", h.ip(), c.port+offset)
 }
 
 func (c *rigCluster) controls() []*rigHost { return c.hosts[:rigControls] }
@@ -158,7 +170,7 @@
 // disturb records what was done to a host.
 func (c *rigCluster) disturb(h *rigHost, what rigDisturbance, running bool) {
 	c.history.add(h.index, rigMoment{c.now(), what, running})
-	c.log(h.name, string(what), nil)
+	c.log(h.name(), string(what), nil)
 }
 
 // rigSettingsRest are the fields of the settings file that all hosts share.
@@ -200,15 +212,9 @@
 
 // settings returns the settings file of a host. At the first start all have the same seeds.
 func (c *rigCluster) settings(h *rigHost, firstStart bool) string {
-	order := []int{0, 1, 2, 3, 4}
-	if !firstStart {
-		c.rngMu.Lock()
-		order = c.rng.Perm(rigControls)
-		c.rngMu.Unlock()
-	}
 	var seeds []string
-	for _, i := range order[:rigSeedCount] {
-		seeds = append(seeds, fmt.Sprintf("%q", c.address(c.hosts[i], rigControlPort)))
+	for _, seed := range c.seeds(h, firstStart) {
+		seeds = append(seeds, fmt.Sprintf("%q", c.address(seed, rigControlPort)))
 	}
 	var b strings.Builder
 	class, serves, memory, disk := "front", `"front"`, rigEntryMemoryMB, 0
@@ -218,17 +224,17 @@
 		listen = fmt.Sprintf("Control = %q\nDirectory = %q\n", c.address(h, rigControlPort), c.address(h, rigDirectoryPort))
 		fmt.Fprintf(&b, "DataDir = %q\n", c.dataFolder(h))
 	}
-	fmt.Fprintf(&b, "Node = %q\nRole = %q\nMachineClass = %q\nServes = [%s]\nIp = %q\nZone = %q\n", h.name, class, class, serves, h.ip, h.zone)
+	fmt.Fprintf(&b, "Node = %q\nRole = %q\nMachineClass = %q\nServes = [%s]\nIp = %q\nZone = %q\n", h.name(), class, class, serves, h.ip(), h.zone)
 	fmt.Fprintf(&b, "PortRange = [%d,%d]\nSeeds = [%s]\nFirstStart = %t\nCountsAsLoss = %t\n", c.port, c.port+15, strings.Join(seeds, ","), firstStart, h.control)
 	b.WriteString(rigSettingsRest)
 	fmt.Fprintf(&b, "[Listen]\n%s[Limits]\nCpuShare = 0.192\nCores = 1\nMemoryMb = %d\nMaxFds = 4096\nLinkMbps = 10.0\nDiskMb = %d\n", listen, memory, disk)
 	return b.String()
 }
 
-func (c *rigCluster) dataFolder(h *rigHost) string { return filepath.Join(c.folder, h.name) }
+func (c *rigCluster) dataFolder(h *rigHost) string { return filepath.Join(c.folder, h.name()) }
 
 func (c *rigCluster) settingsPath(h *rigHost) string {
-	return filepath.Join(c.folder, h.name+".toml")
+	return filepath.Join(c.folder, h.name()+".toml")
 }
 
 // writeSettings replaces the settings file of a host.
@@ -243,7 +249,7 @@
 // start starts the process of a host as a supervisor does, with the settings of now.
 func (c *rigCluster) start(h *rigHost, firstStart bool, what rigDisturbance) {
 	if err := c.tryStart(h, firstStart, what); err != nil {
-		c.t.Errorf("start of %s: %v", h.name, err)
+		c.t.Errorf("start of %s: %v", h.name(), err)
 	}
 }
 
@@ -256,7 +262,7 @@
 			return err
 		}
 	}
-	log, err := os.OpenFile(filepath.Join(c.folder, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(filepath.Join(c.folder, h.name()+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -275,7 +281,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	h.cmd, h.ended, h.expected = cmd, make(chan struct{}), false
+	h.cmd, h.ended, h.expected, h.joining = cmd, make(chan struct{}), false, false
 	h.starts++
 	c.disturb(h, what, true)
 	go c.wait(h, cmd, h.ended)
@@ -304,9 +310,9 @@
 	what, again := rigOwnEnd, rigRestarted
 	if c.history.disturbedWithin(h.index, c.now(), rigOwnEndMargin) || c.history.slowedWithin(c.now(), rigContactWindow) {
 		what, again = rigEarlyEnd, rigStarted
-		c.record.note("%s (process %d) ended by itself at %.3f s, shortly after a disturbance or on a machine that is too busy: %v", h.name, cmd.Process.Pid, c.now().Seconds(), err)
+		c.record.note("%s (process %d) ended by itself at %.3f s, shortly after a disturbance or on a machine that is too busy: %v", h.name(), cmd.Process.Pid, c.now().Seconds(), err)
 	} else {
-		c.record.violate(rigEnded, "%s (process %d) at %.3f s: %v", h.name, cmd.Process.Pid, c.now().Seconds(), err)
+		c.record.violate(rigEnded, "%s (process %d) at %.3f s: %v", h.name(), cmd.Process.Pid, c.now().Seconds(), err)
 	}
 	c.disturb(h, what, false)
 	time.Sleep(rigRestartDelay)
@@ -407,9 +413,9 @@
 
 // emptyDisk removes the contents of the data folder of a host without a process.
 func (c *rigCluster) emptyDisk(h *rigHost) {
-	c.log(h.name, "disk emptied", nil)
+	c.log(h.name(), "disk emptied", nil)
 	if err := os.RemoveAll(c.dataFolder(h)); err != nil {
-		c.t.Errorf("data folder of %s: %v", h.name, err)
+		c.t.Errorf("data folder of %s: %v", h.name(), err)
 	}
 }
 
--- a/cmd/pollenwheel/rig_operator_test.go
+++ b/cmd/pollenwheel/rig_operator_test.go
@@ -260,7 +260,7 @@
 	sent := o.cluster.now()
 	status, answer := o.call(ctx, http.MethodPut, h, c.body)
 	o.cluster.log("rig", "put", map[string]any{
-		"operator": o.name, "to": h.name, "version": c.version, "index": c.index, "status": status, "took": (o.cluster.now() - sent).Seconds(), "answer": string(answer[:min(len(answer), 200)]),
+		"operator": o.name, "to": h.name(), "version": c.version, "index": c.index, "status": status, "took": (o.cluster.now() - sent).Seconds(), "answer": string(answer[:min(len(answer), 200)]),
 	})
 	return status
 }
@@ -431,16 +431,16 @@
 	}
 	var document struct{ Version uint64 }
 	if err := json.Unmarshal(body, &document); err != nil {
-		o.cluster.record.violate(rigOther, "%s answered a read of %.3f s with what cannot be decoded: %v", h.name, sent.Seconds(), err)
+		o.cluster.record.violate(rigOther, "%s answered a read of %.3f s with what cannot be decoded: %v", h.name(), sent.Seconds(), err)
 		return 0, false
 	}
 	c := o.cluster.record.byVersion(document.Version)
 	if c == nil || !sameDocument(c.body, body) {
-		o.cluster.record.violate(rigOther, "%s answered a read of %.3f s with version %d, which isn't what was sent under its number", h.name, sent.Seconds(), document.Version)
+		o.cluster.record.violate(rigOther, "%s answered a read of %.3f s with version %d, which isn't what was sent under its number", h.name(), sent.Seconds(), document.Version)
 		return 0, false
 	}
 	o.cluster.record.addRead(rigRead{h.index, c.index, sent})
-	o.cluster.log("rig", "read", map[string]any{"from": h.name, "version": c.version, "sent": sent.Seconds()})
+	o.cluster.log("rig", "read", map[string]any{"from": h.name(), "version": c.version, "sent": sent.Seconds()})
 	return c.index, true
 }
 
@@ -490,7 +490,7 @@
 	}
 	for i, h := range o.cluster.controls() {
 		if newest[i] < want.index {
-			o.cluster.record.note("%s has not answered a read with version %d, acknowledged at %.3f s, %s after the end of the faults", h.name, want.version, want.acked.Seconds(), limit)
+			o.cluster.record.note("%s has not answered a read with version %d, acknowledged at %.3f s, %s after the end of the faults", h.name(), want.version, want.acked.Seconds(), limit)
 		}
 	}
 }
--- a/cmd/pollenwheel/rig_prober_test.go
+++ b/cmd/pollenwheel/rig_prober_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -68,14 +67,14 @@
 	newest := p.cluster.record.newestIndex()
 	switch {
 	case status == http.StatusOK && probe == probeNever:
-		p.cluster.record.violate(rigOther, "%s serves %s at %.3f s, which no configuration has", p.host.name, s.path, s.at.from.Seconds())
+		p.cluster.record.violate(rigOther, "%s serves %s at %.3f s, which no configuration has", p.host.name(), s.path, s.at.from.Seconds())
 	case status == http.StatusOK:
 		s.ran = time.Unix(0, answer.UnixNano).Sub(p.cluster.begin)
 		if index, ok := rigIndex(answer.Service, answer.Priority, newest); ok {
 			s.atLeast, s.atMost = index, index
 		}
 	case status == http.StatusNotFound && probe == probeWhich:
-		p.cluster.record.violate(rigDenied, "%s answered 404 for %s at %.3f s", p.host.name, s.path, s.at.from.Seconds())
+		p.cluster.record.violate(rigDenied, "%s answered 404 for %s at %.3f s", p.host.name(), s.path, s.at.from.Seconds())
 	case status == http.StatusNotFound && marker >= 0 && newest < marker+rigMarkers:
 		s.atMost = marker - 1
 	}
@@ -84,7 +83,7 @@
 }
 
 func (p *rigProber) logSight(s rigSight) {
-	fields := map[string]any{"at_host": p.host.name, "path": s.path, "status": s.status, "sent": s.at.from.Seconds(), "took": (s.at.to - s.at.from).Seconds()}
+	fields := map[string]any{"at_host": p.host.name(), "path": s.path, "status": s.status, "sent": s.at.from.Seconds(), "took": (s.at.to - s.at.from).Seconds()}
 	if s.atMost != rigAnything {
 		fields["index"] = s.atMost
 	}
@@ -145,14 +144,10 @@
 // startServers starts a backend server for each service whose requests tell the change in
 // force.
 func (c *rigCluster) startServers(ctx context.Context) {
-	var controls []string
-	for _, h := range c.controls() {
-		controls = append(controls, c.address(h, rigControlPort))
-	}
 	for i := range rigServices {
 		s, err := platformtest.Start(ctx, platformtest.Options{
 			Name: fmt.Sprintf("i-%04x", 0x7a00+i), Service: rigServiceName(i), Zone: testDataCentres[i%len(testDataCentres)],
-			Address: fmt.Sprintf("%s:%d", c.ip(rigFirstServerIP+i), c.port+rigServerPort), ControlHosts: slices.Concat(controls[i%rigControls:], controls[:i%rigControls]),
+			Address: fmt.Sprintf("%s:%d", c.ip(rigFirstServerIP+i), c.port+rigServerPort), ControlHosts: func() []string { return c.controlAddresses(i) },
 			Interval: rigAnnounceInterval, Hold: func(path string) bool { return strings.HasPrefix(path, rigSlowPath) },
 		})
 		if err != nil {
--- a/cmd/pollenwheel/rig_schedule_test.go
+++ b/cmd/pollenwheel/rig_schedule_test.go
@@ -26,6 +26,10 @@
 	faultEmptyKillAll  soakFault = "killed, disk emptied, all other processes killed"
 	faultKillCore      soakFault = "all control hosts killed"
 	faultKillAll       soakFault = "all processes killed"
+	// faultReplace and faultReplaceStopped put an empty machine at another address in the
+	// place of a control host, which is killed or stopped as planned.
+	faultReplace        soakFault = "killed, replaced by an empty machine"
+	faultReplaceStopped soakFault = "stopped, replaced by an empty machine"
 )
 
 // rigScene is one entry of the schedule of a seed.
@@ -38,7 +42,7 @@
 func (s rigScene) describe(c *rigCluster) string {
 	names := ""
 	for _, i := range s.hosts {
-		names += " " + c.hosts[i].name
+		names += " " + c.hosts[i].name()
 	}
 	return fmt.Sprintf("%7.3f%s: %s, for %s", s.at.Seconds(), names, s.fault, s.duration.Round(time.Millisecond))
 }
@@ -55,16 +59,21 @@
 type rigSchedule struct {
 	rng    *rand.Rand
 	length time.Duration
+	// replaceShare is the share, in percent, of the scenes of the core that replace hosts.
+	replaceShare int
 	// lostUntil is until when a control host counts as lost: for rigCatchUp after its
 	// fault.
 	lostUntil [rigControls]time.Duration
 	scenes    []rigScene
 }
 
+// rigReplaceDraw is the draw of a scene that replaces control hosts.
+const rigReplaceDraw = 100
+
 // newRigSchedule returns the scenes of a seed in the order of their beginning. No more control
 // hosts are lost at the same time than tolerated, unless all are killed at once.
-func newRigSchedule(seed uint64, length time.Duration, entries int) []rigScene {
-	s := &rigSchedule{rng: rand.New(rand.NewPCG(seed, 0)), length: length}
+func newRigSchedule(seed uint64, length time.Duration, entries, replaceShare int) []rigScene {
+	s := &rigSchedule{rng: rand.New(rand.NewPCG(seed, 0)), length: length, replaceShare: replaceShare}
 	for at := rigFirstScene; at < length; at += s.coreGap() {
 		s.addCoreScene(at)
 	}
@@ -122,7 +131,16 @@
 			free = append(free, i)
 		}
 	}
-	switch n := s.rng.IntN(100); {
+	n := s.rng.IntN(100)
+	if s.replaceShare > 0 && s.rng.IntN(100) < s.replaceShare {
+		n = rigReplaceDraw
+	}
+	switch {
+	case n == rigReplaceDraw:
+		scene.fault, scene.duration = faultReplace, s.between(200*time.Millisecond, 2*time.Second)
+		if s.rng.IntN(2) == 0 {
+			scene.fault, count = faultReplaceStopped, 1
+		}
 	case n < 10:
 		scene.fault, scene.hosts = faultHangup, []int{s.rng.IntN(rigControls)}
 		s.scenes = append(s.scenes, scene)
@@ -153,7 +171,7 @@
 
 func (s *rigSchedule) markLost(scene rigScene) {
 	end := scene.at + scene.duration + rigSceneMargin + rigCatchUp
-	if scene.fault == faultStop {
+	if scene.fault == faultStop || scene.fault == faultReplaceStopped {
 		end += rigCoreStop
 	}
 	for _, i := range scene.hosts {
@@ -236,6 +254,12 @@
 		c.killAll(hosts)
 	case faultEmpty, faultEmptyKillCore, faultEmptyKillAll:
 		hosts = c.empty(s)
+	case faultReplace:
+		c.killAll(hosts)
+		c.replaceAll(hosts)
+	case faultReplaceStopped:
+		c.stop(hosts[0])
+		c.replaceAll(hosts)
 	}
 	time.Sleep(s.duration)
 	for _, h := range hosts {
@@ -263,10 +287,10 @@
 // hangUp changes the settings file of a host and tells its process.
 func (c *rigCluster) hangUp(h *rigHost) {
 	if err := c.writeSettings(h, false); err != nil {
-		c.t.Errorf("settings of %s: %v", h.name, err)
+		c.t.Errorf("settings of %s: %v", h.name(), err)
 		return
 	}
-	c.log(h.name, string(faultHangup), nil)
+	c.log(h.name(), string(faultHangup), nil)
 	h.signal(syscall.SIGHUP, false)
 }
 
@@ -287,7 +311,7 @@
 	for seed := range uint64(200) {
 		type loss struct{ from, until time.Duration }
 		lost := map[int]loss{}
-		for _, s := range newRigSchedule(seed, time.Minute, 6) {
+		for _, s := range newRigSchedule(seed, time.Minute, 6, 20) {
 			seen[s.fault] = true
 			if s.hosts[0] >= rigControls || s.fault == faultHangup {
 				continue
@@ -312,7 +336,7 @@
 			}
 		}
 	}
-	for _, f := range []soakFault{faultKill, faultFreeze, faultStop, faultHangup, faultKillHangup, faultEmpty, faultKillCore, faultKillAll} {
+	for _, f := range []soakFault{faultKill, faultFreeze, faultStop, faultHangup, faultKillHangup, faultEmpty, faultKillCore, faultKillAll, faultReplace, faultReplaceStopped} {
 		if !seen[f] {
 			t.Errorf("no schedule has the fault %q", f)
 		}
--- a/cmd/pollenwheel/rig_test.go
+++ b/cmd/pollenwheel/rig_test.go
@@ -26,6 +26,7 @@
 	rigOperators  = flag.Int("rig.operators", 2, "number of operators")
 	rigFolder     = flag.String("rig.folder", "", "folder for the logs of failed runs; the usual one for temporary files if empty")
 	rigQuotas     = flag.Bool("rig.quota", false, "give each process its share of a core, by stopping it for part of the time")
+	rigReplace    = flag.Int("rig.replace", 15, "share of the faults of control hosts, in percent, that replace hosts")
 	rigKeep       = flag.Bool("rig.keep", false, "keep the logs of all runs")
 )
 
@@ -39,10 +40,24 @@
 	binary := buildBinary(t)
 	for i := range *rigSeeds {
 		seed := *rigFirst + uint64(i)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runRig(t, binary, seed) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			runRig(t, binary, seed, newRigSchedule(seed, *rigLength, *rigEntries, *rigReplace), newFinalScene(seed))
+		})
 	}
 }
 
+// TestRigReplacesAControlHost guards against a control host that takes the place of another one
+// and never votes, because none of its seeds leads: once it counts, the loss of two other disks
+// ends the group.
+func TestRigReplacesAControlHost(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	replaced := rigScene{at: rigFirstScene, duration: 500 * time.Millisecond, fault: faultReplace, hosts: []int{rigControls - 1}}
+	final := rigScene{duration: 500 * time.Millisecond, fault: faultEmptyKillCore, hosts: []int{1, 2}}
+	runRig(t, buildBinary(t), *rigFirst, []rigScene{replaced}, final)
+}
+
 // rigRun is the run of one seed.
 type rigRun struct {
 	*rigCluster
@@ -52,7 +67,7 @@
 	probes, calls sync.WaitGroup
 }
 
-func runRig(t *testing.T, binary string, seed uint64) {
+func runRig(t *testing.T, binary string, seed uint64, scenes []rigScene, final rigScene) {
 	folder, err := os.MkdirTemp(*rigFolder, fmt.Sprintf("pollenwheel-rig-%d-", seed))
 	if err != nil {
 		t.Fatal(err)
@@ -61,7 +76,6 @@
 	t.Cleanup(func() { r.finish() })
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	scenes, final := newRigSchedule(seed, *rigLength, *rigEntries), newFinalScene(seed)
 	for _, s := range scenes {
 		t.Log(s.describe(r.rigCluster))
 	}
@@ -127,7 +141,7 @@
 	for _, h := range r.entries() {
 		for !isReady(ctx, client, r.address(h, rigReadyPort)) {
 			if time.Now().After(deadline) {
-				r.t.Errorf("%s is not ready after %s", h.name, waitLimit)
+				r.t.Errorf("%s is not ready after %s", h.name(), waitLimit)
 				return
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -169,7 +183,7 @@
 
 // finish judges the run and reports it. The logs of a failed run are kept.
 func (r *rigRun) finish() {
-	name := func(host int) string { return r.hosts[host].name }
+	name := func(host int) string { return r.hosts[host].name() }
 	strict, stretched := r.record.judge(r.history, name)
 	counts := map[rigRule]int{}
 	for _, v := range r.record.violations {
@@ -230,7 +244,7 @@
 		out += v.String() + "\n"
 	}
 	for _, h := range r.hosts {
-		out += h.name + ":" + r.history.describe(h.index) + "\n"
+		out += h.name() + ":" + r.history.describe(h.index) + "\n"
 	}
 	if err := os.WriteFile(r.folder+"/summary.txt", []byte(out), 0o600); err != nil {
 		r.t.Log(err)
--- a/core/consensus/change.go
+++ b/core/consensus/change.go
@@ -116,9 +116,14 @@
 	return pr.ackedSend != never && n.now-pr.lastResponse < n.opts.ElectionTimeout
 }
 
-// quorumResponsive reports whether a quorum of m's voters is responsive. This
-// member counts as responsive.
+// quorumResponsive reports whether a quorum of m's voters is responsive.
 func (n *Node) quorumResponsive(m Membership) bool {
+	return len(m.Voters) > 0 && n.responsiveVoters(m) >= m.Quorum()
+}
+
+// responsiveVoters returns the number of m's voters that are responsive. This member counts as
+// responsive.
+func (n *Node) responsiveVoters(m Membership) int {
 	count := 0
 	for _, v := range m.Voters {
 		pr := n.progress[v.ID]
@@ -126,7 +131,7 @@
 			count++
 		}
 	}
-	return len(m.Voters) > 0 && count >= m.Quorum()
+	return count
 }
 
 // Transfer requests that a voter with the complete log become leader. The lease
--- a/core/consensus/fuzz_test.go
+++ b/core/consensus/fuzz_test.go
@@ -183,6 +183,9 @@
 func (s *sim) describe() string {
 	out := ""
 	for h, m := range s.members {
+		if m.node == nil {
+			continue
+		}
 		st := m.node.Status()
 		out += fmt.Sprintf("[h%d %x role %d term %d commit %d last %d leader %x members %v]", h, m.ID, st.Role, st.Term, st.Commit, st.LastIndex, st.Leader, st.Membership)
 	}
--- a/core/consensus/mechanism_test.go
+++ b/core/consensus/mechanism_test.go
@@ -15,7 +15,7 @@
 	}
 	var others []*simMember
 	for _, m := range s.members {
-		if m != leaders[0] {
+		if m != leaders[0] && !m.removed {
 			others = append(others, m)
 		}
 	}
@@ -166,6 +166,77 @@
 	s.requireRecovery()
 }
 
+// simCatchUp is how long after its start a host that replaces another one is a voter.
+const simCatchUp = 20 * simElectionTimeout
+
+// scenarioReplacedHosts replaces control hosts of five, one or two at a time, by empty ones at other
+// addresses. Their seeds are hosts that do not lead, as far as there are as many. Then it kills all
+// hosts and empties the disks of two.
+func scenarioReplacedHosts(s *sim) {
+	s.run(40 * simElectionTimeout)
+	for _, count := range []int{1, 2, 1} {
+		leader, others := s.leaderAndOthers()
+		for _, m := range others[:count] {
+			s.kill(m)
+			m.removed = true
+			s.lostIDs[m.ID] = true
+		}
+		seeds := append(others[count:], leader)[:simSeeds]
+		for range count {
+			s.replacement(seeds)
+		}
+		s.run(simCatchUp)
+		s.requireLiveVoters()
+		s.propose(5)
+		s.run(simElectionTimeout)
+	}
+	s.loseTwoDisks()
+	s.requireRecovery()
+}
+
+// replacement starts a host with an empty disk and the given seeds.
+func (s *sim) replacement(seeds []*simMember) *simMember {
+	m := s.addMember()
+	m.seeds = nil
+	for _, seed := range seeds {
+		m.seeds = append(m.seeds, Member{Host: seed.Host, PeerAddress: seed.PeerAddress})
+	}
+	s.start(m)
+	return m
+}
+
+// requireLiveVoters requires that all running hosts vote, and no others.
+func (s *sim) requireLiveVoters() {
+	voters := 0
+	for _, m := range s.members {
+		if m.removed {
+			continue
+		}
+		voters++
+		if !s.membership.IsVoter(m.ID) {
+			s.failf("%s is no voter", m.Host)
+		}
+	}
+	if len(s.membership.Voters) != voters {
+		s.failf("%d voters, of which %d run", len(s.membership.Voters), voters)
+	}
+}
+
+// loseTwoDisks kills all hosts and empties the disks of two.
+func (s *sim) loseTwoDisks() {
+	emptied := 0
+	for _, m := range s.members {
+		s.kill(m)
+		if m.removed || emptied == 2 {
+			continue
+		}
+		emptied++
+		m.disk, m.emptied = simDisk{}, true
+		s.lostIDs[m.ID] = true
+		m.ID = s.newID()
+	}
+}
+
 // randomSchedule injects the faults that the seed selects.
 func randomSchedule(hosts int) func(*sim, int) {
 	return func(s *sim, seed int) {
@@ -201,6 +272,7 @@
 		{"learner before vote", 3, ignoreSeed(scenarioLostDuringRepair), func(s *sim) { s.disabled.learnerPhase = true }, 20, 0},
 		{"repair", 4, ignoreSeed(scenarioLostAfterRepair), func(s *sim) { s.noOffers = true }, 20, 0},
 		{"growth to all control hosts", 5, ignoreSeed(scenarioTwoLostDisks), func(s *sim) { s.targetVoters = 0 }, 20, 5},
+		{"members learned from any host", 5, ignoreSeed(scenarioReplacedHosts), func(s *sim) { s.ignoreTold = true }, 20, 5},
 		{"sync before send", 3, ignoreSeed(scenarioPowerLoss), func(s *sim) { s.sendBeforeSync = true }, 20, 0},
 		{"new member id for an empty data folder", 5, randomSchedule(5), func(s *sim) { s.reuseID = true }, 200, 0},
 	}
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -160,15 +160,25 @@
 	// Responsive are the members that responded to this leader within the
 	// election timeout.
 	Responsive []uint64
+	// Offers are the hosts that offer themselves to this leader and are no members.
+	Offers []Member
+	// Tolerated is the number of further voters that may be lost while this leader keeps a
+	// quorum. It is negative if a quorum does not respond, and zero on other members.
+	Tolerated int
 }
 
 // Status returns the current state. Membership is the latest, which may not be
 // committed yet.
 func (n *Node) Status() Status {
-	return Status{
+	m := n.log.latestMembership().membership
+	s := Status{
 		Role: n.role, Term: n.term, Leader: n.leader, Commit: n.log.commit, LastIndex: n.log.last(),
-		Membership: n.log.latestMembership().membership, Responsive: n.responsiveMembers(),
+		Membership: m, Responsive: n.responsiveMembers(),
 	}
+	if n.role == Leader {
+		s.Offers, s.Tolerated = n.openOffers(m), n.responsiveVoters(m)-m.Quorum()
+	}
+	return s
 }
 
 // responsiveMembers returns the ids of the members that respond to this leader.
--- a/core/consensus/repair.go
+++ b/core/consensus/repair.go
@@ -156,6 +156,12 @@
 			out = append(out, l)
 		}
 	}
+	return append(out, n.openOffers(m)...)
+}
+
+// openOffers returns the offered hosts that are no members, by id.
+func (n *Node) openOffers(m Membership) []Member {
+	var out []Member
 	for _, id := range slices.Sorted(maps.Keys(n.offers)) {
 		if _, isMember := m.Member(id); !isMember {
 			out = append(out, n.offers[id].member)
--- a/core/consensus/sim_test.go
+++ b/core/consensus/sim_test.go
@@ -26,6 +26,8 @@
 	simTrailingEntries = 5
 	// simTrailingBytes sometimes keeps fewer.
 	simTrailingBytes = 256
+	// simSeeds is the number of seeds of a host.
+	simSeeds = 3
 )
 
 // simDisk holds the state that a member has synced.
@@ -52,21 +54,29 @@
 type simMember struct {
 	Member
 	node      *Node
+	directory *Directory
+	// seeds are the hosts that the member first introduces itself to.
+	seeds     []Member
+	helloAt   time.Duration
 	disk      simDisk
 	unsaved   *Ready // not yet written, if the simulation sends before it syncs
 	clock     float64
 	clockRate float64
 	frozen    bool
 	stopped   bool
+	removed   bool // another host has replaced it for good
 	emptied   bool
 	delayed   []Message // arrived while frozen
 	applied   uint64
 	stateHash uint64
 }
 
+// simMessage is on its way to a host. Hello messages are addressed to a host, since the sender may
+// not know its member ID; all others to a member.
 type simMessage struct {
 	deliverAt time.Duration
 	message   Message
+	host      int
 }
 
 // sim is a simulated group of members, their disks and the network between them.
@@ -78,6 +88,7 @@
 	reuseID           bool // a member with an emptied disk keeps its member id
 	electionTimeout   time.Duration
 	noOffers          bool // hosts do not offer themselves as spares
+	ignoreTold        bool // hosts do not learn the members from others
 	targetVoters      int  // voters up to which the group grows
 	lossy             bool
 	members           []*simMember    // indexed by host
@@ -104,8 +115,7 @@
 	}
 	var initial Membership
 	for h := range hosts {
-		m := &simMember{Member: Member{ID: s.newID(), Host: fmt.Sprint("h", h)}, clockRate: 1}
-		s.members = append(s.members, m)
+		m := s.addMember()
 		if h < voters {
 			initial.Voters = append(initial.Voters, m.Member)
 		}
@@ -119,6 +129,18 @@
 	return s
 }
 
+// addMember adds a host with an empty disk. Its seeds are the first hosts.
+func (s *sim) addMember() *simMember {
+	host := fmt.Sprint("h", len(s.members))
+	m := &simMember{Member: Member{ID: s.newID(), Host: host, PeerAddress: host}, clockRate: 1}
+	for h := range simSeeds {
+		seed := fmt.Sprint("h", h)
+		m.seeds = append(m.seeds, Member{Host: seed, PeerAddress: seed})
+	}
+	s.members = append(s.members, m)
+	return m
+}
+
 // simError is a violation that an oracle detected. It ends the simulation.
 type simError struct{ error }
 
@@ -153,6 +175,8 @@
 		RepairAfter: simRepairTimeouts * s.electionTimeout, TargetVoters: s.targetVoters, Rand: rand.New(rand.NewSource(s.rand.Int63())), disabled: s.disabled,
 	}, StoredState{HardState: m.disk.hardState, Snapshot: m.disk.snapshot, Entries: slices.Clone(m.disk.entries)}, m.now())
 	m.node, m.delayed, m.frozen, m.stopped = node, nil, false, false
+	m.directory, m.helloAt = NewDirectory(m.Member, m.seeds), 0
+	m.directory.ignoreTold = s.ignoreTold
 	m.applied = m.disk.snapshot.Index
 	m.stateHash = stateHashOf(m.disk.snapshot)
 	s.must(err)
@@ -230,27 +254,56 @@
 			if !m.running() {
 				continue
 			}
-			s.offerSpare(m)
+			s.sendHellos(m)
 			m.node.Tick(m.now())
 			s.processReady(m)
 		}
 	}
 }
 
-// offerSpare offers a host that is no member or knows no leader as a spare to
-// every host it can reach.
-func (s *sim) offerSpare(m *simMember) {
+// sendHellos introduces a host that is no member or knows no leader to the hosts of its directory,
+// as the driver does.
+func (s *sim) sendHellos(m *simMember) {
 	st := m.node.Status()
-	if _, member := st.Membership.Member(m.ID); member && st.Leader != 0 || s.noOffers {
+	_, member := st.Membership.Member(m.ID)
+	due := m.helloAt == 0 || m.now()-m.helloAt >= 2*s.electionTimeout
+	if s.noOffers || !due || member && st.Leader != 0 && st.Role != Leader {
 		return
 	}
-	for h, to := range s.members {
-		if to != m && to.running() && !s.blocked[[2]int{s.hostIndex(m.ID), h}] {
-			to.node.OfferSpare(to.now(), m.Member)
-		}
+	m.helloAt = m.now()
+	for _, to := range m.directory.Targets(st.Membership) {
+		s.sendHello(m, to, 0, st.Role == Leader)
 	}
 }
 
+func (s *sim) sendHello(m *simMember, to Member, answered uint64, reply bool) {
+	membership := m.node.Status().Membership
+	hello := m.directory.Hello(len(membership.Voters) > 0, reply, membership)
+	s.transmitTo(s.hostByName(to.Host), Message{Kind: MessageHello, From: m.ID, To: answered, Hello: hello})
+}
+
+// receiveHello does what the driver does with a hello message.
+func (s *sim) receiveHello(m *simMember, msg Message) {
+	h, st := msg.Hello, m.node.Status()
+	if h.Member.ID == m.ID {
+		return
+	}
+	_, member := st.Membership.Member(m.ID)
+	if m.directory.Receive(m.now(), msg.To, *h, st.Membership) && !member {
+		m.helloAt = 0
+	}
+	if !h.Reply {
+		s.sendHello(m, h.Member, h.Member.ID, true)
+	}
+	if _, known := st.Membership.Member(h.Member.ID); !known && len(st.Membership.Voters) > 0 {
+		m.node.OfferSpare(m.now(), h.Member)
+	}
+}
+
+func (s *sim) hostByName(name string) int {
+	return slices.IndexFunc(s.members, func(m *simMember) bool { return m.Host == name })
+}
+
 func (s *sim) deliver() {
 	due := []simMessage{}
 	s.queue = slices.DeleteFunc(s.queue, func(q simMessage) bool {
@@ -261,7 +314,10 @@
 	})
 	s.rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	for _, q := range due {
-		h := s.hostIndex(q.message.To)
+		h := q.host
+		if q.message.Kind != MessageHello {
+			h = s.hostIndex(q.message.To)
+		}
 		if h < 0 || s.members[h].node == nil {
 			continue
 		}
@@ -275,6 +331,10 @@
 }
 
 func (s *sim) step(m *simMember, msg Message) {
+	if msg.Kind == MessageHello {
+		s.receiveHello(m, msg)
+		return
+	}
 	s.must(m.node.Step(m.now(), msg))
 	s.processReady(m)
 }
@@ -293,21 +353,25 @@
 func (s *sim) transmit(msgs []Message) {
 	for _, msg := range msgs {
 		s.checkVote(msg)
-		from, to := s.hostIndex(msg.From), s.hostIndex(msg.To)
-		copies := 1
-		if s.lossy {
-			copies = []int{0, 1, 1, 1, 1, 1, 1, 2}[s.rand.Intn(8)]
-		}
-		if to < 0 || s.blocked[[2]int{from, to}] {
-			continue
-		}
-		for range copies {
-			delay := time.Duration(1+s.rand.Intn(10)) * time.Millisecond
-			if s.lossy && s.rand.Intn(20) == 0 {
-				delay = time.Duration(s.rand.Intn(4)) * simElectionTimeout
-			}
-			s.queue = append(s.queue, simMessage{s.now + delay, msg})
+		s.transmitTo(s.hostIndex(msg.To), msg)
+	}
+}
+
+// transmitTo sends a message to a host, unless the link is blocked.
+func (s *sim) transmitTo(to int, msg Message) {
+	copies := 1
+	if s.lossy {
+		copies = []int{0, 1, 1, 1, 1, 1, 1, 2}[s.rand.Intn(8)]
+	}
+	if to < 0 || s.blocked[[2]int{s.hostIndex(msg.From), to}] {
+		return
+	}
+	for range copies {
+		delay := time.Duration(1+s.rand.Intn(10)) * time.Millisecond
+		if s.lossy && s.rand.Intn(20) == 0 {
+			delay = time.Duration(s.rand.Intn(4)) * simElectionTimeout
 		}
+		s.queue = append(s.queue, simMessage{s.now + delay, msg, to})
 	}
 }
 
@@ -456,7 +520,7 @@
 		if m.frozen {
 			s.unfreeze(m)
 		}
-		if m.node == nil {
+		if m.node == nil && !m.removed {
 			s.start(m)
 		}
 	}
--- a/node/control/group.go
+++ b/node/control/group.go
@@ -75,6 +75,9 @@
 	// transfersInProgress is the number of leadership transfers in progress.
 	transfersInProgress atomic.Int32
 
+	// newSeeds are the seeds of the last SetSeeds, until Run takes them over.
+	newSeeds atomic.Pointer[[]consensus.Member]
+
 	mu     sync.Mutex
 	status Status
 	// leaderChanged is closed at the next change of the leader or the term.
@@ -82,8 +85,21 @@
 
 	// Only the goroutine of Run uses the fields below.
 
-	node               *consensus.Node
-	directory          *directory
+	node      *consensus.Node
+	self      consensus.Member
+	directory *consensus.Directory
+	// joined is set once this host belongs to a group.
+	joined bool
+	// helloAt is when hello messages were last sent, or zero if they are due.
+	helloAt time.Duration
+	// waitingSince is since when this host waits to become a member, and waitLoggedAt when that
+	// was last logged. Both are zero for a member.
+	waitingSince, waitLoggedAt time.Duration
+	// lowSince is since when this leader's group bears fewer losses than asked for, and
+	// toleranceLoggedAt when that was last logged. Both are zero if it does not.
+	lowSince, toleranceLoggedAt time.Duration
+	// foundAfter is when founding a group may be tried again after the disk was full.
+	foundAfter         time.Duration
 	waiters            map[uint64]waiter // by log index
 	lastLedAt          time.Duration     // when this host last led
 	applied            uint64            // index of the last applied entry
@@ -108,7 +124,9 @@
 		snapshots:     make(chan consensus.Snapshot, 1),
 		done:          make(chan struct{}),
 		leaderChanged: make(chan struct{}),
-		directory:     newDirectory(self, content.Joined, o.Bootstrap),
+		self:          self,
+		directory:     consensus.NewDirectory(self, o.Bootstrap),
+		joined:        content.Joined,
 		waiters:       map[uint64]waiter{},
 		recent:        newRecentLog(o.SnapshotBytes),
 	}
@@ -164,7 +182,7 @@
 		}
 		g.opts.Replica.ReplaceState(s)
 	}
-	id := g.directory.self.ID
+	id := g.self.ID
 	node, err := consensus.New(consensus.Options{
 		ID: id, ElectionTimeout: g.opts.ElectionTimeout, HeartbeatInterval: g.opts.HeartbeatInterval,
 		DriftMargin: g.opts.ElectionTimeout / driftMarginDivisor, RepairAfter: g.opts.RepairAfter,
@@ -254,7 +272,10 @@
 // fails all waiters.
 func (g *Group) tick() error {
 	g.node.Tick(g.now())
+	g.takeSeeds()
 	g.sendHellos()
+	g.logWait()
+	g.logTolerance()
 	if g.node.Status().Role == consensus.Leader {
 		g.lastLedAt = g.now()
 	} else if len(g.waiters) > 0 && g.now()-g.lastLedAt > 2*g.opts.ElectionTimeout {
@@ -268,7 +289,7 @@
 		g.receiveHello(m)
 		return
 	}
-	if m.To != g.directory.self.ID {
+	if m.To != g.self.ID {
 		return
 	}
 	if err := g.node.Step(g.now(), m); err != nil {
@@ -294,7 +315,7 @@
 			r.Messages = nil
 		}
 		if r.NeedsWrite() {
-			g.directory.joined = true
+			g.joined = true
 			if err := g.saveReady(ctx, r); err != nil {
 				return err
 			}
@@ -379,7 +400,7 @@
 	}
 	membership := g.node.Status().Membership
 	for _, id := range order {
-		if to, ok := g.directory.lookup(id, membership); ok {
+		if to, ok := g.directory.Lookup(id, membership); ok {
 			g.opts.Transport.Send(to, byMember[id])
 		}
 	}
--- a/node/control/groupapi.go
+++ b/node/control/groupapi.go
@@ -98,6 +98,11 @@
 	// MemberID is this host's member ID.
 	MemberID uint64
 	Members  []MemberStatus
+	// Offers lists the hosts that wait to become members, as this leader knows them.
+	Offers []string
+	// Tolerated is the number of further voters that may be lost while this leader keeps a
+	// quorum. It is zero on other hosts.
+	Tolerated int
 	// StorageErr is the last write error while the data folder cannot be written, or
 	// nil.
 	StorageErr error
--- a/node/control/propose.go
+++ b/node/control/propose.go
@@ -84,8 +84,8 @@
 // notLeaderError returns a NotLeaderError that names the host of the leader with
 // the given ID. If the ID is this host's own, the error names no leader.
 func (g *Group) notLeaderError(id uint64) error {
-	m, _ := g.directory.lookup(id, g.node.Status().Membership)
-	if id == g.directory.self.ID {
+	m, _ := g.directory.Lookup(id, g.node.Status().Membership)
+	if id == g.self.ID {
 		m.Host = ""
 	}
 	return &NotLeaderError{Leader: m.Host}
--- a/node/control/status.go
+++ b/node/control/status.go
@@ -25,18 +25,21 @@
 func (g *Group) publishStatus() {
 	g.leaseUntil.Store(int64(g.node.LeaseUntil()))
 	n := g.node.Status()
-	s := Status{Term: n.Term, LastIndex: n.LastIndex, MemberID: g.directory.self.ID, Leading: n.Role == consensus.Leader}
+	s := Status{Term: n.Term, LastIndex: n.LastIndex, MemberID: g.self.ID, Leading: n.Role == consensus.Leader, Tolerated: n.Tolerated}
+	for _, m := range n.Offers {
+		s.Offers = append(s.Offers, m.Host)
+	}
 	for _, m := range n.Membership.All() {
-		if known, ok := g.directory.lookup(m.ID, n.Membership); ok {
+		if known, ok := g.directory.Lookup(m.ID, n.Membership); ok {
 			m = known
 		}
 		s.Members = append(s.Members, MemberStatus{Member: m, Voter: n.Membership.IsVoter(m.ID)})
 	}
-	if m, ok := g.directory.lookup(n.Leader, n.Membership); ok {
+	if m, ok := g.directory.Lookup(n.Leader, n.Membership); ok {
 		s.Leader = m.Host
 	}
 	for _, id := range n.Responsive {
-		if m, ok := g.directory.lookup(id, n.Membership); ok {
+		if m, ok := g.directory.Lookup(id, n.Membership); ok {
 			s.ResponsiveHosts = append(s.ResponsiveHosts, m.Host)
 		}
 	}
@@ -57,6 +60,9 @@
 		voters, learners := s.hosts()
 		g.logger.WithFields(logrus.Fields{"voters": voters, "learners": learners}).Info("membership changed")
 	}
+	if s.Leading && !slices.Equal(s.Offers, g.status.Offers) {
+		g.logger.WithField("offers", s.Offers).Info("hosts that offer to become members changed")
+	}
 	g.status = s
 }
 
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -40,6 +40,7 @@
 	Run(ctx context.Context) error
 	CheckLease() bool
 	TransferLeader(ctx context.Context) error
+	SetSeeds(seeds []consensus.Member)
 }
 
 var openGroup = func(o control.Options) (group, error) { return control.OpenGroup(o) }
@@ -188,12 +189,11 @@
 	o.Folder, o.Host, o.PeerAddress = s.DataFolder, s.Host, peerAddress
 	o.DisableFounding, o.RepairAfter, o.ElectionTimeout = s.DisableFounding, s.RepairAfter, s.ElectionTimeout
 	o.TargetVoters = s.TargetVoters
-	for _, v := range s.Voters {
-		address := v.Address
-		if v.Name == s.Host {
-			address = peerAddress
+	o.Bootstrap = controlMembers(s.Voters)
+	for i, v := range o.Bootstrap {
+		if v.Host == s.Host {
+			o.Bootstrap[i].PeerAddress = peerAddress
 		}
-		o.Bootstrap = append(o.Bootstrap, consensus.Member{Host: v.Name, PeerAddress: address})
 	}
 	g, err := openGroup(o)
 	if err != nil {
@@ -202,6 +202,15 @@
 	return g, nil
 }
 
+// controlMembers returns the control hosts of the settings as members whose IDs are not known.
+func controlMembers(hosts []settings.Peer) []consensus.Member {
+	var out []consensus.Member
+	for _, h := range hosts {
+		out = append(out, consensus.Member{Host: h.Name, PeerAddress: h.Address})
+	}
+	return out
+}
+
 // peerGroup returns the group, or a nil interface without the control role.
 func (h *Host) peerGroup() peer.LogMember {
 	if h.group == nil {
--- a/node/host/members.go
+++ b/node/host/members.go
@@ -189,8 +189,16 @@
 	return m.changed
 }
 
-func (m *members) setSeeds(seeds []string) {
-	m.withTable(func(t *membership.Table, _ time.Duration) { t.SetSeeds(seeds) })
+// setSeeds replaces the control hosts to contact while no others are known.
+func (m *members) setSeeds(seeds []settings.Peer) {
+	var addresses []string
+	for _, s := range seeds {
+		addresses = append(addresses, s.Address)
+	}
+	m.withTable(func(t *membership.Table, _ time.Duration) {
+		t.SetSeeds(addresses)
+		m.voters = seeds
+	})
 }
 
 func (m *members) setReady(ready bool) {
@@ -245,12 +253,19 @@
 	return out
 }
 
+// seeds returns the control hosts to contact while no others are known.
+func (m *members) seeds() []settings.Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.voters
+}
+
 // ControlHosts returns the peer addresses, by host name, of the other control hosts
 // that are not silent. If there is none, it returns the addresses of all other
 // control hosts that are known.
 func (m *members) ControlHosts() map[string]string {
 	notSilent, all := map[string]string{}, map[string]string{}
-	for _, v := range m.voters {
+	for _, v := range m.seeds() {
 		all[v.Name] = v.Address
 	}
 	for _, h := range m.hosts() {
--- a/node/host/routed_lifecycle.go
+++ b/node/host/routed_lifecycle.go
@@ -12,6 +12,7 @@
 	"github.com/pollenwheel/pollenwheel/core/state"
 	"github.com/pollenwheel/pollenwheel/node/bootclock"
 	"github.com/pollenwheel/pollenwheel/node/decision"
+	"github.com/pollenwheel/pollenwheel/node/settings"
 )
 
 // becomeReady marks this host as ready once it has caught up and a route table is
@@ -133,10 +134,13 @@
 // messages about the departure are sent.
 const leaveGossipPeriod = 300 * time.Millisecond
 
-// SetSeeds replaces the peer addresses that this host contacts when it knows no
+// SetSeeds replaces the control hosts that this host contacts when it knows no
 // other host.
-func (h *RoutedHost) SetSeeds(seeds []string) {
+func (h *RoutedHost) SetSeeds(seeds []settings.Peer) {
 	h.members.setSeeds(seeds)
+	if h.group != nil {
+		h.group.SetSeeds(controlMembers(seeds))
+	}
 	h.decisions.RecordStateChange(decision.EventSettings, decision.Fields{decision.FieldOutcome: "seeds replaced"})
 }
 
--- a/node/host/routed_operator.go
+++ b/node/host/routed_operator.go
@@ -79,7 +79,7 @@
 		metric.WithInt64Callback(h.observeDecisions)); err != nil {
 		return &telemetry.Error{Part: events, Err: err}
 	}
-	if err := createInstruments(h.metrics.Meter(), h.counters(), h.gauges()); err != nil {
+	if err := createInstruments(h.metrics.Meter(), h.counters(), append(h.gauges(), controlGauges(h.group)...)); err != nil {
 		return err
 	}
 	return h.createOriginMetrics()
--- a/node/host/status.go
+++ b/node/host/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"go.opentelemetry.io/otel/metric"
 
@@ -37,7 +38,7 @@
 	if h.metrics, h.adminMetrics, err = newHostMetrics(h.logger, noticeReporter{h.entry, h.permitServer}, h.replica); err != nil {
 		return err
 	}
-	return createInstruments(h.metrics.Meter(), h.counters(), h.gauges())
+	return createInstruments(h.metrics.Meter(), h.counters(), append(h.gauges(), controlGauges(h.group)...))
 }
 
 func (h *Host) counters() []instrument {
@@ -64,6 +65,43 @@
 	}
 }
 
+// controlGauges returns the gauges of this host's member of the replicated log, or none without one.
+func controlGauges(g group) []instrument {
+	if g == nil {
+		return nil
+	}
+	return []instrument{
+		{"pollenwheel.control.voters", "{host}", "Voters of the consensus group, as this host knows them.", func() int64 { return voterCount(g.Status()) }},
+		{"pollenwheel.control.waiting", "{host}", "1 while this host waits to become a member of the consensus group.", func() int64 {
+			if isMember(g.Status()) {
+				return 0
+			}
+			return 1
+		}},
+		{"pollenwheel.control.offers", "{host}", "Hosts that wait to become members of the consensus group; the leader only.", func() int64 {
+			return int64(len(g.Status().Offers))
+		}},
+		{"pollenwheel.control.tolerated", "{host}", "Further voters that may be lost while the leader keeps a quorum; the leader only.", func() int64 {
+			return int64(g.Status().Tolerated)
+		}},
+	}
+}
+
+func voterCount(s control.Status) int64 {
+	n := int64(0)
+	for _, m := range s.Members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// isMember reports whether the host is a voter or learner.
+func isMember(s control.Status) bool {
+	return slices.ContainsFunc(s.Members, func(m control.MemberStatus) bool { return m.ID == s.MemberID })
+}
+
 // createInstruments creates counters and gauges.
 func createInstruments(meter metric.Meter, counters, gauges []instrument) error {
 	for _, i := range counters {
