forward, entry: an answer with a status that HTTP does not define is no answer

What callers saw: with status 000, 042 or 099 their connection was closed without an answer, also where another server could have answered; 101, 600 and 999 were passed on; the own interface recorded 600 and 999 as the outcome of a call that runs once.

Cause: the transport returns any three-digit status, and the HTTP server panics for one below 100.

Change: a status other than 200 to 599 makes an answer lost on both interfaces (backend.IsFinalStatus). The request may have run: another server where it may be repeated, 502 or unknown where not, and no promise by its head.

Result: TestAnswerWithAStatusThatIsNone of node/forward (12 statuses, four kinds of routes) and of node/entry fail before and hold after.

--- a/node/backend/attempt.go
+++ b/node/backend/attempt.go
@@ -36,6 +36,12 @@
 	HeaderPause = "Retry-After"
 )
 
+// IsFinalStatus reports whether HTTP defines a status as that of a final answer. A transport
+// also returns answers with other three-digit statuses, such as 000 or 600, and that with which
+// a server changes the protocol unasked (101). What follows such a status is no answer to the
+// request, which may have run.
+func IsFinalStatus(status int) bool { return status >= 200 && status <= 599 }
+
 // RefusalBody is the body with which a backend server refuses a request that it
 // did not admit.
 type RefusalBody struct {
--- a/node/entry/answer.go
+++ b/node/entry/answer.go
@@ -81,6 +81,9 @@
 	if id != "" && id != attempt.id && !e.opts.disabled.attemptCheck {
 		return endInterrupted
 	}
+	if !backend.IsFinalStatus(resp.StatusCode) {
+		return endInterrupted
+	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		return e.relayError(req, ans, resp, held, resume)
 	}
--- a/node/entry/memory_test.go
+++ b/node/entry/memory_test.go
@@ -23,16 +23,25 @@
 // answers any of them. Each connection then gets bytes that are no complete answer, which
 // stay below the limit for one answer, and stays open until the host closes it.
 func startFlood(cl *cluster, s membership.Server, attempts int, answer string) {
-	l := cl.net.Listen(s.Address)
 	var arrived sync.WaitGroup
 	arrived.Add(attempts)
+	startRawServer(cl, s, answer, func() {
+		arrived.Done()
+		arrived.Wait()
+	})
+}
+
+// startRawServer registers a backend server that answers each attempt with the given bytes, in
+// which $ID stands for the ID of the attempt, after arrived has returned.
+func startRawServer(cl *cluster, s membership.Server, answer string, arrived func()) {
+	l := cl.net.Listen(s.Address)
 	go func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go serveFlood(conn, &arrived, answer)
+			go serveRaw(conn, answer, arrived)
 		}
 	}()
 	go func() {
@@ -42,7 +51,7 @@
 	cl.register(s)
 }
 
-func serveFlood(conn net.Conn, arrived *sync.WaitGroup, answer string) {
+func serveRaw(conn net.Conn, answer string, arrived func()) {
 	defer func() { _ = conn.Close() }()
 	req, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
@@ -55,8 +64,7 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Incarnation: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 		return
 	}
-	arrived.Done()
-	arrived.Wait()
+	arrived()
 	_, _ = io.WriteString(conn, strings.ReplaceAll(answer, "$ID", id))
 	_, _ = io.Copy(io.Discard, conn)
 }
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -18,6 +18,7 @@
 
 	"github.com/pollenwheel/pollenwheel/core/exchange"
 	"github.com/pollenwheel/pollenwheel/core/routing"
+	"github.com/pollenwheel/pollenwheel/node/backend"
 	"github.com/pollenwheel/pollenwheel/node/memory"
 )
 
@@ -143,6 +144,9 @@
 		return attemptResult{outcome: exchange.Lost, reason: "no answer: " + errorReason(err), connectionBroken: ctx.Err() == nil}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if !backend.IsFinalStatus(resp.StatusCode) {
+		return lostAnswer(fmt.Sprintf("answer has the status %03d, which HTTP does not define for an answer", resp.StatusCode))
+	}
 	answer := c.forwarder.opts.Protocol.ParseAnswer(resp.StatusCode, resp.Header)
 	if refused, refusal := c.classifyRefusal(resp, answer, attempt); refused {
 		if refusal.outcome == exchange.Refused {
