route: look routes up by the path as it was sent

Cause: the route was looked up by the decoded path, in which the encoded slash ended a segment, so that a safe route with a longer prefix was found. The request was passed on with the path as sent.

Change: prefixes are compared with a canonical path that decodes all but encoded slashes and percent signs.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -140,18 +141,24 @@
 // Index finds the route of a request.
 type Index struct {
 	table  *Table
-	byHost map[string][]Route
+	byHost map[string][]indexedRoute
+}
+
+// indexedRoute is a route with the form of its prefix that is compared.
+type indexedRoute struct {
+	prefix string
+	route  Route
 }
 
 // NewIndex returns an index of t, which must not be modified afterwards.
 func NewIndex(t *Table) *Index {
-	x := &Index{table: t, byHost: map[string][]Route{}}
+	x := &Index{table: t, byHost: map[string][]indexedRoute{}}
 	for _, r := range t.Routes {
 		host := canonicalHost(r.Host)
-		x.byHost[host] = append(x.byHost[host], r)
+		x.byHost[host] = append(x.byHost[host], indexedRoute{canonicalPath(r.Prefix), r})
 	}
 	for _, routes := range x.byHost {
-		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		slices.SortStableFunc(routes, func(a, b indexedRoute) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
 	}
 	return x
 }
@@ -159,17 +166,37 @@
 // Table returns the indexed table.
 func (x *Index) Table() *Table { return x.table }
 
-// Match returns the host's route with the longest prefix of path. Capitals, a port
-// and a dot at the end of host are ignored.
+// Match returns the host's route with the longest prefix of path, which is the path as the caller
+// has sent it, with its percent-encoding. Capitals, a port and a dot at the end of host are ignored.
 func (x *Index) Match(host, path string) (Route, bool) {
+	path = canonicalPath(path)
 	for _, r := range x.byHost[canonicalHost(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
+		if strings.HasPrefix(path, r.prefix) {
+			return r.route, true
 		}
 	}
 	return Route{}, false
 }
 
+// encodedSlash and encodedPercent stay encoded in a canonical path. An encoded slash belongs to a
+// segment and does not end it (RFC 3986, 2.2); a decoded percent sign could look like the beginning
+// of an encoded slash.
+const encodedSlash, encodedPercent = "%2F", "%25"
+
+// canonicalPath decodes a path but for what would change its segments. In a path without a valid
+// encoding, such as a prefix with a percent sign of its own, that sign counts as itself.
+func canonicalPath(path string) string {
+	if !strings.Contains(path, "%") {
+		return path
+	}
+	protect := strings.NewReplacer("%2f", "%25"+encodedSlash[1:], "%2F", "%25"+encodedSlash[1:], "%25", "%25"+encodedPercent[1:])
+	out, err := url.PathUnescape(protect.Replace(path))
+	if err != nil {
+		return strings.ReplaceAll(path, "%", encodedPercent)
+	}
+	return out
+}
+
 // ChooseService returns the service that draw, a random number in [0, 1), selects
 // by the weights of the targets.
 func (r Route) ChooseService(draw float64) string {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -19,6 +19,9 @@
 // sent to the service of a shorter prefix or of another host.
 func TestMatchReturnsTheLongestPrefixOfTheHost(t *testing.T) {
 	table := validTable()
+	for name, prefix := range map[string]string{"encoded": "/p%2Fq/", "percent": "/100%/", "letter": "/é/"} {
+		table.Routes = append(table.Routes, Route{Name: name, Host: "shop.example", Prefix: prefix})
+	}
 	x := NewIndex(&table)
 	for _, c := range []struct{ name, host, path, want string }{
 		{"short prefix", "shop.example", "/o/1", "short"},
@@ -26,6 +29,16 @@
 		{"host with port and capitals", "SHOP.example:80", "/o/x/", "long"},
 		{"prefix without its slash", "shop.example", "/o", ""},
 		{"other host", "other.example", "/o/1", ""},
+		{"encoded slash after the short prefix", "shop.example", "/o/x%2F1", "short"},
+		{"encoded slash in lower case", "shop.example", "/o/x%2f1", "short"},
+		{"encoded slash in place of the first", "shop.example", "%2Fo/1", ""},
+		{"encoded percent sign before what looks like a slash", "shop.example", "/o/x%252F1", "short"},
+		{"encoded letter of the long prefix", "shop.example", "/o/%78/1", "long"},
+		{"invalid encoding", "shop.example", "/o/%zz", "short"},
+		{"prefix with an encoded slash", "shop.example", "/p%2fq/1", "encoded"},
+		{"decoded form of a prefix with an encoded slash", "shop.example", "/p/q/1", ""},
+		{"prefix with a percent sign of its own", "shop.example", "/100%25/1", "percent"},
+		{"prefix with a letter that callers encode", "shop.example", "/%C3%A9/1", "letter"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if r, _ := x.Match(c.host, c.path); r.Name != c.want {
--- a/node/forward/forwarder_test.go
+++ b/node/forward/forwarder_test.go
@@ -176,6 +176,8 @@
 	table := route.Table{Version: 1, Services: []route.Service{{Name: "plain"}, {Name: "sound"}, {Name: "models", Engine: engine}}, Limits: route.Limits{BodyBytes: 1000}, Routes: []route.Route{
 		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: route.Safe, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
 		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: route.Unsafe, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
+		{Name: "nested", Host: "h", Prefix: "/nested/", Kind: route.Unsafe, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
+		{Name: "nested look", Host: "h", Prefix: "/nested/look/", Kind: route.Safe, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Streaming, Timeout: time.Minute, MaxAttempts: 2, Targets: targets},
 		{Name: "once", Host: "h", Prefix: "/once/", Kind: route.Streaming, Timeout: time.Minute, MaxAttempts: 1, Targets: targets},
 		{Name: "sound", Host: "h", Prefix: "/sound/", Kind: route.Unsafe, Timeout: time.Minute, MaxAttempts: 1, Targets: []route.Target{{Service: "sound", Weight: 1}}},
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -115,7 +115,7 @@
 		return c.refuse(http.StatusServiceUnavailable, unavailableRetryAfter, "host is not ready or no longer accepts requests")
 	}
 	var ok bool
-	if c.route, ok = v.index.Match(c.inbound.Host, c.inbound.URL.Path); !ok {
+	if c.route, ok = v.index.Match(c.inbound.Host, c.inbound.URL.EscapedPath()); !ok {
 		return c.refuse(http.StatusNotFound, 0, "no route for this host and path")
 	}
 	if err != nil {
