exchange: continue only resumable streams at another server

Cause: after a cut, any idempotent request was sent again, also where the answer that was begun cannot be resumed.

Change: Policy.Resumable allows an answer that was begun to go on at another server; without it the answer is broken off. Before the first event a request of a safe route is sent again as before.

The case "safe, cut" of TestActionAfterAttempt asserted the fault. It expects the end of the answer now, and resumable streams have cases of their own.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -5,7 +5,7 @@
 //
 // Invariants: an answer that was begun either completes or is aborted; a
 // request that is not idempotent is sent again only with proof that it did not
-// run; a rejection that promises "not run" is chosen only with that proof for
+// run; an answer that was begun goes on at another server only if it can be resumed; a rejection that promises "not run" is chosen only with that proof for
 // every attempt.
 package exchange
 
@@ -74,6 +74,8 @@
 type Policy struct {
 	// Idempotent requests may run more than once.
 	Idempotent bool
+	// Resumable allows another server to go on with a stream of which events were forwarded.
+	Resumable bool
 	// RetryFailures allows another attempt after the outcome Failed.
 	RetryFailures bool
 	// MaxAttempts is the maximum number of servers that the request may reach.
@@ -150,7 +152,7 @@
 	case Cut:
 		x.reachedServers++
 		x.mayHaveRun, x.answerBegun = true, true
-		if x.policy.Idempotent && x.allowRetry(now) {
+		if x.policy.Resumable && x.allowRetry(now) {
 			return Send
 		}
 		return Abort
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -11,6 +11,7 @@
 func TestActionAfterAttempt(t *testing.T) {
 	unsafe := Policy{MaxAttempts: 2, Deadline: time.Second}
 	safe := Policy{Idempotent: true, RetryFailures: true, MaxAttempts: 2, Deadline: time.Second}
+	resumable := Policy{Idempotent: true, Resumable: true, MaxAttempts: 2, Deadline: time.Second}
 	once := Policy{MaxAttempts: 1, Deadline: time.Second}
 	for _, c := range []struct {
 		name     string
@@ -35,12 +36,15 @@
 		{"safe, lost without budget", safe, false, []Outcome{Lost}, FailUnknown},
 		{"safe, failed", safe, true, []Outcome{Failed}, Send},
 		{"safe, failed twice", safe, true, []Outcome{Failed, Failed}, Deliver},
-		{"safe, cut", safe, true, []Outcome{Cut}, Send},
-		{"safe, cut twice", safe, true, []Outcome{Cut, Cut}, Abort},
-		{"cut, then lost", safe, true, []Outcome{Cut, Lost}, Abort},
-		{"cut, then refused", safe, true, []Outcome{Cut, Refused}, Abort},
-		{"cut, then a failure", safe, true, []Outcome{Cut, Failed}, Abort},
-		{"cut, then no server reached too often", safe, true, []Outcome{Cut, NotSent, NotSent, NotSent, NotSent, NotSent}, Abort},
+		{"safe, cut", safe, true, []Outcome{Cut}, Abort},
+		{"resumable, cut", resumable, true, []Outcome{Cut}, Send},
+		{"resumable, cut without budget", resumable, false, []Outcome{Cut}, Abort},
+		{"resumable, cut twice", resumable, true, []Outcome{Cut, Cut}, Abort},
+		{"resumable, lost", resumable, true, []Outcome{Lost}, Send},
+		{"cut, then lost", resumable, true, []Outcome{Cut, Lost}, Abort},
+		{"cut, then refused", resumable, true, []Outcome{Cut, Refused}, Abort},
+		{"cut, then a failure", resumable, true, []Outcome{Cut, Failed}, Abort},
+		{"cut, then no server reached too often", resumable, true, []Outcome{Cut, NotSent, NotSent, NotSent, NotSent, NotSent}, Abort},
 		{"complete", safe, true, []Outcome{Complete}, Done},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -165,7 +165,7 @@
 		return c.refuse(http.StatusServiceUnavailable, s.retryAfter, s.reason)
 	}
 	c.exchange = exchange.New(exchange.Policy{
-		Idempotent: c.route.Idempotent(), RetryFailures: c.route.Kind == route.Safe,
+		Idempotent: c.route.Idempotent(), Resumable: c.bindsStream(), RetryFailures: c.route.Kind == route.Safe,
 		MaxAttempts: c.route.Attempts(), Deadline: c.deadline,
 	}, func() bool { return f.allowRetry(c.key.Service) })
 	return true
