residency: an adapter keeps its slot until its unload has ended

Cause: the leader took the slot of an adapter for free as soon as the server had accepted the unload (202), which waits for the requests that use the adapter, and loaded another one into it.

Change: such an adapter is Unloading, as models are: it keeps its slot and memory, gets no requests and no orders, until an announcement that is certain to be newer, or a report, no longer lists it.

--- a/core/residency/adapters.go
+++ b/core/residency/adapters.go
@@ -37,7 +37,7 @@
 		if p.hasAdapter(svc.Name, t) {
 			continue
 		}
-		if s := p.adapterServer(in.Now, svc, t.Model, p.serversByName()); s != nil {
+		if s := p.adapterServer(in.Now, svc, t, p.serversByName()); s != nil {
 			p.orderAdapter(in, svc.Engine, s, t, out)
 		}
 	}
@@ -72,14 +72,14 @@
 	return false
 }
 
-// adapterServer returns the one of the servers that has the model loaded and the fewest
-// adapter slots in use, or nil.
-func (p *Planner) adapterServer(now time.Duration, svc route.Service, model string, servers []*server) *server {
+// adapterServer returns the one of the servers that has the model of an adapter loaded and the
+// fewest adapter slots in use, or nil. A server that unloads the adapter cannot load it yet.
+func (p *Planner) adapterServer(now time.Duration, svc route.Service, t Target, servers []*server) *server {
 	var best *server
 	bestScore := math.Inf(1)
 	for _, s := range servers {
-		h := s.models[model]
-		if s.Service != svc.Name || h == nil || h.phase != Ready || !s.acceptsOrders() || s.modelOrderUnderWay() {
+		h := s.models[t.Model]
+		if s.Service != svc.Name || h == nil || h.phase != Ready || s.unloads(t) || !s.acceptsOrders() || s.modelOrderUnderWay() {
 			continue
 		}
 		usedSlots := s.usedAdapterSlots()
@@ -100,6 +100,9 @@
 	oldest := now - adapterIdleTime
 	for _, name := range slices.Sorted(maps.Keys(s.models)) {
 		for a, x := range s.models[name].adapters {
+			if x.phase == Unloading {
+				continue
+			}
 			if x.lastUsed < oldest || x.lastUsed == oldest && out.Adapter > a {
 				out, oldest = Target{name, a}, x.lastUsed
 			}
--- a/core/residency/bound.go
+++ b/core/residency/bound.go
@@ -26,7 +26,7 @@
 		case len(holders) == 0:
 			p.loadForBound(in, svc, t, out)
 		case t.Adapter != "" && !slices.ContainsFunc(holders, func(s *server) bool { return s.hasOrAwaits(t.Target) }):
-			if s := p.adapterServer(in.Now, svc, t.Model, holders); s != nil {
+			if s := p.adapterServer(in.Now, svc, t.Target, holders); s != nil {
 				p.orderAdapter(in, svc.Engine, s, t.Target, out)
 			}
 		}
@@ -103,9 +103,15 @@
 	p.orderLoad(in, best, reason, out)
 }
 
+// unloads reports whether an adapter is being unloaded from a server.
+func (s *server) unloads(t Target) bool {
+	h := s.models[t.Model]
+	return h != nil && h.adapters[t.Adapter] != nil && h.adapters[t.Adapter].phase == Unloading
+}
+
 // hasOrAwaits reports whether an adapter is loaded on a server or its load is in flight to it.
 func (s *server) hasOrAwaits(t Target) bool {
-	if h := s.models[t.Model]; h != nil && h.phase == Ready && h.adapters[t.Adapter] != nil {
+	if h := s.models[t.Model]; h != nil && h.phase == Ready && h.adapters[t.Adapter] != nil && !s.unloads(t) {
 		return true
 	}
 	return s.inFlight != nil && s.inFlight.Load && s.inFlight.Target == t
--- a/core/residency/planner_test.go
+++ b/core/residency/planner_test.go
@@ -273,3 +273,79 @@
 	}
 	t.Error("the accepted adapter is not among the holdings")
 }
+
+// adapterFixture returns a planner of one server with two adapter slots, of which both are taken,
+// and a request that waits for a third adapter.
+func adapterFixture() (*fixture, Demand) {
+	e := testEngine()
+	f := newFixture(&e, map[string][]HeldModel{"s": {{Model: "a", Adapters: []string{"a1", "a2"}}}})
+	d := Demand{Host: "h", Target: Target{Model: "a", Adapter: "a3"}, Waiting: 1, EarliestExpiry: time.Minute}
+	f.step(0, d)
+	return f, d
+}
+
+// orderedAdapters returns the adapters whose load or unload is among the orders.
+func orderedAdapters(orders []Order, load bool) []string {
+	var out []string
+	for _, o := range orders {
+		if o.Adapter != "" && o.Load == load {
+			out = append(out, o.Adapter)
+		}
+	}
+	return out
+}
+
+// TestUnloadingAdapterKeepsItsSlot guards against an adapter that is loaded beyond the slots of a
+// server, in place of one whose accepted unload still waits for its requests.
+func TestUnloadingAdapterKeepsItsSlot(t *testing.T) {
+	f, d := adapterFixture()
+	orders := f.step(time.Second, d)
+	unloaded := orderedAdapters(orders, false)
+	if len(unloaded) != 1 {
+		t.Fatalf("orders %+v, want the unload of one adapter", orders)
+	}
+	f.planner.RecordResult(f.in.Now, orders[0], Accepted)
+	busy := Demand{Host: "h", Target: Target{Model: "a", Adapter: "a1"}, RunningOn: map[string]int{"s": 1}}
+	if unloaded[0] == "a1" {
+		busy.Adapter = "a2"
+	}
+	for range 20 {
+		if loaded := orderedAdapters(f.step(100*time.Millisecond, d, busy), true); len(loaded) > 0 {
+			t.Fatalf("adapters %v are loaded %v after an unload was accepted, which has not ended", loaded, f.in.Now)
+		}
+	}
+	// An announcement shows that the unload has ended, once it is certain to be newer.
+	f.in.Servers[0].Sequence, f.in.Servers[0].Models = 2, []HeldModel{{Model: "a", Adapters: []string{busy.Adapter}}}
+	f.held["s"] = f.in.Servers[0].Models
+	if loaded := orderedAdapters(f.step(100*time.Millisecond, d, busy), true); len(loaded) > 0 {
+		t.Errorf("adapters %v are loaded on an announcement that may be older than the unload", loaded)
+	}
+	f.in.Servers[0].Sequence = 3
+	if loaded := orderedAdapters(f.step(maxAnnouncementAge, d, busy), true); len(loaded) != 1 || loaded[0] != "a3" {
+		t.Errorf("adapters %v are loaded after the unload has ended, want a3", loaded)
+	}
+}
+
+// TestUnloadingAdapterIsNotUsed guards against requests that are sent for an adapter that is being
+// unloaded, a second unload of it, and a load of it before the unload has ended.
+func TestUnloadingAdapterIsNotUsed(t *testing.T) {
+	f, d := adapterFixture()
+	orders := f.step(time.Second, d)
+	f.planner.RecordResult(f.in.Now, orders[0], Accepted)
+	gone := orders[0].Adapter
+	for _, h := range f.planner.Holdings()[0].Holdings {
+		if h.Adapter == gone && h.Phase == Ready {
+			t.Errorf("adapter %s counts as ready while it is unloaded", gone)
+		}
+	}
+	again := Demand{Host: "h", Target: Target{Model: "a", Adapter: gone}, Waiting: 1, EarliestExpiry: time.Minute}
+	for range 10 {
+		orders := f.step(100*time.Millisecond, again)
+		for _, o := range orders {
+			if o.Adapter == gone {
+				t.Fatalf("order %+v for an adapter that is being unloaded", o)
+			}
+			f.planner.RecordResult(f.in.Now, o, Fulfilled)
+		}
+	}
+}
--- a/core/residency/server.go
+++ b/core/residency/server.go
@@ -149,20 +149,26 @@
 	return h
 }
 
-// mergeAdapters adds the adapters of an announced model, and reports whether a
-// known adapter is missing.
+// mergeAdapters adds the adapters of an announced model, removes those whose unload has
+// ended, and reports whether another known adapter is missing.
 func (h *holding) mergeAdapters(now time.Duration, announced HeldModel) bool {
 	for _, name := range announced.Adapters {
 		if h.adapters[name] == nil {
 			h.adapters[name] = &adapter{phase: Ready, since: now, lastUsed: now}
 		}
 	}
+	missing := false
 	for name, a := range h.adapters {
-		if !slices.Contains(announced.Adapters, name) && now-a.since > maxAnnouncementAge {
-			return true
+		if slices.Contains(announced.Adapters, name) || now-a.since <= maxAnnouncementAge {
+			continue
+		}
+		if a.phase == Unloading {
+			delete(h.adapters, name)
+			continue
 		}
+		missing = true
 	}
-	return false
+	return missing
 }
 
 // modelOrderUnderWay reports whether an order for a model is under way.
@@ -226,7 +232,11 @@
 	case o.Adapter != "" && o.Load:
 		h.adapters[o.Adapter] = &adapter{phase: Ready, since: now, lastUsed: now, readyAt: now + adapterLoadTime}
 	case o.Adapter != "":
-		delete(h.adapters, o.Adapter)
+		// The unload waits for the requests that use the adapter. Until it has ended, the
+		// adapter takes its slot and its memory.
+		if a := h.adapters[o.Adapter]; a != nil {
+			a.phase, a.since = Unloading, now
+		}
 	case o.Load:
 		s.models[o.Model] = &holding{
 			phase: Loading, since: now, readyAt: now + loadTime, adapters: map[string]*adapter{}, storeLoads: storeLoads,
