control: one status for each tick; a run of the rig ends without a quorum

The loop takes the status of the node once for its checks, and the line on the tolerance makes its fields only when it is logged. TestReplacementTakesNewSeeds covers seeds that are replaced while a host waits, offers and the tolerance in the status.

--- a/cmd/pollenwheel/rig_judge_test.go
+++ b/cmd/pollenwheel/rig_judge_test.go
@@ -68,6 +68,7 @@
 	rigLate      rigRule = "late"
 	rigUnserved  rigRule = "added routes not served"
 	rigRefused   rigRule = "valid change refused"
+	rigUnacked   rigRule = "valid change not acknowledged"
 	rigOther     rigRule = "other content under a version held"
 	rigOldRead   rigRule = "older version read"
 	rigRegress   rigRule = "older version shown again"
--- a/cmd/pollenwheel/rig_test.go
+++ b/cmd/pollenwheel/rig_test.go
@@ -166,7 +166,7 @@
 // acknowledged, and lets callers go on until each host had to be in touch.
 func (r *rigRun) endWithFault(ctx context.Context, final rigScene) {
 	o := newRigOperator(r.rigCluster, *rigOperators+2, r.seed, *rigGrown, *rigPause)
-	o.deliver(ctx, o.prepareValid())
+	r.deliverLast(ctx, o)
 	if final.takesMost() {
 		r.history.setFinalFault(r.now())
 	}
@@ -178,6 +178,17 @@
 	sleepOrDone(ctx, rest-(r.now()-r.back))
 }
 
+// deliverLast sends a change, which must be acknowledged within the time for a recovery: the faults
+// before are past. Without that limit, a run whose control hosts lost their quorum would not end.
+func (r *rigRun) deliverLast(ctx context.Context, o *rigOperator) {
+	ctx, cancel := context.WithTimeout(ctx, rigRecovery+rigContactWindow)
+	defer cancel()
+	began, c := r.now(), o.prepareValid()
+	if !o.deliver(ctx, c) && ctx.Err() != nil {
+		r.record.violate(rigUnacked, "version %d, sent at %.3f s, has no acknowledgement %.3f s later", c.version, began.Seconds(), (r.now() - began).Seconds())
+	}
+}
+
 // maxRigViolations bounds the violations of one rule that are printed.
 const maxRigViolations = 8
 
--- a/node/control/group.go
+++ b/node/control/group.go
@@ -272,11 +272,12 @@
 // fails all waiters.
 func (g *Group) tick() error {
 	g.node.Tick(g.now())
+	n := g.node.Status()
 	g.takeSeeds()
-	g.sendHellos()
-	g.logWait()
-	g.logTolerance()
-	if g.node.Status().Role == consensus.Leader {
+	g.sendHellos(n)
+	g.logWait(n)
+	g.logTolerance(n)
+	if n.Role == consensus.Leader {
 		g.lastLedAt = g.now()
 	} else if len(g.waiters) > 0 && g.now()-g.lastLedAt > 2*g.opts.ElectionTimeout {
 		g.failWaiters("leadership was lost")
--- a/node/control/group_test.go
+++ b/node/control/group_test.go
@@ -8,6 +8,7 @@
 	"math/rand"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -282,6 +283,43 @@
 	})
 }
 
+// TestReplacementTakesNewSeeds guards against a control host that never joins because the seeds of its
+// settings are gone when it starts, although its settings name others later, and against a wait that
+// the status of the leader and of the host do not tell.
+func TestReplacementTakesNewSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newTestNet(t, 5, 3, Options{TargetVoters: 5, RepairAfter: 1500 * time.Millisecond, ElectionTimeout: 300 * time.Millisecond})
+		n.startAll()
+		n.propose(configure("first", 0))
+		time.Sleep(10 * time.Second)
+		leader := n.awaitLeader()
+		lost := n.others(leader)[0]
+		n.stopHost(lost)
+		n.hosts = slices.DeleteFunc(n.hosts, func(h *testHost) bool { return h == lost })
+		if got := leader.group().Status().Tolerated; got != 2 {
+			t.Errorf("the group bears %d further losses, want 2 before the loss is noticed", got)
+		}
+
+		n.options.Bootstrap, n.options.DisableFounding = []consensus.Member{{Host: lost.name, PeerAddress: lost.name}}, true
+		replacement := &testHost{name: "replacement", folder: filepath.Join(t.TempDir(), "replacement")}
+		n.hosts = append(n.hosts, replacement)
+		n.start(replacement)
+		time.Sleep(10 * time.Second)
+		if s := replacement.group().Status(); len(s.Members) > 0 || leader.group().Status().Tolerated != 1 {
+			t.Fatalf("without a seed: members %+v, the group bears %d further losses, want 1", s.Members, leader.group().Status().Tolerated)
+		}
+		seed := n.others(leader)[0]
+		replacement.group().SetSeeds([]consensus.Member{{Host: seed.name, PeerAddress: seed.name}})
+		time.Sleep(6 * time.Second)
+		s := n.awaitLeader().group().Status()
+		voters, _ := s.hosts()
+		if len(voters) != 5 || !slices.Contains(voters, replacement.name) || slices.Contains(voters, lost.name) || s.Tolerated != 2 || len(s.Offers) > 0 {
+			t.Errorf("voters %v, %d further losses borne, offers %v; want the five hosts that run", voters, s.Tolerated, s.Offers)
+		}
+		n.stopAll()
+	})
+}
+
 // TestFullDisk guards the case of a leader whose disk is full: it must step down,
 // the other hosts must continue, and no accepted command may be lost.
 func TestFullDisk(t *testing.T) {
--- a/node/control/hello.go
+++ b/node/control/hello.go
@@ -32,11 +32,10 @@
 // sendHellos sends this host's address to the other control hosts. The leader does
 // so to keep the members' addresses up to date. A host that knows no leader or is
 // not a member does so to be found and to be registered as a spare.
-func (g *Group) sendHellos() {
+func (g *Group) sendHellos(n consensus.Status) {
 	if g.helloAt > 0 && g.now()-g.helloAt < g.helloInterval() {
 		return
 	}
-	n := g.node.Status()
 	if g.isMember(n.Membership) && n.Leader != 0 && n.Role != consensus.Leader {
 		return
 	}
--- a/node/control/watch.go
+++ b/node/control/watch.go
@@ -14,13 +14,11 @@
 
 // logTolerance logs that this leader's group bears fewer losses than TargetVoters voters do, once
 // that has lasted for longer than a repair should take, and the end of it.
-func (g *Group) logTolerance() {
-	n := g.node.Status()
+func (g *Group) logTolerance(n consensus.Status) {
 	target := (g.opts.TargetVoters - 1) / 2
-	logger := g.logger.WithFields(logrus.Fields{"tolerated": n.Tolerated, "target": target, "voters": len(n.Membership.Voters), "offers": len(n.Offers)})
 	if n.Role != consensus.Leader || n.Tolerated >= target {
 		if g.toleranceLoggedAt > 0 && n.Role == consensus.Leader {
-			logger.Info("the consensus group bears the loss of as many voters as asked for again")
+			g.toleranceLogger(n, target).Info("the consensus group bears the loss of as many voters as asked for again")
 		}
 		g.lowSince, g.toleranceLoggedAt = 0, 0
 		return
@@ -31,13 +29,18 @@
 	low, logged := g.now()-g.lowSince, g.now()-g.toleranceLoggedAt
 	if low > 2*g.opts.RepairAfter && (g.toleranceLoggedAt == 0 || logged >= waitLogInterval) {
 		g.toleranceLoggedAt = g.now()
-		logger.WithField("for", low.String()).Warn("the consensus group bears the loss of fewer voters than asked for")
+		g.toleranceLogger(n, target).WithField("for", low.String()).Warn("the consensus group bears the loss of fewer voters than asked for")
 	}
 }
 
+func (g *Group) toleranceLogger(n consensus.Status, target int) *logrus.Entry {
+	return g.logger.WithFields(logrus.Fields{
+		"tolerated": n.Tolerated, "target": target, "voters": len(n.Membership.Voters), "offers": len(n.Offers),
+	})
+}
+
 // logWait logs that this host waits to become a member, when that begins and from time to time.
-func (g *Group) logWait() {
-	n := g.node.Status()
+func (g *Group) logWait(n consensus.Status) {
 	if g.isMember(n.Membership) {
 		if g.waitingSince > 0 {
 			g.logger.WithField("after", (g.now() - g.waitingSince).String()).Info("became a member of the consensus group")
