--- a/core/state/fuzz_test.go
+++ b/core/state/fuzz_test.go
@@ -12,7 +12,9 @@
 		`{"register":{"server":"s","incarnation":1}}`, `{"lose":{"server":"s","incarnation":1}}`,
 		`{"load":{"server":"s","model":"m"}}`, `{"unload":{"server":"s","model":"m"}}`, `{"settle":{"server":"s"}}`,
 		`{"attempt":{}}`, `{"resolve":{}}`, `{"adopt":{"server":"s"}}`, `{"claim":{"key":"k"}}`, `{"outcome":{"key":"k"}}`,
-		`{"suspect":{"server":"s","incarnation":1,"fingerprints":["a","a"]}}`, `{"trial":{"fingerprint":"a"}}`, `{"acquit":{"fingerprint":"a"}}`,
+		`{"suspect":{"server":"s","incarnation":1,"fingerprints":["a","a"]}}`, `{"trial":{"fingerprint":"a"}}`,
+		`{"suspect":{"server":"s","incarnation":1,"fingerprints":["a","b"],"parts":["x","y","x","request:a"],"trial":{"parts":["x"],"server":"s","incarnation":1}}}`,
+		`{"trial":{"parts":["x"],"server":"s","incarnation":1}}`, `{"acquit":{"parts":["x","x"],"lift":true}}`, `{"acquit":{"fingerprint":"a"}}`,
 		`{"learn":{"data":"e30="}}`, `{"lead":{}}`, `{"unix_ms":-1}`, `null`, `{}`,
 	} {
 		f.Add([]byte(text), []byte(`{"register":{"server":"s","incarnation":2}}`))
