rig: judge an end after the watch of the machine has recorded a stall

The trace: the host was started at 7.861 s and hung up at 7.915 s, as its scene says, before the process had come to handle the signal on a machine with 25 runnable processes. Its end was noticed at 11.796 s, 3 ms before the watch recorded that the machine had stood still since 9.63 s. Within such times an own end is a note, as it is shortly after a start; the check now waits for the watch.

--- a/cmd/pollenwheel/rig_cluster_test.go
+++ b/cmd/pollenwheel/rig_cluster_test.go
@@ -307,6 +307,9 @@
 	if expected || c.isClosing() {
 		return
 	}
+	// A time in which this machine stands still is recorded only when it is over, which may be
+	// after the end of the process is noticed.
+	time.Sleep(rigWatchTolerance)
 	what, again := rigOwnEnd, rigRestarted
 	if c.history.disturbedWithin(h.index, c.now(), rigOwnEndMargin) || c.history.slowedWithin(c.now(), rigContactWindow) {
 		what, again = rigEarlyEnd, rigStarted
