accounts: resolve API keys to client accounts on each entry host

Cause: no code read the tenants of a configuration.

Change: core/account holds accounts and digests of keys, checks them and resolves a key; the route table carries them, and its patch the changes. The forwarder answers 401 without a valid key, tells the server the account's name and never the key, and lets the account's priority replace the route's. The log that entry hosts follow leaves out the operator's document, the only place with the text of keys. pollenctl accounts, two gauges, the event 'unauthorized' and the field 'account' show the part at work.

Two tests asserted that a host without the control role returns the operator's document. It no longer keeps it: they now assert that such a host refuses with ErrNoDocument, holds no byte of it, and has the newest table.

--- a/cmd/pollenctl/main.go
+++ b/cmd/pollenctl/main.go
@@ -85,7 +85,7 @@
 		e.questionnaireCommand(app), e.generateCommand(app), e.validateCommand(app), e.diffCommand(app),
 		e.applyCommand(app), e.statusCommand(app), e.modelsCommand(app), e.hostsCommand(app),
 		e.drainCommand(app), e.burnCommand(app), e.explainCommand(app), e.timelineCommand(app),
-		e.suspectsCommand(app), e.liftCommand(app), e.noticesCommand(app),
+		e.suspectsCommand(app), e.liftCommand(app), e.noticesCommand(app), e.accountsCommand(app),
 	}
 	selected, printedHelp, err := parse(app, args)
 	if printedHelp {
--- a/cmd/pollenctl/status.go
+++ b/cmd/pollenctl/status.go
@@ -39,9 +39,9 @@
 	t.row("deployment", s.Deployment)
 	t.row("configuration version", s.Version)
 	t.row("applied index", s.AppliedIndex)
-	quorum := "yes"
+	quorum := formatYesNo(s.Control.Quorum)
 	if !s.Control.Quorum {
-		quorum = "no: no configuration, order or claim can be accepted"
+		quorum += ": no configuration, order or claim can be accepted"
 	}
 	t.row("quorum", quorum)
 	t.row("leader", fmt.Sprintf("%s, term %d", joinOr(slices.DeleteFunc([]string{s.Control.Leader}, isEmpty), "none known"), s.Control.Term))
--- a/cmd/pollenctl/table.go
+++ b/cmd/pollenctl/table.go
@@ -27,3 +27,10 @@
 func (t table) flush() { _ = t.w.Flush() }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+func formatYesNo(yes bool) string {
+	if yes {
+		return "yes"
+	}
+	return "no"
+}
--- a/core/route/patch.go
+++ b/core/route/patch.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 
+	"github.com/pollenwheel/pollenwheel/core/account"
 	"github.com/pollenwheel/pollenwheel/core/delta"
 )
 
@@ -13,6 +14,7 @@
 	Routes   delta.List[Route]   `json:"routes"`
 	Services delta.List[Service] `json:"services"`
 	Limits   Limits              `json:"limits"`
+	Accounts *account.Patch      `json:"accounts,omitempty"`
 }
 
 // place identifies a route in a table.
@@ -33,6 +35,7 @@
 		Routes:   delta.Make(old.Routes, next.Routes, placeOf, equalRoutes),
 		Services: delta.Make(old.Services, next.Services, serviceName, equalServices),
 		Limits:   next.Limits,
+		Accounts: account.MakePatch(old.Accounts, next.Accounts),
 	}
 }
 
@@ -47,5 +50,9 @@
 	if err != nil {
 		return Table{}, err
 	}
-	return Table{Version: p.Version, Routes: routes, Services: services, Limits: p.Limits}, nil
+	accounts, err := p.Accounts.Apply(old.Accounts)
+	if err != nil {
+		return Table{}, err
+	}
+	return Table{Version: p.Version, Routes: routes, Services: services, Limits: p.Limits, Accounts: accounts}, nil
 }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/account"
 )
 
 // Kind determines how often a request may run.
@@ -56,6 +58,8 @@
 	MaxAttempts int `json:"max_attempts,omitempty"`
 	// Resumable streams may be continued on another backend server.
 	Resumable bool `json:"resumable,omitempty"`
+	// Public routes serve requests without a key.
+	Public bool `json:"public,omitempty"`
 }
 
 // Idempotent reports whether a request of the route may run more than once.
@@ -127,6 +131,8 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	// Accounts are those whose keys requests must carry. If it is nil, no request needs a key.
+	Accounts *account.List `json:"accounts,omitempty"`
 }
 
 // Service returns the service with the given name.
@@ -142,6 +148,8 @@
 type Index struct {
 	table  *Table
 	byHost map[string][]indexedRoute
+	// accounts is nil if no request needs a key.
+	accounts *account.Index
 }
 
 // indexedRoute is a route with the form of its prefix that is compared.
@@ -160,12 +168,18 @@
 	for _, routes := range x.byHost {
 		slices.SortStableFunc(routes, func(a, b indexedRoute) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
 	}
+	if t.Accounts != nil {
+		x.accounts = account.NewIndex(t.Accounts)
+	}
 	return x
 }
 
 // Table returns the indexed table.
 func (x *Index) Table() *Table { return x.table }
 
+// Accounts returns the index of the accounts, or nil if no request needs a key.
+func (x *Index) Accounts() *account.Index { return x.accounts }
+
 // Match returns the host's route with the longest prefix of path, which is the path as the caller
 // has sent it, with its percent-encoding. Capitals, a port and a dot at the end of host are ignored.
 func (x *Index) Match(host, path string) (Route, bool) {
--- a/core/route/validate.go
+++ b/core/route/validate.go
@@ -18,7 +18,8 @@
 	return fmt.Sprintf("route: %s = %q: must be %s", e.Path, e.Value, e.Allowed)
 }
 
-// Validate returns a *ValidationError for the first invalid field of t, or nil.
+// Validate returns a *ValidationError for the first invalid field of t, an error of core/account for
+// an invalid list of accounts, or nil.
 func (t *Table) Validate() error {
 	services := map[string]bool{}
 	for _, s := range t.Services {
@@ -38,7 +39,10 @@
 		}
 		prefixes[prefix] = true
 	}
-	return nil
+	if t.Accounts == nil {
+		return nil
+	}
+	return t.Accounts.Validate()
 }
 
 // canonicalHost returns the form of a host name by which requests are matched: without
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -305,13 +305,14 @@
 
 // SameForFollowers reports whether ForFollowers leaves nothing out.
 func (c Command) SameForFollowers() bool {
-	return c.Claim == nil && c.Outcome == nil && c.StoreLearned == nil
+	return c.Claim == nil && c.Outcome == nil && c.StoreLearned == nil && c.Publish == nil
 }
 
 // ForFollowers returns the command as it is sent to entry hosts without the control
-// role. Claims, outcomes and the learned data of the leader are omitted, because
-// only the consensus group uses them.
+// role. Claims, outcomes, the learned data of the leader and the documents of operators are
+// omitted, because only the consensus group uses them.
 func (c Command) ForFollowers() Command {
 	c.Claim, c.Outcome, c.StoreLearned = nil, nil, nil
+	c.Publish = c.Publish.withoutSource()
 	return c
 }
--- a/core/state/publish.go
+++ b/core/state/publish.go
@@ -13,7 +13,8 @@
 type Publish struct {
 	Table route.Table `json:"table,omitzero"`
 	// Source is the document that the operator sent. It is stored unchanged, so
-	// that operators can read it back.
+	// that operators can read it back. It is empty on hosts without the control role: it holds
+	// the keys of accounts, which such a host has no use for.
 	Source []byte `json:"source,omitempty"`
 	// Patch yields the table and the source from the current ones. If it is set, the
 	// fields above are not.
@@ -34,7 +35,7 @@
 // all of the table if there is no current one or the patch is not smaller.
 func NewPublish(current *Publish, table route.Table, source []byte) Publish {
 	whole := Publish{Table: table, Source: source}
-	if current == nil {
+	if current == nil || len(current.Source) == 0 {
 		return whole
 	}
 	p := Publish{Patch: &PublicationPatch{
@@ -77,6 +78,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(current.Source) == 0 {
+		return &Publish{Table: table}, nil
+	}
 	source, err := p.Patch.Source.Apply(pieces(current.Source))
 	if err != nil {
 		return nil, err
@@ -84,6 +88,21 @@
 	return &Publish{Table: table, Source: bytes.Join(source, nil)}, nil
 }
 
+// withoutSource returns a copy of p, which may be nil, without the document or its changes.
+func (p *Publish) withoutSource() *Publish {
+	if p == nil {
+		return nil
+	}
+	out := *p
+	out.Source = nil
+	if p.Patch != nil {
+		patch := *p.Patch
+		patch.Source = nil
+		out.Patch = &patch
+	}
+	return &out
+}
+
 func (s *State) publish(p Publish) Result {
 	if s.Published != nil && p.Version() <= s.Published.Table.Version {
 		return Result{Version: s.Published.Table.Version}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -296,10 +296,12 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// ForFollowers returns a copy of the state without claims, for entry hosts that follow
-// the log. Maps are cloned. The configuration is shared with s and never modified.
+// ForFollowers returns a copy of the state without claims and without the document of the
+// published route table, for entry hosts that follow the log. Maps are cloned. The configuration
+// and the route table are shared with s and never modified.
 func (s *State) ForFollowers() *State {
 	c := *s
+	c.Published = s.Published.withoutSource()
 	c.Claims = map[string]ClaimRecord{}
 	c.Servers = maps.Clone(s.Servers)
 	c.Placements = maps.Clone(s.Placements)
@@ -308,6 +310,15 @@
 	return &c
 }
 
+// ForMembers returns a copy of the state for the snapshots of the consensus group. It leaves
+// nothing out. What ForFollowers shares with s is shared here too.
+func (s *State) ForMembers() *State {
+	c := s.ForFollowers()
+	c.Claims = maps.Clone(s.Claims)
+	c.Published = s.Published
+	return c
+}
+
 func (s *State) configure(c Configure) Result {
 	if ch, ok := s.FindAccepted(c); ok {
 		return Result{Version: ch.Version}
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -92,6 +92,8 @@
 	BurnCollector BurnCollector
 	Control       ControlReporter
 	Notices       NoticeReporter
+	// Accounts is needed by the local routes only.
+	Accounts AccountReporter
 	// CaughtUp reports whether Replica has caught up since the start of the process.
 	// Until then Replica may lack the first configuration, which makes the bootstrap
 	// key invalid. All requests are therefore refused until then.
@@ -130,7 +132,7 @@
 }
 
 // RegisterLocalRoutes registers on web the routes that need no configuration of the product:
-// the state of the host, and suspects and notices. They admit requests without a key, so web
+// the state of the host, suspects, notices and client accounts. They admit requests without a key, so web
 // must be reachable from the host's own machine only.
 func (a *API) RegisterLocalRoutes(web *echo.Echo) {
 	group := web.Group(RoutePrefix, a.countRequests)
@@ -139,6 +141,7 @@
 	group.GET("/suspects", a.suspects)
 	group.POST("/suspects/:key/lift", a.lift)
 	group.GET("/notices", a.notices)
+	group.GET("/accounts", a.accounts)
 }
 
 func (a *API) hosts(c echo.Context) error {
--- a/node/control/apply.go
+++ b/node/control/apply.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"maps"
-
 	"github.com/pollenwheel/pollenwheel/core/config"
 	"github.com/pollenwheel/pollenwheel/core/consensus"
 	"github.com/pollenwheel/pollenwheel/core/state"
@@ -112,10 +110,7 @@
 	g.bytesSinceSnapshot = 0
 	s := consensus.Snapshot{Index: g.applied, Term: term, Membership: g.node.MembershipAt(g.applied)}
 	var stateCopy *state.State
-	g.opts.Replica.View(func(st *state.State) {
-		stateCopy = st.ForFollowers()
-		stateCopy.Claims = maps.Clone(st.Claims)
-	})
+	g.opts.Replica.View(func(st *state.State) { stateCopy = st.ForMembers() })
 	go func() {
 		var err error
 		if s.Data, err = stateCopy.Snapshot(); err != nil {
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -17,10 +17,12 @@
 
 // Field names of a line. The names and their meaning are stable.
 const (
-	FieldEvent       = "event"
-	FieldRequest     = "request"
-	FieldRoute       = "route"
-	FieldService     = "service"
+	FieldEvent   = "event"
+	FieldRequest = "request"
+	FieldRoute   = "route"
+	FieldService = "service"
+	// FieldAccount is the name of the client account of a request.
+	FieldAccount     = "account"
 	FieldModel       = "model"
 	FieldAdapter     = "adapter"
 	FieldServer      = "server"
@@ -101,10 +103,12 @@
 	EventFailed     = "failed"
 	EventAborted    = "aborted"
 	EventCallerLeft = "caller_left"
+	// EventUnauthorized is logged for a request without the key of an account.
+	EventUnauthorized = "unauthorized"
 )
 
 // RequestEvents lists all events of a request.
-var RequestEvents = []string{EventAttempt, EventSent, EventResumed, EventUnresumed, EventAnswered, EventLate, EventRefused, EventFailed, EventAborted, EventCallerLeft}
+var RequestEvents = []string{EventAttempt, EventSent, EventResumed, EventUnresumed, EventAnswered, EventLate, EventRefused, EventFailed, EventAborted, EventCallerLeft, EventUnauthorized}
 
 // Events that change a process's view of the cluster.
 const (
--- a/node/forward/attempt.go
+++ b/node/forward/attempt.go
@@ -219,6 +219,7 @@
 	h := endToEndHeaders(c.inbound.Header)
 	c.forwarder.opts.Protocol.SetAttemptHeaders(h, Attempt{
 		Timeout: c.deadline - c.forwarder.opts.Now(), Server: attempt.Server, ResumeAfter: c.lastEventID, Priority: c.route.Priority,
+		Accounts: c.accounts, Account: c.account,
 	})
 	if _, ok := h["User-Agent"]; !ok {
 		// If the header were missing, the transport would add its own.
--- a/node/forward/ending.go
+++ b/node/forward/ending.go
@@ -78,7 +78,11 @@
 	if retryAfter > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
-	c.logEvent(decision.EventRefused, decision.Fields{
+	event := decision.EventRefused
+	if status == http.StatusUnauthorized {
+		event = decision.EventUnauthorized
+	}
+	c.logEvent(event, decision.Fields{
 		decision.FieldStatus: status, decision.FieldReason: reason, decision.FieldRetryAfterMS: retryAfter.Milliseconds(),
 	})
 	c.writeStatus(status)
@@ -113,6 +117,9 @@
 func (c *call) logEvent(event string, fields decision.Fields) {
 	fields[decision.FieldRoute], fields[decision.FieldService] = c.route.Name, c.key.Service
 	fields[decision.FieldModel], fields[decision.FieldAdapter] = c.key.Model, c.key.Adapter
+	if c.account != "" {
+		fields[decision.FieldAccount] = c.account
+	}
 	fields[decision.FieldTookMS] = (c.forwarder.opts.Now() - c.arrivedAt).Milliseconds()
 	c.forwarder.opts.Decisions.RecordRequest(c.request.ID, event, fields)
 }
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -50,8 +50,11 @@
 	// Now returns the time since an arbitrary start.
 	Now func() time.Duration
 	// Ready reports whether this host can serve requests.
-	Ready      func() bool
-	RetryLimit retry.Limit
+	Ready func() bool
+	// AccountsCurrent reports whether this host may rely on the keys of accounts that it knows.
+	// If it is nil, it always may.
+	AccountsCurrent func() bool
+	RetryLimit      retry.Limit
 	// Dial opens a connection to a backend server; nil means one over TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Memory accounts for the bodies of requests and answers. If it is nil, the Forwarder has
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -28,6 +28,8 @@
 	// ResumedStream is the ID of the request that brought the caller the first event of the
 	// stream that it resumes with this one. It is empty for a new stream.
 	ResumedStream string
+	// APIKey is the key of the caller's account. It is empty if the request has none or several.
+	APIKey string
 }
 
 // Attempt holds the values that one attempt on a backend server adds to the
@@ -39,8 +41,13 @@
 	Server string
 	// ResumeAfter is the ID of the last event passed on to the caller, if any.
 	ResumeAfter string
-	// Priority is the priority of the route. Zero is the most urgent.
+	// Priority is the priority of the route or of the account. Zero is the most urgent.
 	Priority int
+	// Accounts is set if the route table has accounts. The caller's headers for the key and for
+	// the account must then not reach the server. Account is the name of the request's account;
+	// it is empty on a public route without a known key.
+	Accounts bool
+	Account  string
 }
 
 // Answer holds the values from the headers of a backend server's answer.
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -35,7 +35,11 @@
 	ctx       context.Context
 	request   Request
 	route     route.Route
-	key       routing.Key
+	// accounts is set if the route table has accounts, and account is the name of that of the
+	// request, if it has one.
+	accounts bool
+	account  string
+	key      routing.Key
 	// fingerprint is a hash of the request's content. A repeated request has the
 	// same fingerprint.
 	fingerprint string
@@ -121,6 +125,9 @@
 	if err != nil {
 		return c.refuse(http.StatusBadRequest, 0, err.Error())
 	}
+	if !c.identifyAccount(v.index.Accounts()) {
+		return false
+	}
 	c.deadline = c.arrivedAt + c.route.Timeout
 	if d := c.request.Timeout; d > 0 {
 		c.deadline = min(c.deadline, c.arrivedAt+d)
--- a/node/host/demand.go
+++ b/node/host/demand.go
@@ -97,8 +97,8 @@
 	// refreshInterval is how often an unchanged report is repeated, and idleInterval how
 	// often one without demand is, if it is not zero.
 	refreshInterval, idleInterval time.Duration
-	// onReply receives each reply of the leader. It may be nil.
-	onReply func(peer.DemandReply)
+	// onReply receives each reply of the leader, and when its report was sent. It may be nil.
+	onReply func(sentAt time.Duration, reply peer.DemandReply)
 
 	waiting map[placement.Target]int
 	sentAt  time.Duration
@@ -143,7 +143,7 @@
 		return
 	}
 	if r.onReply != nil {
-		r.onReply(reply)
+		r.onReply(report.Now, reply)
 	}
 	r.waiting, r.sentAt = waiting, report.Now
 	r.demandStore.replacePredictions(reply.Predictions)
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -266,7 +266,9 @@
 		host: h.settings.Host, incarnation: h.sender.Incarnation, now: h.now,
 		demand: h.entry.Demand, leaderClient: h.leaderClient, demandStore: h.demandStore, refreshInterval: demandRefreshInterval,
 		idleInterval: idleReportInterval,
-		onReply:      func(reply peer.DemandReply) { h.follower.RecordCommitted(reply.Applied, reply.Address) },
+		onReply: func(_ time.Duration, reply peer.DemandReply) {
+			h.follower.RecordCommitted(reply.Applied, reply.Address)
+		},
 	}).run)
 	h.servePeers(g)
 	h.serveCallers(g)
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -58,6 +58,9 @@
 	// AdmitAfterLeave is how long a leaving host admits requests, if that is shorter.
 	// Later ones are refused, because long ones could not end before DepartureTimeout.
 	AdmitAfterLeave time.Duration
+	// MaxAccountsAge is how long this host may rely on the accounts that it knows without a word
+	// of the leader that they are current. Zero means for any time.
+	MaxAccountsAge time.Duration
 	// Handlers maps further listen addresses to the constructors of their handlers,
 	// which receive the host.
 	Handlers map[string]func(*RoutedHost) http.Handler
@@ -93,7 +96,10 @@
 	// connections holds those of callers.
 	connections   *connections.Table
 	demandChanged chan struct{}
-	metrics       *telemetry.Metrics
+	// accountsCurrentAt is the last time, on the clock now, at which this host is known to have
+	// applied all that the leader had.
+	accountsCurrentAt atomic.Int64
+	metrics           *telemetry.Metrics
 	// adminMetrics counts the requests of operators.
 	adminMetrics *admin.Metrics
 
@@ -155,7 +161,7 @@
 		OnLeaving:  h.members.recordLeaving,
 		AskPermits: askPermits(h.leaderClient, permitHandler(h.permitServer), h.sender.Incarnation),
 		AskOrigins: askOrigins(h.leaderClient, originHandler(h.originServer)),
-		ServerSeen: h.members.serverSeen, ConfirmProcess: h.confirmProcess,
+		ServerSeen: h.members.serverSeen, ConfirmProcess: h.confirmProcess, AccountsCurrent: h.accountsCurrent,
 	})
 	if err := h.createMetrics(); err != nil {
 		return nil, err
@@ -276,7 +282,7 @@
 		host: h.opts.Settings.Host, incarnation: h.sender.Incarnation, now: h.now, demand: h.callerDemand,
 		leaderClient: h.leaderClient, demandStore: newDemandStore(h.now), wake: h.demandChanged,
 		refreshInterval: routedDemandRefreshInterval, idleInterval: idleReportInterval,
-		onReply: func(reply peer.DemandReply) { h.follower.RecordCommitted(reply.Applied, reply.Address) },
+		onReply: h.recordLeaderReply,
 	}
 }
 
--- a/node/host/routed_lifecycle.go
+++ b/node/host/routed_lifecycle.go
@@ -217,10 +217,16 @@
 // ErrNothingPublished reports that no route table has been published yet.
 var ErrNothingPublished = errors.New("host: no route table has been published yet")
 
+// ErrNoDocument reports that this host has no control role and keeps no documents of operators.
+var ErrNoDocument = errors.New("host: only hosts with the control role keep the published document")
+
 // Published returns the source document of the newest route table. It first commits
 // an empty command and waits until the command is applied here, so that the result
 // includes every table that was committed before the call.
 func (h *RoutedHost) Published(ctx context.Context) ([]byte, error) {
+	if h.group == nil {
+		return nil, ErrNoDocument
+	}
 	res, err := h.leaderClient.Propose(ctx, state.Command{})
 	if err != nil {
 		return nil, err
--- a/node/host/routed_operator.go
+++ b/node/host/routed_operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -46,7 +47,7 @@
 	web.HideBanner, web.HidePort = true, true
 	admin.New(admin.Dependencies{
 		Host: h.opts.Settings.Host, Proposer: h.leaderClient, Replica: h.replica, Members: h.members, Control: h,
-		Notices: h.noticeReporter(), CaughtUp: h.ready.Load, Now: time.Now, Logger: h.logger, Metrics: h.adminMetrics,
+		Notices: h.noticeReporter(), Accounts: h, CaughtUp: h.ready.Load, Now: time.Now, Logger: h.logger, Metrics: h.adminMetrics,
 	}).RegisterLocalRoutes(web)
 	web.GET("/metrics", echo.WrapHandler(h.metrics.Handler()))
 	return web
@@ -79,7 +80,7 @@
 		metric.WithInt64Callback(h.observeDecisions)); err != nil {
 		return &telemetry.Error{Part: events, Err: err}
 	}
-	if err := createInstruments(h.metrics.Meter(), h.counters(), append(h.gauges(), controlGauges(h.group)...)); err != nil {
+	if err := createInstruments(h.metrics.Meter(), h.counters(), slices.Concat(h.gauges(), h.accountGauges(), controlGauges(h.group))); err != nil {
 		return err
 	}
 	return h.createOriginMetrics()
--- a/node/peer/demand.go
+++ b/node/peer/demand.go
@@ -22,8 +22,8 @@
 // DemandReply is the leader's answer to a demand report.
 type DemandReply struct {
 	Predictions []Prediction
-	// Applied is the highest log index that the leader has applied, and Address the
-	// leader's peer address.
+	// Applied is the highest log index that the leader has applied, or zero if it cannot be sure
+	// that it still leads. Address is the leader's peer address.
 	Applied uint64
 	Address string
 }
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -180,7 +180,12 @@
 	}
 	out := &peerpb.DemandReply{Predictions: predictionsToProto(predictions)}
 	if s.handlers.LogMember != nil {
-		out.Applied = s.handlers.LogMember.Status().AppliedIndex
+		// Only a lease that is valid after the index was read shows that no other leader had
+		// committed more.
+		applied := s.handlers.LogMember.Status().AppliedIndex
+		if s.handlers.LogMember.Status().LeaseValid {
+			out.Applied = applied
+		}
 	}
 	return out, statusError(err)
 }
