--- a/cmd/pollenwheel/rig_cluster_test.go
+++ b/cmd/pollenwheel/rig_cluster_test.go
@@ -33,6 +33,7 @@
 	rigSeedCount     = 3
 	rigEntryMemoryMB = 184
 	rigControlMemory = 280
+	rigMaxFds        = 4096
 	rigFirstEntryIP  = 11
 	rigFirstServerIP = 201
 	rigRestartDelay  = 300 * time.Millisecond
@@ -85,6 +86,8 @@
 	// replaced is the number of control hosts that were replaced.
 	replaced atomic.Int32
 	closing  chan struct{}
+	// entryMemoryMB, controlMemoryMB and maxFds are the limits of the processes.
+	entryMemoryMB, controlMemoryMB, maxFds int
 }
 
 // newRigCluster prepares a deployment and starts no process.
@@ -92,6 +95,7 @@
 	c := &rigCluster{
 		t: t, binary: binary, folder: folder, begin: time.Now(), history: newRigHistory(rigControls, rigControls+entries),
 		record: &rigRecord{}, rng: rand.New(rand.NewPCG(seed, 1)), closing: make(chan struct{}),
+		entryMemoryMB: rigEntryMemoryMB, controlMemoryMB: rigControlMemory, maxFds: rigMaxFds,
 	}
 	c.chooseAddresses()
 	for i := range rigControls {
@@ -217,17 +221,17 @@
 		seeds = append(seeds, fmt.Sprintf("%q", c.address(seed, rigControlPort)))
 	}
 	var b strings.Builder
-	class, serves, memory, disk := "front", `"front"`, rigEntryMemoryMB, 0
+	class, serves, memory, disk := "front", `"front"`, c.entryMemoryMB, 0
 	listen := fmt.Sprintf("Front = %q\nReady = %q\n", c.address(h, rigFrontPort), c.address(h, rigReadyPort))
 	if h.control {
-		class, serves, memory, disk = "core", `"control","directory"`, rigControlMemory, 128
+		class, serves, memory, disk = "core", `"control","directory"`, c.controlMemoryMB, 128
 		listen = fmt.Sprintf("Control = %q\nDirectory = %q\n", c.address(h, rigControlPort), c.address(h, rigDirectoryPort))
 		fmt.Fprintf(&b, "DataDir = %q\n", c.dataFolder(h))
 	}
 	fmt.Fprintf(&b, "Node = %q\nRole = %q\nMachineClass = %q\nServes = [%s]\nIp = %q\nZone = %q\n", h.name(), class, class, serves, h.ip(), h.zone)
 	fmt.Fprintf(&b, "PortRange = [%d,%d]\nSeeds = [%s]\nFirstStart = %t\nCountsAsLoss = %t\n", c.port, c.port+15, strings.Join(seeds, ","), firstStart, h.control)
 	b.WriteString(rigSettingsRest)
-	fmt.Fprintf(&b, "[Listen]\n%s[Limits]\nCpuShare = 0.192\nCores = 1\nMemoryMb = %d\nMaxFds = 4096\nLinkMbps = 10.0\nDiskMb = %d\n", listen, memory, disk)
+	fmt.Fprintf(&b, "[Listen]\n%s[Limits]\nCpuShare = 0.192\nCores = 1\nMemoryMb = %d\nMaxFds = %d\nLinkMbps = 10.0\nDiskMb = %d\n", listen, memory, c.maxFds, disk)
 	return b.String()
 }
 
