connections: callers that do not behave neither end a host nor shut out others

Change: each listener has a table with a hard limit. At the limit a new connection takes the place of one that is closing, idle, or waits for its caller, the longest without progress first; requests that are being served are never cut. Heads and bodies count while they arrive, by bytes and fields; when requests exceed their part of the memory, the largest incomplete one ends, and large ones leave room for small ones. Answers that callers do not read end, oldest first, once they hold too much. The published time for a head is enforced. Bodies of refused requests are skipped for a second. JSON documents are bounded in parts.

--- a/cmd/pollenwheel/crowd_test.go
+++ b/cmd/pollenwheel/crowd_test.go
@@ -59,7 +59,7 @@
 	doorLarge     = crowdDoor{"a route with large answers", "POST", "/large/x", rigFrontPort}
 	doorNoRoute   = crowdDoor{"a path without a route", "POST", "/nowhere/x", rigFrontPort}
 	doorReady     = crowdDoor{"the readiness check", "GET", "/v1/ready", rigReadyPort}
-	doorAnnounce  = crowdDoor{"the announcements", "PUT", "/v1/instances/i-1", rigControlPort}
+	doorAnnounce  = crowdDoor{"the announcements", "PUT", platformtest.AnnouncementPath("i-1"), rigControlPort}
 	doorConfig    = crowdDoor{"the configuration", "PUT", "/v1/config", rigControlPort}
 	doorDirectory = crowdDoor{"the directory", "GET", "/v1/resolve?Name=rig.example", rigDirectoryPort}
 )
@@ -267,7 +267,9 @@
 			r.refused[id] = resp.StatusCode
 			r.mu.Unlock()
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
 			return
 		}
 	}
@@ -295,10 +297,22 @@
 	c.startServer(rigPlainService, 0)
 	c.startServer(crowdHeldService, 1)
 	c.publish(t.Context())
-	c.awaitOrdinary(t.Context(), doorRoute, c.entries()[0])
+	(&rigRun{rigCluster: c.rigCluster}).awaitReady(t.Context())
+	c.awaitServers(t.Context())
 	return c
 }
 
+// awaitServers waits until the entry host knows the backend servers.
+func (c *crowdCluster) awaitServers(ctx context.Context) {
+	deadline := time.Now().Add(waitLimit)
+	for n := 0; c.send(ctx, doorRoute, c.entries()[0], fmt.Sprintf("eeee%08x", n)) != http.StatusOK; n++ {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("no request was served within %s of the start", waitLimit)
+		}
+		sleepOrDone(ctx, crowdPause)
+	}
+}
+
 // crowdHeldService is the service whose server answers no request.
 const crowdHeldService = "held"
 
--- a/node/backend/attempt.go
+++ b/node/backend/attempt.go
@@ -11,6 +11,8 @@
 	"strconv"
 
 	"github.com/labstack/echo/v4"
+
+	"github.com/pollenwheel/pollenwheel/node/memory"
 )
 
 // Headers of requests and answers between an entry host and a backend server.
@@ -153,13 +155,14 @@
 }
 
 // CacheHandler serves POST /v1/backend/cache. It passes valid cache reports to
-// accept.
-func CacheHandler(accept func(CacheReport)) echo.HandlerFunc {
+// accept. The bodies count for account.
+func CacheHandler(account *memory.Account, accept func(CacheReport)) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		var r CacheReport
-		body := http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncementBytes)
-		if err := json.NewDecoder(body).Decode(&r); err != nil {
-			return c.JSON(http.StatusBadRequest, &AnnouncementError{Field: "body", Allowed: "a JSON cache report"})
+		document, err := readAnnouncement(c, account, &r)
+		defer document.Release()
+		if err != nil {
+			return answerBadBody(c, err, "a JSON cache report")
 		}
 		if err := checkCacheReport(r); err != nil {
 			return c.JSON(http.StatusBadRequest, err)
--- a/node/backend/fuzz_test.go
+++ b/node/backend/fuzz_test.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
+	"github.com/pollenwheel/pollenwheel/node/memory"
 )
 
 // post sends a body to a handler and returns the status and the body of the answer.
@@ -54,7 +55,7 @@
 	}
 	f.Fuzz(func(t *testing.T, body string) {
 		var got *membership.Server
-		handler := AnnounceHandler(func(s membership.Server) { got = &s }, func() AnnouncementAnswer { return AnnouncementAnswer{} })
+		handler := AnnounceHandler(memory.New(memory.DefaultLimit, nil), func(s membership.Server) { got = &s }, func() AnnouncementAnswer { return AnnouncementAnswer{} })
 		status, answer := post(t, handler, body)
 		if got == nil {
 			checkRefusal(t, status, answer)
@@ -94,7 +95,7 @@
 	f.Add(`{"server":"r","events":[{"prefix":7}]}`)
 	f.Fuzz(func(t *testing.T, body string) {
 		var got *CacheReport
-		status, answer := post(t, CacheHandler(func(r CacheReport) { got = &r }), body)
+		status, answer := post(t, CacheHandler(memory.New(memory.DefaultLimit, nil), func(r CacheReport) { got = &r }), body)
 		if got == nil {
 			checkRefusal(t, status, answer)
 			return
--- a/node/connections/connections.go
+++ b/node/connections/connections.go
@@ -1,8 +1,11 @@
-// Package connections bounds the connections of callers: those that are idle for too long are
-// closed, and near the limit on descriptors those that are idle for longest.
+// Package connections bounds the connections of callers and what they hold of the memory. Callers
+// that are idle or send or read too slowly are disconnected in time. When a listener has as many
+// connections as it may have, a new one takes the place of the one that is idle for longest, or
+// else of the one whose caller has sent or read nothing for longest.
 package connections
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -13,37 +16,52 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/pollenwheel/pollenwheel/node/bootclock"
+	"github.com/pollenwheel/pollenwheel/node/memory"
 )
 
 const (
-	// callerShare is the part of a process's descriptors that callers may use. The rest is for
-	// backend servers, other hosts, files and the readiness check.
-	callerShare = 0.5
-	// sweepInterval is how often idle connections are looked through.
+	// sweepInterval is how often connections are looked through.
 	sweepInterval = 500 * time.Millisecond
 	// keptShare is the part of the limit to which connections are reduced when it is reached,
 	// so that not each new connection looks through all others.
 	keptShare = 0.9
+	// headGrace is added to the time that a caller has for the head of a request, since that
+	// begins at the caller.
+	headGrace = time.Second
 )
 
+// Timeouts bound how long callers may take.
+type Timeouts struct {
+	// Idle is how long a connection may be idle, and Head how long the head of a request may
+	// take. Zero means that there is no such limit.
+	Idle, Head time.Duration
+}
+
+// Counts are the numbers of connections of a table.
+type Counts struct {
+	// Open is the number of open connections.
+	Open int64
+	// Closed counts those that were idle or too slow, Evicted those that made room for others, and
+	// Refused those that found no room.
+	Closed, Evicted, Refused int64
+}
+
 // Table holds the open connections of callers. It is safe for concurrent use.
 type Table struct {
 	now func() time.Duration
 	max int
+	// heads accounts for the heads of requests. It may be nil.
+	heads *memory.Account
 
-	mu sync.Mutex
-	// open holds the connections, and since when each is idle; busy for those that are not.
-	open map[net.Conn]time.Duration
-	// closed counts the connections that the table has closed.
-	closed int64
+	mu     sync.Mutex
+	open   map[net.Conn]*entry
+	counts Counts
 }
 
-// busy marks a connection with a request in progress, or one that has not sent any.
-const busy = time.Duration(-1)
-
-// New returns a table for a process with the given limit on descriptors.
-func New(now func() time.Duration, descriptors int) *Table {
-	return &Table{now: now, max: int(callerShare * float64(descriptors)), open: map[net.Conn]time.Duration{}}
+// New returns a table of at most limit connections. The heads of their requests count for the
+// account heads, which may be nil.
+func New(now func() time.Duration, limit int, heads *memory.Account) *Table {
+	return &Table{now: now, max: max(1, limit), heads: heads, open: map[net.Conn]*entry{}}
 }
 
 // ProcessDescriptors returns the limit on the descriptors of this process.
@@ -55,80 +73,124 @@
 	return int(min(limit.Cur, 1<<30)), nil
 }
 
+// Max returns the maximum number of connections.
+func (t *Table) Max() int { return t.max }
+
 // Track records the state of a connection. It is the ConnState function of an http.Server.
 func (t *Table) Track(conn net.Conn, state http.ConnState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		t.open[conn] = busy
-		if len(t.open) >= t.max {
-			t.closeLongestIdle(len(t.open) - int(keptShare*float64(t.max)))
-		}
-	case http.StateActive:
-		t.open[conn] = busy
-	case http.StateIdle:
-		t.open[conn] = t.now()
-	case http.StateHijacked, http.StateClosed:
+	e := t.open[conn]
+	switch {
+	case state == http.StateNew && e == nil:
+		t.add(conn, newEntry(t))
+	case state == http.StateHijacked || state == http.StateClosed:
+		t.remove(conn)
+	case e == nil:
+	case state == http.StateActive:
+		e.beginRequest()
+	case state == http.StateIdle:
+		e.beginIdle()
+	}
+}
+
+// add adds a connection, for which others make room if necessary. t.mu must be held.
+func (t *Table) add(conn net.Conn, e *entry) {
+	t.open[conn] = e
+	if len(t.open) >= t.max {
+		t.makeRoom(len(t.open) - int(keptShare*float64(t.max)))
+	}
+}
+
+// remove forgets a connection. t.mu must be held.
+func (t *Table) remove(conn net.Conn) {
+	if e := t.open[conn]; e != nil {
 		delete(t.open, conn)
+		e.releaseHead()
 	}
 }
 
-// closeLongestIdle closes up to n idle connections. The caller holds the lock.
-func (t *Table) closeLongestIdle(n int) {
-	var idle []net.Conn
-	for conn, since := range t.open {
-		if since != busy {
-			idle = append(idle, conn)
+// candidate is a connection that can make room.
+type candidate struct {
+	conn net.Conn
+	rank int
+	// since is since when the caller has sent and read nothing.
+	since time.Duration
+}
+
+// candidates returns the connections that can make room.
+func (t *Table) candidates() []candidate {
+	var out []candidate
+	for conn, e := range t.open {
+		if rank, evictable := e.eviction(); evictable {
+			out = append(out, candidate{conn, rank, e.lastProgress()})
 		}
 	}
-	slices.SortFunc(idle, func(a, b net.Conn) int { return int(t.open[a] - t.open[b]) })
-	for _, conn := range idle[:min(n, len(idle))] {
-		t.close(conn)
+	return out
+}
+
+// makeRoom closes up to n connections. t.mu must be held.
+func (t *Table) makeRoom(n int) {
+	all := t.candidates()
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.since, b.since))
+	})
+	for _, c := range all[:min(n, len(all))] {
+		t.close(c.conn)
+		t.counts.Evicted++
 	}
 }
 
-// close closes an idle connection. The caller holds the lock. The server notices the end of the
-// connection by itself, and its error tells nothing.
+// close closes a connection. t.mu must be held. The server notices the end of the connection by
+// itself, and its error tells nothing.
 func (t *Table) close(conn net.Conn) {
-	delete(t.open, conn)
-	t.closed++
+	t.remove(conn)
 	_ = conn.Close()
 }
 
-// Run closes connections that are idle for longer than idleTimeout returns, until ctx ends. Zero
-// means that they are not closed for that.
-func (t *Table) Run(ctx context.Context, idleTimeout func() time.Duration) error {
+// Run closes connections that are idle or whose heads take too long, until ctx ends. It calls
+// onPressure when connections have been evicted or refused.
+func (t *Table) Run(ctx context.Context, timeouts func() Timeouts, onPressure func(Counts)) error {
+	reported := Counts{}
 	for bootclock.Sleep(ctx, sweepInterval) {
-		t.closeIdle(idleTimeout())
+		t.sweep(timeouts())
+		counts := t.Counts()
+		if counts.Evicted != reported.Evicted || counts.Refused != reported.Refused {
+			reported = counts
+			onPressure(counts)
+		}
 	}
 	return nil
 }
 
-func (t *Table) closeIdle(timeout time.Duration) {
-	if timeout <= 0 {
-		return
-	}
+func (t *Table) sweep(limits Timeouts) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for conn, since := range t.open {
-		if since != busy && t.now()-since > timeout {
+	now := t.now()
+	for conn, e := range t.open {
+		phase, since := e.currentPhase(), e.phaseSince()
+		idleTooLong := limits.Idle > 0 && phase == phaseIdle && now-since > limits.Idle
+		headTooLong := limits.Head > 0 && phase == phaseHead && now-since > limits.Head+headGrace
+		if idleTooLong || headTooLong {
 			t.close(conn)
+			t.counts.Closed++
 		}
 	}
 }
 
-// Full reports whether callers use all connections that they may, and none of them is idle. The
-// host should then not be chosen by further ones.
+// Full reports whether callers use all connections that they may, and none of them can make room.
+// The host should then not be chosen by further ones.
 func (t *Table) Full() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.open) >= t.max
+	return len(t.open) >= t.max && len(t.candidates()) == 0
 }
 
-// Counts returns the number of open connections and of those that the table has closed.
-func (t *Table) Counts() (open, closed int64) {
+// Counts returns the numbers of connections.
+func (t *Table) Counts() Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return int64(len(t.open)), t.closed
+	out := t.counts
+	out.Open = int64(len(t.open))
+	return out
 }
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -83,6 +83,13 @@
 	// that is resumed, and FieldResumeAfter the ID of the last event that its caller has.
 	FieldResumedStream = "resumed_stream"
 	FieldResumeAfter   = "resume_after"
+	// FieldListener is the address of a listener, FieldOpen the number of its connections, and
+	// FieldEvicted and FieldConnectionsRefused how many of them were closed for others or found no
+	// room since the start.
+	FieldListener           = "listener"
+	FieldOpen               = "open"
+	FieldEvicted            = "evicted"
+	FieldConnectionsRefused = "refused"
 )
 
 // Events of a request. EventAttempt is logged for each attempt that failed, and EventSent
@@ -131,6 +138,8 @@
 	// EventAnswerEnded is logged if the answer of a server is ended, because bodies and
 	// answers in memory exceed their limit.
 	EventAnswerEnded = "answer_ended"
+	// EventConnections is logged if a listener has no room for the connections of all callers.
+	EventConnections = "connections"
 	// EventVersion is logged if a software version of servers is admitted or retired.
 	EventVersion = "software_version"
 )
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -208,7 +208,7 @@
 	g.POST("/v1/chat/completions", e.serveCompletion)
 	g.Any("/v1/services/:service", e.serveService)
 	g.Any("/v1/services/:service/*", e.serveService)
-	g.POST("/v1/backend/cache", backend.CacheHandler(e.applyCacheReport))
+	g.POST("/v1/backend/cache", backend.CacheHandler(e.opts.Memory, e.applyCacheReport))
 }
 
 // applyCacheReport passes the cache report of a backend server to the router.
@@ -312,9 +312,8 @@
 	}
 	defer e.removeActive()
 	start := e.opts.Now()
-	heldBody := e.opts.Memory.HoldRequest()
+	heldBody := e.opts.Memory.HoldBody(c.Response(), c.Request())
 	defer heldBody.Release()
-	c.Request().Body = heldBody.CountBody(c.Request().Body)
 	req, refusal := parse(c, e.view.Load())
 	if refusal != nil {
 		return e.respondRefusal(c, refusal)
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -75,11 +75,9 @@
 		return nil, refusal
 	}
 	var fields struct {
-		Model    string `json:"model"`
-		Stream   bool   `json:"stream"`
-		Messages []struct {
-			Content json.RawMessage `json:"content"`
-		} `json:"messages"`
+		Model    string         `json:"model"`
+		Stream   bool           `json:"stream"`
+		Messages promptMessages `json:"messages"`
 	}
 	if err := json.Unmarshal(req.body, &fields); err != nil || fields.Model == "" {
 		return nil, badRequest("body is not a JSON object with a model")
@@ -91,11 +89,11 @@
 	req.key, req.stream = key, fields.Stream
 	req.applyDefaults(v.defaultClasses[key.Model])
 	req.path, req.header = "/v1/chat/completions", http.Header{"Content-Type": {"application/json"}}
-	if len(fields.Messages) > 0 {
+	if fields.Messages.count > 0 {
 		var text string
-		if json.Unmarshal(fields.Messages[0].Content, &text) == nil {
+		if json.Unmarshal(fields.Messages.first, &text) == nil {
 			req.prefix = backend.PrefixHash(fields.Model, text)
-			if len(fields.Messages) > 1 {
+			if fields.Messages.count > 1 {
 				req.promptParts = []string{strconv.FormatUint(req.prefix, 16)}
 			}
 		}
--- a/node/forward/body.go
+++ b/node/forward/body.go
@@ -28,7 +28,7 @@
 	if c.inbound.ContentLength != 0 {
 		_ = controller.SetReadDeadline(time.Now().Add(c.deadline - c.arrivedAt))
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.heldBody.CountBody(c.inbound.Body), limit))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.inbound.Body, limit))
 	var tooLarge *http.MaxBytesError
 	var noMemory *memory.RequestsError
 	switch {
@@ -43,10 +43,32 @@
 		panic(http.ErrAbortHandler)
 	}
 	_ = controller.SetReadDeadline(time.Time{})
-	c.body = body
+	c.body, c.bodyRead = body, true
 	return true
 }
 
+const (
+	// maxSkippedBytes is the size up to which the body of a refused request is read, so that the
+	// connection can be used again, and skipTimeout bounds the time for the rest of any body.
+	maxSkippedBytes = 16 << 10
+	skipTimeout     = time.Second
+)
+
+// skipBody prepares the answer to a request whose body has not been read. The server would
+// otherwise wait for the body before it answers.
+func (c *call) skipBody() {
+	length := c.inbound.ContentLength
+	if c.bodyRead || length == 0 {
+		return
+	}
+	if length < 0 || length > maxSkippedBytes {
+		c.w.Header().Set("Connection", "close")
+	}
+	// The server also reads a part of the body before it closes the connection. Without deadlines,
+	// the caller's own time-out ends that.
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(skipTimeout))
+}
+
 // refuseBody refuses a request whose body was not read completely, and closes its
 // connection.
 func (c *call) refuseBody(status int, retryAfter time.Duration, reason string) bool {
--- a/node/forward/ending.go
+++ b/node/forward/ending.go
@@ -53,10 +53,14 @@
 
 // deliverAnswer passes on a complete, buffered answer.
 func (c *call) deliverAnswer(out attemptResult) {
+	size, parts := out.held.Size(), out.held.Parts()
+	if err := out.held.BeginDelivery(c.stopWriting); err != nil {
+		c.abort(err.Error())
+	}
 	c.copyHeaders(out.answer.Header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(out.held.Size()))
+	c.w.Header().Set("Content-Length", strconv.Itoa(size))
 	c.w.WriteHeader(out.answer.StatusCode)
-	for _, part := range out.held.Parts() {
+	for _, part := range parts {
 		if _, err := c.w.Write(part); err != nil {
 			c.logEvent(decision.EventCallerLeft, decision.Fields{decision.FieldReason: "caller left during the answer"})
 			return
@@ -64,6 +68,13 @@
 	}
 }
 
+// stopWriting ends the delivery of an answer because its caller does not read it and others need
+// the memory.
+func (c *call) stopWriting(error) {
+	// Without deadlines, the caller's own time-out ends the delivery.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Unix(1, 0))
+}
+
 func (c *call) copyHeaders(from http.Header) {
 	h := c.w.Header()
 	for name, values := range endToEndHeaders(from) {
@@ -82,6 +93,7 @@
 	if status == http.StatusUnauthorized {
 		event = decision.EventUnauthorized
 	}
+	c.skipBody()
 	c.logEvent(event, decision.Fields{
 		decision.FieldStatus: status, decision.FieldReason: reason, decision.FieldRetryAfterMS: retryAfter.Milliseconds(),
 	})
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -60,6 +60,9 @@
 	// Memory accounts for the bodies of requests and answers. If it is nil, the Forwarder has
 	// its own with the default limit.
 	Memory *memory.Account
+	// MaxRequests is the number of connections that callers may have. Requests in progress take
+	// a part of them only, so that others still get an answer. Zero means any number.
+	MaxRequests int
 	// AskPermits asks the leader for permits to send requests to servers that name a
 	// limit. If it is nil, the host uses its own share of each limit.
 	AskPermits permits.Ask
@@ -93,6 +96,9 @@
 	rng     *rand.Rand
 	budgets map[string]*retry.Budget
 	demands map[residency.Target]*targetDemand
+	// admitted counts the requests in progress by service, and admittedSum all of them.
+	admitted    map[string]int
+	admittedSum int
 	// rebuilt is closed and replaced when the router has been rebuilt, which wakes the
 	// requests that wait for a server.
 	rebuilt    chan struct{}
@@ -183,7 +189,7 @@
 		router: routing.New(routing.Options{
 			DataCentre: o.DataCentre, RemoteLoadThreshold: remoteLoadThreshold, BreakerFailures: breakerFailures, Notices: notices,
 		}, rand.New(rand.NewPCG(seed, 1))),
-		budgets: map[string]*retry.Budget{}, demands: map[residency.Target]*targetDemand{},
+		budgets: map[string]*retry.Budget{}, demands: map[residency.Target]*targetDemand{}, admitted: map[string]int{},
 		rebuilt: make(chan struct{}), forecaster: newForecaster(),
 		sequences: map[string]uint64{}, reportedEnds: map[string]processEnd{}, begun: evidence.NewBegun(), begunRequests: evidence.NewBegun(), unrecorded: map[string]int{},
 	}
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -45,7 +45,9 @@
 	fingerprint string
 	// parts are what the request shares with others and can crash servers.
 	parts []string
-	body  []byte
+	// body is the complete body, once bodyRead is set.
+	body     []byte
+	bodyRead bool
 	// heldBody counts the body until the request ends.
 	heldBody *memory.Holding
 
@@ -94,7 +96,8 @@
 	if f.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{forwarder: f, w: w, inbound: r, arrivedAt: f.opts.Now(), serial: f.requestSerial.Add(1), heldBody: f.opts.Memory.HoldRequest()}
+	c := &call{forwarder: f, w: w, inbound: r, arrivedAt: f.opts.Now(), serial: f.requestSerial.Add(1)}
+	c.heldBody = f.opts.Memory.HoldBody(w, r)
 	defer c.heldBody.Release()
 	defer c.logPanic()
 	if !c.admit() {
@@ -103,9 +106,15 @@
 	var cancel context.CancelFunc
 	c.ctx, cancel = context.WithTimeout(r.Context(), c.deadline-c.arrivedAt)
 	defer cancel()
-	if c.findOrigin() && c.chooseTarget() {
-		c.run()
+	if !c.findOrigin() || !c.chooseTarget() {
+		return
+	}
+	if !f.admitRequest(c.key.Service) {
+		c.refuse(http.StatusServiceUnavailable, unavailableRetryAfter, "host has too many requests of the service in progress")
+		return
 	}
+	defer f.endRequest(c.key.Service)
+	c.run()
 }
 
 // admit reads the request and selects its route. It returns false if it has refused the
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -59,6 +59,7 @@
 
 	callerListener, peerListener net.Listener
 	// connections holds those of callers.
+	memory      *memory.Account
 	connections *connections.Table
 
 	replica      *replica.Replica
@@ -96,7 +97,8 @@
 	if err != nil {
 		return nil, err
 	}
-	h.connections = connections.New(h.now, descriptors)
+	h.memory = memory.New(memory.LimitFor(s.MemoryMiB<<20), h.recordEndedAnswer)
+	h.connections = connections.New(h.now, connectionLimit(s, descriptors, callerShare), h.memory)
 	h.sender = state.HostProcess{Host: s.Host, Incarnation: uint64(time.Now().UnixNano())}
 	if err := h.listen(); err != nil {
 		return nil, err
@@ -121,7 +123,7 @@
 	h.entry = entry.New(entry.Options{
 		Replica: h.replica, Client: h.backend, Log: h.leaderClient, Servers: h.members.Servers, Now: h.now,
 		Self: h.sender, DataCentre: s.DataCentre, PredictReadyAt: h.predictReady, Ready: h.ready.Load, OnRequestEnd: h.burn.observe,
-		Memory:     memory.New(memory.LimitFor(s.MemoryMiB<<20), h.recordEndedAnswer),
+		Memory:     h.memory,
 		AskPermits: askPermits(h.leaderClient, permitHandler(h.permitServer), h.sender.Incarnation),
 		HostCount:  func() int { return max(1, len(h.members.hosts())) }, OnNotice: h.recordNotice,
 	})
@@ -136,7 +138,7 @@
 // listen opens the listeners for callers and for other hosts.
 func (h *Host) listen() error {
 	var err error
-	if h.callerListener, err = net.Listen("tcp", h.settings.CallerAddress); err != nil {
+	if h.callerListener, err = listenHTTP(h.settings.CallerAddress, h.logger); err != nil {
 		return fmt.Errorf("host: listen for callers: %w", err)
 	}
 	if h.peerListener, err = net.Listen("tcp", h.settings.PeerAddress); err != nil {
@@ -306,13 +308,15 @@
 // serveCallers adds the server for callers.
 func (h *Host) serveCallers(g *runGroup) {
 	server := &http.Server{
-		Handler: h.callerHandler(), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, ConnState: h.connections.Track,
+		Handler: connections.BoundBody(h.callerHandler(), callerBodyTimeout), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHTTPHeaderBytes,
+		ConnState: h.connections.Track,
 	}
 	g.add(func(ctx context.Context) error {
-		return h.connections.Run(ctx, func() time.Duration { return httpIdleTimeout })
+		timeouts := func() connections.Timeouts { return serviceTimeouts }
+		return h.connections.Run(ctx, timeouts, recordPressure(h.decisions, h.callerListener))
 	})
 	serve := func() error {
-		if err := server.Serve(h.callerListener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(h.connections.Listen(h.callerListener)); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("host: serve callers: %w", err)
 		}
 		return nil
--- a/node/host/idle_test.go
+++ b/node/host/idle_test.go
@@ -25,7 +25,7 @@
 	if err := control.Publish(t.Context(), table, []byte(`{"two":2}`)); err != nil {
 		t.Fatal(err)
 	}
-	await(t, "the table is in force", func() bool { return callerHost.idleTimeout() == time.Second })
+	await(t, "the table is in force", func() bool { return callerHost.callerTimeouts().Idle == time.Second })
 	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
 	if err != nil {
 		t.Fatal(err)
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -93,8 +93,10 @@
 	permitServer *permits.Server
 	// originServer is nil without the control role.
 	originServer *origins.Server
-	// connections holds those of callers.
+	// memory accounts for requests and answers, and connections holds those of callers.
+	memory        *memory.Account
 	connections   *connections.Table
+	descriptors   int
 	demandChanged chan struct{}
 	// accountsCurrentAt is the last time, on the clock now, at which this host is known to have
 	// applied all that the leader had.
@@ -112,6 +114,7 @@
 type boundListener struct {
 	listener net.Listener
 	handler  http.Handler
+	table    *connections.Table
 	// callers is true for the listener for callers, which is served until their
 	// requests have ended.
 	callers bool
@@ -126,11 +129,12 @@
 		peers:    peer.NewClient(nil),
 		holdings: forward.NewHoldings(), demandChanged: make(chan struct{}, 1), leaveRequested: make(chan struct{}),
 	}
-	descriptors, err := descriptorLimit(o.Settings)
-	if err != nil {
+	var err error
+	if h.descriptors, err = descriptorLimit(o.Settings); err != nil {
 		return nil, err
 	}
-	h.connections = connections.New(h.now, descriptors)
+	h.memory = memory.New(memory.LimitFor(o.Settings.MemoryMiB<<20), nil)
+	h.connections = connections.New(h.now, connectionLimit(o.Settings, h.descriptors, callerShare), h.memory)
 	h.members = newMembers(o.Settings, h.hostRecord(), h.peers, h.now)
 	h.members.offered = h.offersService
 	if o.Settings.Control {
@@ -157,7 +161,7 @@
 		Protocol: o.Protocol, Replica: h.replica, Log: h.leaderClient, DataCentre: o.Settings.DataCentre, Self: h.sender,
 		Servers: h.members.Servers, ServersChanged: h.members.serversChanged, Holdings: h.holdings,
 		HostCount: h.callerHostCount, Now: h.now, Ready: h.Ready, RetryLimit: o.RetryLimit, DemandChanged: h.signalDemandChange, Decisions: h.decisions,
-		Memory:     memory.New(memory.LimitFor(o.Settings.MemoryMiB<<20), nil),
+		Memory: h.memory, MaxRequests: h.connections.Max(),
 		OnLeaving:  h.members.recordLeaving,
 		AskPermits: askPermits(h.leaderClient, permitHandler(h.permitServer), h.sender.Incarnation),
 		AskOrigins: askOrigins(h.leaderClient, originHandler(h.originServer)),
@@ -193,7 +197,7 @@
 		return fmt.Errorf("host: listen for other hosts: %w", err)
 	}
 	if h.opts.CallerListenAddress != "" {
-		if err := h.listenAt(h.opts.CallerListenAddress, h.requestForwarder, true); err != nil {
+		if err := h.listenAt(h.opts.CallerListenAddress, h.requestForwarder, h.connections); err != nil {
 			return err
 		}
 	}
@@ -201,23 +205,31 @@
 		return err
 	}
 	for address, handler := range h.opts.Handlers {
-		if err := h.listenAt(address, handler(h), false); err != nil {
+		if err := h.listenAt(address, handler(h), h.newTable(serviceShare)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// newTable returns a table for the connections of one more listener.
+func (h *RoutedHost) newTable(share float64) *connections.Table {
+	return connections.New(h.now, connectionLimit(h.opts.Settings, h.descriptors, share), h.memory)
+}
+
 // listenAt opens a listener at address for handler.
-func (h *RoutedHost) listenAt(address string, handler http.Handler, callers bool) error {
-	l, err := net.Listen("tcp", address)
+func (h *RoutedHost) listenAt(address string, handler http.Handler, table *connections.Table) error {
+	l, err := listenHTTP(address, h.logger)
 	if err != nil {
 		return fmt.Errorf("host: listen at %s: %w", address, err)
 	}
-	h.listeners = append(h.listeners, boundListener{l, handler, callers})
+	h.listeners = append(h.listeners, boundListener{l, handler, table, table == h.connections})
 	return nil
 }
 
+// Memory returns the account of the requests and answers that this host holds.
+func (h *RoutedHost) Memory() *memory.Account { return h.memory }
+
 // callerHostCount returns the number of hosts that may serve callers, but at
 // least 1. It includes silent hosts, since each of them may use its share of the
 // RetryLimit.
@@ -246,7 +258,6 @@
 	g.add(h.decisions.Run)
 	g.add(h.members.run)
 	g.add(h.becomeReady)
-	g.add(func(ctx context.Context) error { return h.connections.Run(ctx, h.idleTimeout) })
 	if h.group != nil {
 		g.add(h.group.Run)
 		g.add(h.placer.run)
@@ -352,41 +363,21 @@
 	g.Add(func() error { return server.Serve(h.peerListener) }, func(error) { server.Stop() })
 }
 
-// Limits on the connections of all HTTP listeners. They are above the highest
-// values of the published limits, which the request forwarder enforces. The servers
-// do not log connection errors, such as a caller that closes its connection, since
-// these are not decisions.
-const (
-	httpHeaderTimeout  = 10 * time.Second
-	httpIdleTimeout    = 2 * time.Minute
-	maxHTTPHeaderBytes = 64 << 10
-)
-
-// descriptorLimit returns the number of descriptors that the process may use.
-func descriptorLimit(s settings.Settings) (int, error) {
-	if s.MaxDescriptors > 0 {
-		return s.MaxDescriptors, nil
-	}
-	n, err := connections.ProcessDescriptors()
-	if err != nil {
-		return 0, fmt.Errorf("host: read the limit on descriptors: %w", err)
+// callerTimeouts returns how long callers may take: the published limits where there are some, and
+// at most those of the listeners.
+func (h *RoutedHost) callerTimeouts() connections.Timeouts {
+	published := h.table().Limits
+	return connections.Timeouts{
+		Idle: limitedTimeout(published.IdleTimeout, httpIdleTimeout), Head: limitedTimeout(published.HeaderTimeout, httpHeaderTimeout),
 	}
-	return n, nil
 }
 
-// idleTimeout returns how long a caller may leave a connection idle: the published limit, or
-// httpIdleTimeout if there is none.
-func (h *RoutedHost) idleTimeout() time.Duration {
-	timeout := time.Duration(0)
-	h.replica.View(func(s *state.State) {
-		if s.Published != nil {
-			timeout = s.Published.Table.Limits.IdleTimeout
-		}
-	})
-	if timeout <= 0 || timeout > httpIdleTimeout {
-		return httpIdleTimeout
+// limitedTimeout returns the published timeout, or most if there is none or it is longer.
+func limitedTimeout(published, most time.Duration) time.Duration {
+	if published <= 0 {
+		return most
 	}
-	return timeout
+	return min(published, most)
 }
 
 // serveListeners adds a server for each listener, and returns the listeners for
@@ -396,14 +387,18 @@
 	for _, b := range h.listeners {
 		server := &http.Server{
 			Handler: b.handler, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHTTPHeaderBytes,
-			ErrorLog: stdlog.New(io.Discard, "", 0),
+			ErrorLog: stdlog.New(io.Discard, "", 0), ConnState: b.table.Track,
 		}
+		timeouts := func() connections.Timeouts { return serviceTimeouts }
 		if b.callers {
 			callers = append(callers, b.listener)
-			server.ConnState = h.connections.Track
+			timeouts = h.callerTimeouts
+		} else {
+			server.ReadTimeout = serviceReadTimeout
 		}
+		g.add(func(ctx context.Context) error { return b.table.Run(ctx, timeouts, h.recordPressure(b.listener)) })
 		g.Add(func() error {
-			err := server.Serve(b.listener)
+			err := server.Serve(b.table.Listen(b.listener))
 			closedToLeave := h.leaving.Load() && errors.Is(err, net.ErrClosed)
 			if !closedToLeave && !errors.Is(err, http.ErrServerClosed) {
 				return fmt.Errorf("host: serve %s: %w", b.listener.Addr(), err)
--- a/node/host/routed_operator.go
+++ b/node/host/routed_operator.go
@@ -34,7 +34,7 @@
 	if err != nil || !net.ParseIP(ip).IsLoopback() {
 		return &OperatorAddressError{address}
 	}
-	if err := h.listenAt(address, h.operatorHandler(), false); err != nil {
+	if err := h.listenAt(address, h.operatorHandler(), h.newTable(operatorShare)); err != nil {
 		h.logger.WithError(err).Warn("cannot serve operators at the local address; callers are served without it")
 	}
 	return nil
@@ -80,16 +80,16 @@
 		metric.WithInt64Callback(h.observeDecisions)); err != nil {
 		return &telemetry.Error{Part: events, Err: err}
 	}
-	if err := createInstruments(h.metrics.Meter(), h.counters(), slices.Concat(h.gauges(), h.accountGauges(), controlGauges(h.group))); err != nil {
+	if err := createInstruments(h.metrics.Meter(), h.counters(), slices.Concat(h.gauges(), h.accountGauges(), connectionGauges(h.connections, h.memory), controlGauges(h.group))); err != nil {
 		return err
 	}
 	return h.createOriginMetrics()
 }
 
 func (h *RoutedHost) counters() []instrument {
-	return []instrument{
-		{"pollenwheel.follow.ended", "{stream}", "Streams from a control host that ended.", h.follower.EndedStreams},
-	}
+	return append(connectionCounters(h.connections), instrument{
+		"pollenwheel.follow.ended", "{stream}", "Streams from a control host that ended.", h.follower.EndedStreams,
+	})
 }
 
 func (h *RoutedHost) gauges() []instrument {
--- a/node/host/status.go
+++ b/node/host/status.go
@@ -38,7 +38,8 @@
 	if h.metrics, h.adminMetrics, err = newHostMetrics(h.logger, noticeReporter{h.entry, h.permitServer}, h.replica); err != nil {
 		return err
 	}
-	return createInstruments(h.metrics.Meter(), h.counters(), append(h.gauges(), controlGauges(h.group)...))
+	return createInstruments(h.metrics.Meter(), append(h.counters(), connectionCounters(h.connections)...),
+		slices.Concat(h.gauges(), connectionGauges(h.connections, h.memory), controlGauges(h.group)))
 }
 
 func (h *Host) counters() []instrument {
--- a/node/host/web.go
+++ b/node/host/web.go
@@ -39,7 +39,7 @@
 	h.entry.RegisterRoutes(web)
 	h.administration().RegisterRoutes(web)
 	web.GET("/v1/addresses", h.addresses)
-	web.POST("/v1/backend/announce", backend.AnnounceHandler(h.members.announce, h.announcementAnswer))
+	web.POST("/v1/backend/announce", backend.AnnounceHandler(h.memory, h.members.announce, h.announcementAnswer))
 	web.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	web.GET("/readyz", h.readiness)
 	web.GET("/metrics", echo.WrapHandler(h.metrics.Handler()))
--- a/node/memory/account.go
+++ b/node/memory/account.go
@@ -7,7 +7,10 @@
 // frees nothing that is still in use.
 package memory
 
-import "sync"
+import (
+	"errors"
+	"sync"
+)
 
 const (
 	// Share is the fraction of a process's memory limit that its account may hold. Garbage
@@ -24,6 +27,10 @@
 	// hold more than the part floodDivisor of the limit, because they are ended for others
 	// otherwise, such as complete answers to slow callers.
 	reliefDivisor, floodDivisor = 16, 2
+	// deliveryDivisor is the part of the limit that complete answers may hold while they are
+	// written to callers, once the sum exceeds the limit. Above it, the one that is being written
+	// for longest ends, whose caller reads slowly or not at all.
+	deliveryDivisor = 4
 	// endlessWeight is the factor by which the bytes of a server count, when the answer to be
 	// ended is chosen, from an answer that was ended until one that is complete. Without it, a
 	// large answer of a sound server would be ended before several small ones without end.
@@ -48,11 +55,15 @@
 	onEnded func(*EndedError)
 
 	mu sync.Mutex
-	// held is the sum of all holdings, requests that of the bodies of requests, and
-	// unfinished that of the answers that can be ended.
-	held, requests, unfinished int64
-	servers                    map[string]*server
-	serial                     uint64
+	// held is the sum of all holdings, requests that of requests, unfinished that of the answers
+	// that can be ended, and delivered that of the answers that are written to callers.
+	held, requests, unfinished, delivered int64
+	servers                               map[string]*server
+	// incoming holds the requests that have not arrived completely, and deliveries the answers
+	// that are written to callers, in the order in which that began.
+	incoming   map[*Holding]struct{}
+	deliveries []*Holding
+	serial     uint64
 }
 
 // server holds the unfinished answers of one backend server.
@@ -76,7 +87,7 @@
 // New returns an account with a limit in bytes. onEnded is called for each answer that the
 // account ends, and must not block; it may be nil.
 func New(limit int64, onEnded func(*EndedError)) *Account {
-	return &Account{limit: limit, onEnded: onEnded, servers: map[string]*server{}}
+	return &Account{limit: limit, onEnded: onEnded, servers: map[string]*server{}, incoming: map[*Holding]struct{}{}}
 }
 
 // Held returns the number of bytes held.
@@ -86,9 +97,21 @@
 	return a.held
 }
 
-// HoldRequest returns a holding for the body of a caller's request.
+// HoldRequest returns a holding for a request that the account never ends.
 func (a *Account) HoldRequest() *Holding { return &Holding{account: a, request: true} }
 
+// HoldIncoming returns a holding for a request while it arrives. Until Finish is called, the
+// account may end it in favour of smaller ones: it then drops its bytes and calls interrupt, which
+// must not block, with a *RequestsError.
+func (a *Account) HoldIncoming(interrupt func(cause error)) *Holding {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.serial++
+	h := &Holding{account: a, request: true, interrupt: interrupt, serial: a.serial}
+	a.incoming[h] = struct{}{}
+	return h
+}
+
 // HoldAnswer returns a holding for an unfinished answer of a backend server. If the account
 // ends the answer, it drops its parts and calls interrupt, which must not block, with an
 // *EndedError; interrupt may be nil.
@@ -156,7 +179,7 @@
 	if a.held <= a.limit {
 		return nil
 	}
-	var ended []*Holding
+	ended := a.endDeliveries()
 	relieved := func() bool {
 		return a.held <= a.limit-a.limit/reliefDivisor || a.held <= a.limit && a.unfinished <= a.limit/floodDivisor
 	}
@@ -205,8 +228,9 @@
 		if h.interrupt != nil {
 			h.interrupt(h.err)
 		}
-		if a.onEnded != nil && !h.retained {
-			a.onEnded(h.err)
+		var answer *EndedError
+		if a.onEnded != nil && !h.retained && errors.As(h.err, &answer) {
+			a.onEnded(answer)
 		}
 	}
 }
--- a/node/memory/account_test.go
+++ b/node/memory/account_test.go
@@ -113,6 +113,72 @@
 	}
 }
 
+// TestLargestIncomingRequestEnds guards against callers that begin large requests and never end
+// them, so that no other request finds room.
+func TestLargestIncomingRequestEnds(t *testing.T) {
+	a := New(2000, nil)
+	causes := map[string]error{}
+	incoming := func(name string, n int) *Holding {
+		h := a.HoldIncoming(func(cause error) { causes[name] = cause })
+		if err := h.Grow(n); err != nil {
+			causes[name] = err
+		}
+		return h
+	}
+	complete := incoming("complete", 300)
+	if err := complete.Finish(); err != nil {
+		t.Fatal(err)
+	}
+	incoming("large", 250)
+	incoming("larger", 300)
+	small := incoming("small", 100)
+	var refused *RequestsError
+	if !errors.As(causes["larger"], &refused) || causes["large"] != nil || causes["small"] != nil {
+		t.Errorf("causes %v, want the largest incomplete request to be ended", causes)
+	}
+	incoming("huge", 600)
+	if !errors.As(causes["huge"], &refused) || causes["large"] != nil {
+		t.Errorf("causes %v, want the request that is larger than all others to be refused", causes)
+	}
+	if err := small.Grow(20); err != nil {
+		t.Errorf("a small request finds no room: %v", err)
+	}
+	if n := a.Held(); n != 300+250+120 {
+		t.Errorf("%d bytes held, want 670", n)
+	}
+}
+
+// TestUnreadDeliveriesEnd guards against callers that do not read their answers, whose memory is
+// taken from the answers to others.
+func TestUnreadDeliveriesEnd(t *testing.T) {
+	a := New(1000, nil)
+	deliver := func(n int) *answer {
+		h := hold(a, "server")
+		grow(t, h.Holding, n)
+		if err := errors.Join(h.Finish(), h.BeginDelivery(func(cause error) { h.cause = cause })); err != nil {
+			t.Fatal(err)
+		}
+		return h
+	}
+	oldest, older := deliver(400), deliver(400)
+	other := hold(a, "other")
+	grow(t, other.Holding, 100)
+	if oldest.cause != nil || older.cause != nil {
+		t.Fatal("a delivery is ended below the limit")
+	}
+	grow(t, other.Holding, 150)
+	var ended *EndedError
+	if !errors.As(oldest.cause, &ended) || older.cause != nil || other.cause != nil {
+		t.Errorf("causes %v, %v and %v, want the oldest delivery to be ended", oldest.cause, older.cause, other.cause)
+	}
+	oldest.Release()
+	older.Release()
+	other.Release()
+	if n := a.Held(); n != 0 {
+		t.Errorf("%d bytes held after the last release, want 0", n)
+	}
+}
+
 // TestReadAll guards against bodies that are not the bytes of the reader, that are held
 // beyond their limit, or that count after their end.
 func TestReadAll(t *testing.T) {
--- a/node/memory/holding.go
+++ b/node/memory/holding.go
@@ -52,8 +52,10 @@
 	// counts, which includes the capacity of parts.
 	bytes    int64
 	parts    [][]byte
-	err      *EndedError
+	err      error
 	released bool
+	// delivering is set while a complete answer is written to its caller.
+	delivering bool
 }
 
 // Grow counts n more bytes. For an answer the error is an *EndedError if the account has
@@ -74,23 +76,21 @@
 		return nil, h.err
 	case h.released:
 		return nil, errReleased
-	case h.request && !a.hasRoom(n):
-		return nil, &RequestsError{Limit: a.limit / requestDivisor}
+	}
+	var ended []*Holding
+	if h.request && !a.hasRoom(h, n) {
+		if ended = a.endIncoming(h, n); !a.hasRoom(h, n) {
+			return ended, &RequestsError{Limit: a.limit / requestDivisor}
+		}
 	}
 	h.add(n)
-	ended := a.relieve()
+	ended = append(ended, a.relieve()...)
 	if h.err != nil {
 		return ended, h.err
 	}
 	return ended, nil
 }
 
-// hasRoom reports whether n more bytes of requests can be held, after unfinished answers
-// are ended if necessary. a.mu must be held.
-func (a *Account) hasRoom(n int64) bool {
-	return a.requests+n <= a.limit/requestDivisor && a.held-a.unfinished+n <= a.limit
-}
-
 // add changes the counts. The account's lock must be held.
 func (h *Holding) add(n int64) {
 	a := h.account
@@ -100,6 +100,9 @@
 		a.requests += n
 		return
 	}
+	if h.delivering {
+		a.delivered += n
+	}
 	if _, ok := h.server.answers[h]; ok {
 		h.server.bytes += n
 		a.unfinished += n
@@ -115,14 +118,12 @@
 	}
 }
 
-// Err returns an *EndedError if the account has ended the answer, and nil otherwise.
+// Err returns the error with which the account has ended the request or the answer: a
+// *RequestsError or an *EndedError. It returns nil otherwise.
 func (h *Holding) Err() error {
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	if h.err != nil {
-		return h.err
-	}
-	return nil
+	return h.err
 }
 
 // Pin prevents the account from ending the answer while its bytes are in use, for example
@@ -135,7 +136,9 @@
 	if h.err != nil {
 		return h.err
 	}
-	if !h.request && !h.released {
+	if h.request {
+		delete(a.incoming, h)
+	} else if !h.released {
 		a.removeAnswer(h)
 	}
 	return nil
@@ -151,8 +154,8 @@
 	}
 }
 
-// Finish records that the answer is complete, which is Pin for good. The error is an
-// *EndedError if the account has already ended the answer.
+// Finish records that the request or the answer is complete, which is Pin for good. The error is
+// that of Err if the account has already ended it.
 func (h *Holding) Finish() error {
 	if err := h.Pin(); err != nil {
 		return err
@@ -200,12 +203,14 @@
 		return
 	}
 	h.released = true
+	delete(a.incoming, h)
 	if h.err != nil {
 		return
 	}
 	if h.server != nil {
 		a.removeAnswer(h)
 	}
+	a.removeDelivery(h)
 	h.add(-h.bytes)
 	h.parts = nil
 }
@@ -340,25 +345,3 @@
 	c.held.Unpin()
 	c.counted = c.buffer
 }
-
-// CountBody returns a reader of the body of a request that counts its bytes while they
-// arrive, so that many callers that send at the same time cannot exceed the limit. Its errors
-// are those of body and of Grow.
-func (h *Holding) CountBody(body io.ReadCloser) io.ReadCloser {
-	return &countedBody{ReadCloser: body, held: h}
-}
-
-type countedBody struct {
-	io.ReadCloser
-	held *Holding
-}
-
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if n > 0 {
-		if heldErr := b.held.Grow(n); heldErr != nil {
-			return n, heldErr
-		}
-	}
-	return n, err
-}
