--- a/cmd/pollenwheel/crowd_test.go
+++ b/cmd/pollenwheel/crowd_test.go
@@ -51,17 +51,19 @@
 	name, method, path string
 	// port is counted from the first one of a rig.
 	port int
+	// fields are further header fields.
+	fields []string
 }
 
 var (
-	doorRoute     = crowdDoor{"a route", "POST", "/plain/x", rigFrontPort}
-	doorHeld      = crowdDoor{"a route whose server holds requests", "POST", "/held/x", rigFrontPort}
-	doorLarge     = crowdDoor{"a route with large answers", "POST", "/large/x", rigFrontPort}
-	doorNoRoute   = crowdDoor{"a path without a route", "POST", "/nowhere/x", rigFrontPort}
-	doorReady     = crowdDoor{"the readiness check", "GET", "/v1/ready", rigReadyPort}
-	doorAnnounce  = crowdDoor{"the announcements", "PUT", platformtest.AnnouncementPath("i-1"), rigControlPort}
-	doorConfig    = crowdDoor{"the configuration", "PUT", "/v1/config", rigControlPort}
-	doorDirectory = crowdDoor{"the directory", "GET", "/v1/resolve?Name=rig.example", rigDirectoryPort}
+	doorRoute     = crowdDoor{"a route", "POST", "/plain/x", rigFrontPort, nil}
+	doorHeld      = crowdDoor{"a route whose server holds requests", "POST", "/held/x", rigFrontPort, nil}
+	doorLarge     = crowdDoor{"a route with large answers", "POST", "/large/x", rigFrontPort, nil}
+	doorNoRoute   = crowdDoor{"a path without a route", "POST", "/nowhere/x", rigFrontPort, nil}
+	doorReady     = crowdDoor{"the readiness check", "GET", "/v1/ready", rigReadyPort, nil}
+	doorAnnounce  = crowdDoor{"the announcements", "PUT", platformtest.AnnouncementPath("i-1"), rigControlPort, nil}
+	doorConfig    = crowdDoor{"the configuration", "PUT", "/v1/config", rigControlPort, nil}
+	doorDirectory = crowdDoor{"the directory", "GET", "/v1/resolve?Name=rig.example", rigDirectoryPort, nil}
 )
 
 // control reports whether hosts with the control role serve the door.
@@ -71,7 +73,7 @@
 func (d crowdDoor) head(id string, fields ...string) string {
 	lines := append([]string{
 		d.method + " " + d.path + " HTTP/1.1", "Host: " + rigCallerHost, "Request-Id: " + id, "Deadline-Ms: 15000",
-	}, fields...)
+	}, append(d.fields, fields...)...)
 	return strings.Join(lines, "\r\n") + "\r\n"
 }
 
@@ -275,6 +277,30 @@
 	}
 }
 
+// check plays the crowd in front of a process, and an ordinary caller while the crowd stays and
+// after it, and checks what the process has used at most.
+func (r *crowdRun) check(pid, memoryMB int, ordinary func()) {
+	var usage crowdUsage
+	var watching sync.WaitGroup
+	ended := make(chan struct{})
+	watching.Go(func() { usage.watch(pid, ended) })
+	ctx, leave := context.WithCancel(r.t.Context())
+	r.play(ctx)
+	ordinary()
+	leave()
+	r.running.Wait()
+	ordinary()
+	close(ended)
+	watching.Wait()
+	r.t.Logf("at most %d descriptors and %d MB", usage.descriptors, usage.memoryMB)
+	if most := crowdMaxFds - crowdReservedFds; usage.descriptors > most {
+		r.t.Errorf("%d descriptors, want at most %d", usage.descriptors, most)
+	}
+	if usage.memoryMB > memoryMB {
+		r.t.Errorf("%d MB of memory, want at most %d", usage.memoryMB, memoryMB)
+	}
+}
+
 // crowdCluster is a rig with one entry host.
 type crowdCluster struct {
 	*rigCluster
@@ -363,7 +389,7 @@
 		doors = []crowdDoor{doorReady, doorRoute}
 	}
 	if door.port == rigControlPort {
-		doors = []crowdDoor{{"the configuration", "GET", "/v1/config", rigControlPort}}
+		doors = []crowdDoor{{"the configuration", "GET", "/v1/config", rigControlPort, nil}}
 	}
 	for i, d := range doors {
 		status := 0
@@ -456,29 +482,11 @@
 	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
 		t.Fatal(err)
 	}
-	var usage crowdUsage
-	var watching sync.WaitGroup
-	ended := make(chan struct{})
-	watching.Go(func() { usage.watch(pid, ended) })
-	ctx, leave := context.WithCancel(t.Context())
 	r := &crowdRun{t: t, address: c.address(h, door.port), door: door, crowd: one, refused: map[string]int{}}
-	r.play(ctx)
-	c.awaitOrdinary(t.Context(), door, h)
-	leave()
-	r.running.Wait()
-	c.awaitOrdinary(t.Context(), door, h)
-	close(ended)
-	watching.Wait()
-	t.Logf("at most %d descriptors and %d MB", usage.descriptors, usage.memoryMB)
+	r.check(pid, memoryMB, func() { c.awaitOrdinary(t.Context(), door, h) })
 	if n := h.incarnation(); n != 1 {
 		t.Errorf("%s was started %d times, want once", h.name(), n)
 	}
-	if most := crowdMaxFds - crowdReservedFds; usage.descriptors > most {
-		t.Errorf("%d descriptors, want at most %d", usage.descriptors, most)
-	}
-	if usage.memoryMB > memoryMB {
-		t.Errorf("%d MB of memory, want at most %d", usage.memoryMB, memoryMB)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, status := range r.refused {
--- a/cmd/pollenwheel/deployment_test.go
+++ b/cmd/pollenwheel/deployment_test.go
@@ -103,6 +103,11 @@
 // newDeployment starts hosts in three data centres. The first controlHosts hosts have
 // the control role.
 func newDeployment(t *testing.T, hosts int) *deployment {
+	return newLimitedDeployment(t, hosts, func(*settings.Settings) {})
+}
+
+// newLimitedDeployment starts hosts like newDeployment, whose settings limit changes.
+func newLimitedDeployment(t *testing.T, hosts int, limit func(*settings.Settings)) *deployment {
 	d := &deployment{t: t, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	binary, folder := buildBinary(t), t.TempDir()
 	addresses := freeAddresses(t, 2*hosts)
@@ -129,6 +134,7 @@
 		if p.settings.Control {
 			p.settings.Voters = voters
 		}
+		limit(&p.settings)
 		if err := os.WriteFile(p.settingsFile, settings.Format(p.settings), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/pollenwheel/platform.go
+++ b/cmd/pollenwheel/platform.go
@@ -40,7 +40,7 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMb<<20)))
+	limitMemory(s.Limits.MemoryMb)
 	logger := logrus.New()
 	logger.SetOutput(os.Stdout)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
@@ -53,6 +53,14 @@
 	return h.Run(ctx)
 }
 
+// limitMemory makes garbage collections more frequent when the process uses much of its memory
+// limit in MiB. Zero means that there is none.
+func limitMemory(mib int64) {
+	if mib > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(mib<<20)))
+	}
+}
+
 // reloadSettings applies changes of the settings file. Only the seeds can change
 // while the process runs.
 func reloadSettings(ctx context.Context, path string, s platform.Settings, h *host.RoutedHost, logger *logrus.Entry, hangups <-chan os.Signal) {
--- a/cmd/pollenwheel/run.go
+++ b/cmd/pollenwheel/run.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(s.MemoryMiB)
 	h, err := host.New(s, logger)
 	if err != nil {
 		return err
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -89,6 +89,10 @@
 // maxMemoryMiB is the highest memory limit that a file can set, 16 TiB.
 const maxMemoryMiB = 16 << 20
 
+// minDescriptors and maxDescriptors bound the limit on descriptors that a file can set. A host
+// needs some dozens for backend servers and other hosts.
+const minDescriptors, maxDescriptors = 100, 1 << 30
+
 // Error reports a setting that is not acceptable, and the allowed values.
 type Error = inifile.Error
 
@@ -163,6 +167,7 @@
 		inifile.Address("advertised_peer_address", &fs.AdvertisedPeerAddress),
 		inifile.Duration("address_keep", &fs.AddressListTTL, time.Second, time.Hour),
 		inifile.Int("memory_mib", &fs.MemoryMiB, 1, maxMemoryMiB),
+		inifile.Int("max_descriptors", &fs.MaxDescriptors, minDescriptors, maxDescriptors),
 	}
 }
 
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -16,6 +16,7 @@
 peer_address = 127.1.1.1:7200
 address_keep = 15s
 memory_mib = 284
+max_descriptors = 4096
 
 [peers]
 waco-1 = 127.1.1.1:7200
@@ -44,7 +45,7 @@
 		AddressListTTL: 15 * time.Second, Peers: []Peer{{"temple-1", "127.1.2.1:7200"}}, Seeds: []string{"127.1.2.1:7200"},
 		Control: true, DataFolder: "data/waco-1",
 		Voters:             []Peer{{"waco-1", "127.1.1.1:7200"}, {"temple-1", "127.1.2.1:7200"}},
-		BootstrapKeySHA256: strings.Repeat("0", 64), LogLevel: LogDebug, MemoryMiB: 284,
+		BootstrapKeySHA256: strings.Repeat("0", 64), LogLevel: LogDebug, MemoryMiB: 284, MaxDescriptors: 4096,
 	}
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("settings %+v\nwant %+v", got, want)
@@ -63,6 +64,7 @@
 		"unknown level":                      {"debug", "loud", "log", "level"},
 		"invalid switch":                     {"enabled = true", "enabled = yes", "control", "enabled"},
 		"time span without unit":             {"15s", "15", "host", "address_keep"},
+		"too few descriptors":                {"4096", "99", "host", "max_descriptors"},
 		"memory limit without a number":      {"284", "all", "host", "memory_mib"},
 		"name missing":                       {"name = waco-1\n", "", "host", "name"},
 		"host name instead of IP address":    {"caller_address = 127.1.1.1", "caller_address = localhost", "host", "caller_address"},
