--- a/cmd/pollenwheel/crowd_test.go
+++ b/cmd/pollenwheel/crowd_test.go
@@ -63,6 +63,7 @@
 	doorReady     = crowdDoor{"the readiness check", "GET", "/v1/ready", rigReadyPort, nil}
 	doorAnnounce  = crowdDoor{"the announcements", "PUT", platformtest.AnnouncementPath("i-1"), rigControlPort, nil}
 	doorConfig    = crowdDoor{"the configuration", "PUT", "/v1/config", rigControlPort, nil}
+	doorPeers     = crowdDoor{"the port for other hosts", "PRI", "*", rigPeerPort, nil}
 	doorDirectory = crowdDoor{"the directory", "GET", "/v1/resolve?Name=rig.example", rigDirectoryPort, nil}
 )
 
@@ -152,7 +153,7 @@
 			ok = m.send(chunk(1000))
 		}
 	}},
-	{"bodies without end", 50, allDoors, readsAnswers, func(m *crowdMember) {
+	{"bodies without end", 50, append(allDoors, doorPeers), readsAnswers, func(m *crowdMember) {
 		ok := m.send([]byte(m.door.head(m.id, chunkedField) + "\r\n"))
 		for sent := 0; ok && sent < 32*crowdBodyBytes; sent += 1 << 15 {
 			ok = m.send(chunk(1 << 15))
@@ -193,8 +194,8 @@
 		m.send([]byte(m.door.head(m.id, lengthField(crowdBodyBytes)) + "\r\n"))
 		m.drip([]byte("x"))
 	}},
-	{"heads that stop half-way", 600, allDoors, readsAnswers, func(m *crowdMember) { m.send([]byte(m.door.head(m.id)[:30])) }},
-	{"connections without a byte", 600, allDoors, readsAnswers, func(*crowdMember) {}},
+	{"heads that stop half-way", 600, append(allDoors, doorPeers), readsAnswers, func(m *crowdMember) { m.send([]byte(m.door.head(m.id)[:30])) }},
+	{"connections without a byte", 600, append(allDoors, doorPeers), readsAnswers, func(*crowdMember) {}},
 	{"announcements of many short fields", 100, []crowdDoor{doorAnnounce}, readsAnswers, func(m *crowdMember) {
 		body := `{"Models":[` + strings.Repeat("{},", crowdBodyBytes/3-10) + `{}]}`
 		m.send([]byte(m.door.head(m.id, lengthField(len(body))) + "\r\n" + body))
--- a/cmd/pollenwheel/rig_cluster_test.go
+++ b/cmd/pollenwheel/rig_cluster_test.go
@@ -21,6 +21,7 @@
 // Ports of a rig's hosts, counted from the first one.
 const (
 	rigPorts         = 24
+	rigPeerPort      = 0
 	rigControlPort   = 20
 	rigDirectoryPort = 21
 	rigFrontPort     = 22
--- a/node/explain/report.go
+++ b/node/explain/report.go
@@ -99,12 +99,13 @@
 
 // endDescriptions describes each event that ends a request.
 var endDescriptions = map[string]string{
-	decision.EventAnswered:   "was answered",
-	decision.EventLate:       "was answered late",
-	decision.EventRefused:    "was refused",
-	decision.EventFailed:     "failed",
-	decision.EventAborted:    "was aborted in the middle of its answer",
-	decision.EventCallerLeft: "was abandoned by its caller",
+	decision.EventAnswered:     "was answered",
+	decision.EventLate:         "was answered late",
+	decision.EventRefused:      "was refused",
+	decision.EventFailed:       "failed",
+	decision.EventAborted:      "was aborted in the middle of its answer",
+	decision.EventCallerLeft:   "was abandoned by its caller",
+	decision.EventUnauthorized: "was refused, since it has no valid key",
 }
 
 // summary returns the text for the field Summary.
