host: limit the connections at the port for other hosts

Cause: anybody who reaches the port could take all descriptors of a host (TestCrowds: 500, at most 300 wanted). Change: its listener has a table too. The platform's limit on descriptors includes 200 that it keeps for files, which a process must not count on; the shares of the listeners are those of what is left.

--- a/node/connections/conn.go
+++ b/node/connections/conn.go
@@ -174,6 +174,12 @@
 	return errors.Join(c.SetReadDeadline(at), c.SetWriteDeadline(at))
 }
 
+// Close closes the connection, which no longer counts.
+func (c *conn) Close() error {
+	c.entry.table.forget(c)
+	return c.Conn.Close()
+}
+
 // CloseWrite ends what is sent, so that the caller reads an answer that ends the connection before
 // the connection is reset.
 func (c *conn) CloseWrite() error {
--- a/node/connections/connections.go
+++ b/node/connections/connections.go
@@ -141,11 +141,21 @@
 	}
 }
 
+// forget removes a connection that its owner closes.
+func (t *Table) forget(conn net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remove(conn)
+}
+
 // close closes a connection. t.mu must be held. The server notices the end of the connection by
 // itself, and its error tells nothing.
-func (t *Table) close(conn net.Conn) {
-	t.remove(conn)
-	_ = conn.Close()
+func (t *Table) close(c net.Conn) {
+	t.remove(c)
+	if tracked, ok := c.(*conn); ok {
+		c = tracked.Conn
+	}
+	_ = c.Close()
 }
 
 // Run closes connections that are idle or whose heads take too long, until ctx ends. It calls
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -100,7 +100,7 @@
 	h.memory = memory.New(memory.LimitFor(s.MemoryMiB<<20), h.recordEndedAnswer)
 	h.connections = connections.New(h.now, connectionLimit(s, descriptors, callerShare), h.memory)
 	h.sender = state.HostProcess{Host: s.Host, Incarnation: uint64(time.Now().UnixNano())}
-	if err := h.listen(); err != nil {
+	if err := h.listen(descriptors); err != nil {
 		return nil, err
 	}
 	h.peers = peer.NewClient(h.traffic)
@@ -135,8 +135,9 @@
 	h.decisions.RecordStateChange(decision.EventAnswerEnded, decision.Fields{decision.FieldServer: e.Server, decision.FieldReason: e.Error()})
 }
 
-// listen opens the listeners for callers and for other hosts.
-func (h *Host) listen() error {
+// listen opens the listeners for callers and for other hosts of a process with a limit on
+// descriptors.
+func (h *Host) listen(descriptors int) error {
 	var err error
 	if h.callerListener, err = listenHTTP(h.settings.CallerAddress, h.logger); err != nil {
 		return fmt.Errorf("host: listen for callers: %w", err)
@@ -145,6 +146,7 @@
 		_ = h.callerListener.Close()
 		return fmt.Errorf("host: listen for other hosts: %w", err)
 	}
+	h.peerListener = listenForPeers(h.peerListener, h.settings, descriptors, h.now)
 	return nil
 }
 
--- a/node/host/listeners.go
+++ b/node/host/listeners.go
@@ -38,7 +38,8 @@
 // backend servers, other hosts and files.
 const (
 	callerShare   = 0.5
-	serviceShare  = 0.2
+	serviceShare  = 0.15
+	peerShare     = 0.15
 	operatorShare = 0.05
 )
 
@@ -90,6 +91,13 @@
 	return config.Listen(context.Background(), "tcp", address)
 }
 
+// listenForPeers returns a listener for other hosts whose connections are limited, so that nobody
+// else takes the descriptors of a host through it. Connections of hosts have traffic each second,
+// and are the last to make room.
+func listenForPeers(l net.Listener, s settings.Settings, descriptors int, now func() time.Duration) net.Listener {
+	return connections.New(now, connectionLimit(s, descriptors, peerShare), nil).Listen(l)
+}
+
 // recordPressure returns a function that logs which connections of a listener were evicted or
 // refused because there was no room.
 func recordPressure(log *decision.Log, l net.Listener) func(connections.Counts) {
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -196,6 +196,7 @@
 	if h.peerListener, err = net.Listen("tcp", h.opts.Settings.PeerAddress); err != nil {
 		return fmt.Errorf("host: listen for other hosts: %w", err)
 	}
+	h.peerListener = listenForPeers(h.peerListener, h.opts.Settings, h.descriptors, h.now)
 	if h.opts.CallerListenAddress != "" {
 		if err := h.listenAt(h.opts.CallerListenAddress, h.requestForwarder, h.connections); err != nil {
 			return err
