quotas: credit from a bucket at the leader keeps an account's quota over all hosts

Refusals are 429 with a time to return, amounts of requests that have not run come back, and a host without the leader uses an equal part. pollenctl accounts, a gauge, the event 'over_quota' and its amounts show the part at work.

--- a/cmd/pollenctl/accounts.go
+++ b/cmd/pollenctl/accounts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -29,13 +30,30 @@
 		return
 	}
 	t = newTable(w)
-	t.row("ACCOUNT", "KEYS", "PRIORITY")
+	t.row("ACCOUNT", "KEYS", "PRIORITY", "QUOTA", "CREDIT HERE", "LEFT AT THE LEADER")
 	for _, account := range a.Accounts {
 		priority := any("of the route")
 		if account.Priority != nil {
 			priority = *account.Priority
 		}
-		t.row(account.Name, account.Keys, priority)
+		quota, credit, level := formatQuota(account.Quota)
+		t.row(account.Name, account.Keys, priority, quota, credit, level)
 	}
 	t.flush()
 }
+
+// formatQuota describes a quota, what a host can admit at once, and what the leader can still grant.
+func formatQuota(q *admin.QuotaStatus) (quota, credit, level string) {
+	if q == nil {
+		return "none", "", ""
+	}
+	unit := "requests"
+	if q.Tokens {
+		unit = "tokens"
+	}
+	level = "ask the leader"
+	if q.Level != nil {
+		level = fmt.Sprintf("%.0f", *q.Level)
+	}
+	return fmt.Sprintf("%g %s per second, burst %g", q.PerSecond, unit, q.Burst), fmt.Sprintf("%.0f", q.Credit), level
+}
--- a/core/account/account.go
+++ b/core/account/account.go
@@ -8,6 +8,9 @@
 	"encoding/base64"
 	"fmt"
 	"strconv"
+	"time"
+
+	"github.com/pollenwheel/pollenwheel/core/quota"
 )
 
 // Account is a client account.
@@ -16,6 +19,68 @@
 	// Priority replaces that of the route for the account's requests, if it is set. 0 is the
 	// most urgent.
 	Priority *int `json:"priority,omitempty"`
+	// Quota limits the account's requests over all hosts. It is nil if there is no limit.
+	Quota *Quota `json:"quota,omitempty"`
+}
+
+// Quota is the limit of an account: a rate, and a burst above it.
+type Quota struct {
+	PerSecond float64 `json:"per_second"`
+	Burst     float64 `json:"burst"`
+	// Tokens is set if amounts are tokens. Otherwise each request counts as one.
+	Tokens bool `json:"tokens,omitempty"`
+	// PlainTokens is the amount of a request that names no tokens.
+	PlainTokens float64 `json:"plain_tokens,omitempty"`
+}
+
+// Amount returns what a request with the given number of tokens counts; tokens is negative if it
+// names none.
+func (q Quota) Amount(tokens float64) float64 {
+	switch {
+	case !q.Tokens:
+		return 1
+	case tokens < 0:
+		return q.PlainTokens
+	}
+	return tokens
+}
+
+// minBurst is the time whose rate a burst holds at least: without any, a bucket could grant nothing.
+const minBurst = 0.25
+
+// Tolerance is by how much operators allow a quota to be exceeded within a window of time.
+type Tolerance struct {
+	Window time.Duration
+	// Ratio is the part of the quota of a window, and Amount what comes on top of that if amounts are
+	// tokens.
+	Ratio, Amount float64
+}
+
+// toleranceShare is the part of the tolerance that bursts may use. The rest is for what hosts do
+// without each other.
+const toleranceShare = 0.5
+
+// burst returns the burst of a quota with its part of the tolerance.
+func (t Tolerance) burst(q Quota) float64 {
+	extra := t.Ratio * (q.PerSecond*t.Window.Seconds() + q.Burst)
+	if q.Tokens {
+		extra += t.Amount
+	}
+	return max(q.Burst+toleranceShare*extra, minBurst*q.PerSecond)
+}
+
+// Limits returns the limits of the accounts that have a quota, by account.
+func (l *List) Limits(t Tolerance) map[string]quota.Limit {
+	out := map[string]quota.Limit{}
+	if l == nil {
+		return out
+	}
+	for _, a := range l.Accounts {
+		if q := a.Quota; q != nil {
+			out[a.Name] = quota.Limit{PerSecond: q.PerSecond, Burst: t.burst(*q)}
+		}
+	}
+	return out
 }
 
 // Digest is the SHA-256 of the text of a key.
--- a/node/admin/accounts.go
+++ b/node/admin/accounts.go
@@ -28,6 +28,19 @@
 	Keys int `json:"keys"`
 	// Priority replaces that of routes, if it is set.
 	Priority *int `json:"priority,omitempty"`
+	// Quota is nil if the account has none.
+	Quota *QuotaStatus `json:"quota,omitempty"`
+}
+
+// QuotaStatus describes the quota of an account. Amounts are tokens or requests.
+type QuotaStatus struct {
+	PerSecond float64 `json:"per_second"`
+	Burst     float64 `json:"burst"`
+	Tokens    bool    `json:"tokens"`
+	// Credit is what this host can admit at once.
+	Credit float64 `json:"credit"`
+	// Level is what the leader can still grant. It is only known to the leader.
+	Level *float64 `json:"level,omitempty"`
 }
 
 func (a *API) accounts(c echo.Context) error {
--- a/node/decision/decision.go
+++ b/node/decision/decision.go
@@ -83,6 +83,10 @@
 	// that is resumed, and FieldResumeAfter the ID of the last event that its caller has.
 	FieldResumedStream = "resumed_stream"
 	FieldResumeAfter   = "resume_after"
+	// FieldAmount is what a request counts against the quota of its account, and FieldQuota the
+	// quota's rate per second.
+	FieldAmount = "amount"
+	FieldQuota  = "quota"
 	// FieldListener is the address of a listener, FieldOpen the number of its connections, and
 	// FieldEvicted and FieldConnectionsRefused how many of them were closed for others or found no
 	// room since the start.
@@ -110,12 +114,14 @@
 	EventFailed     = "failed"
 	EventAborted    = "aborted"
 	EventCallerLeft = "caller_left"
+	// EventOverQuota is logged for a request that its account's quota does not admit.
+	EventOverQuota = "over_quota"
 	// EventUnauthorized is logged for a request without the key of an account.
 	EventUnauthorized = "unauthorized"
 )
 
 // RequestEvents lists all events of a request.
-var RequestEvents = []string{EventAttempt, EventSent, EventResumed, EventUnresumed, EventAnswered, EventLate, EventRefused, EventFailed, EventAborted, EventCallerLeft, EventUnauthorized}
+var RequestEvents = []string{EventAttempt, EventSent, EventResumed, EventUnresumed, EventAnswered, EventLate, EventRefused, EventFailed, EventAborted, EventCallerLeft, EventUnauthorized, EventOverQuota}
 
 // Events that change a process's view of the cluster.
 const (
--- a/node/explain/report.go
+++ b/node/explain/report.go
@@ -105,6 +105,7 @@
 	decision.EventFailed:       "failed",
 	decision.EventAborted:      "was aborted in the middle of its answer",
 	decision.EventCallerLeft:   "was abandoned by its caller",
+	decision.EventOverQuota:    "was refused by the quota of its account",
 	decision.EventUnauthorized: "was refused, since it has no valid key",
 }
 
--- a/node/forward/ending.go
+++ b/node/forward/ending.go
@@ -90,13 +90,17 @@
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
 	event := decision.EventRefused
-	if status == http.StatusUnauthorized {
+	fields := decision.Fields{decision.FieldStatus: status, decision.FieldReason: reason, decision.FieldRetryAfterMS: retryAfter.Milliseconds()}
+	switch status {
+	case http.StatusUnauthorized:
 		event = decision.EventUnauthorized
+	case http.StatusTooManyRequests:
+		event = decision.EventOverQuota
+		fields[decision.FieldAmount], fields[decision.FieldQuota] = c.quota.Amount(c.request.Tokens), c.quota.PerSecond
 	}
+	c.refused = true
 	c.skipBody()
-	c.logEvent(event, decision.Fields{
-		decision.FieldStatus: status, decision.FieldReason: reason, decision.FieldRetryAfterMS: retryAfter.Milliseconds(),
-	})
+	c.logEvent(event, fields)
 	c.writeStatus(status)
 	return false
 }
--- a/node/forward/forwarder.go
+++ b/node/forward/forwarder.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pollenwheel/pollenwheel/core/account"
 	"github.com/pollenwheel/pollenwheel/core/evidence"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/notice"
@@ -23,6 +24,7 @@
 	"github.com/pollenwheel/pollenwheel/node/memory"
 	"github.com/pollenwheel/pollenwheel/node/origins"
 	"github.com/pollenwheel/pollenwheel/node/permits"
+	"github.com/pollenwheel/pollenwheel/node/quotas"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 )
 
@@ -63,6 +65,10 @@
 	// MaxRequests is the number of connections that callers may have. Requests in progress take
 	// a part of them only, so that others still get an answer. Zero means any number.
 	MaxRequests int
+	// Quotas admits requests by the quotas of their accounts. It may be nil.
+	Quotas *quotas.Client
+	// QuotaTolerance is by how much the quotas may be exceeded.
+	QuotaTolerance account.Tolerance
 	// AskPermits asks the leader for permits to send requests to servers that name a
 	// limit. If it is nil, the host uses its own share of each limit.
 	AskPermits permits.Ask
--- a/node/forward/protocol.go
+++ b/node/forward/protocol.go
@@ -30,6 +30,8 @@
 	ResumedStream string
 	// APIKey is the key of the caller's account. It is empty if the request has none or several.
 	APIKey string
+	// Tokens is the number of tokens that the request names, or negative if it names none.
+	Tokens float64
 }
 
 // Attempt holds the values that one attempt on a backend server adds to the
--- a/node/forward/serve.go
+++ b/node/forward/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pollenwheel/pollenwheel/core/account"
 	"github.com/pollenwheel/pollenwheel/core/exchange"
 	"github.com/pollenwheel/pollenwheel/core/origin"
 	"github.com/pollenwheel/pollenwheel/core/residency"
@@ -39,7 +40,12 @@
 	// request, if it has one.
 	accounts bool
 	account  string
-	key      routing.Key
+	// quota is that of the account, if it has one.
+	quota *account.Quota
+	// refused is set once the request has been refused, so that it has not run, and tried once an
+	// attempt has begun.
+	refused, tried bool
+	key            routing.Key
 	// fingerprint is a hash of the request's content. A repeated request has the
 	// same fingerprint.
 	fingerprint string
@@ -114,7 +120,10 @@
 		return
 	}
 	defer f.endRequest(c.key.Service)
-	c.run()
+	if c.takeQuota() {
+		defer c.refundQuota()
+		c.run()
+	}
 }
 
 // admit reads the request and selects its route. It returns false if it has refused the
@@ -247,7 +256,7 @@
 	f := c.forwarder
 	target := residency.Target{Model: c.key.Model, Adapter: c.key.Adapter}
 	f.recordAttemptStart(target, attempt.Server)
-	c.attemptBegun = false
+	c.attemptBegun, c.tried = false, true
 	out := c.send(c.ctx, attempt)
 	f.recordAttemptEnd(target, attempt, out, c.ctx.Err() != nil)
 	switch {
--- a/node/forward/view.go
+++ b/node/forward/view.go
@@ -79,6 +79,9 @@
 		}
 		table := s.Published.Table
 		next.index = route.NewIndex(&table)
+		if f.opts.Quotas != nil {
+			f.opts.Quotas.SetLimits(table.Accounts.Limits(f.opts.QuotaTolerance))
+		}
 		f.opts.Decisions.RecordStateChange(decision.EventTable, decision.Fields{decision.FieldVersion: table.Version, decision.FieldIndex: s.Index})
 	})
 	f.view.Store(next)
--- a/node/host/accounts.go
+++ b/node/host/accounts.go
@@ -35,9 +35,9 @@
 		return out
 	}
 	out.Required = true
-	keys := table.Accounts.KeyCounts()
+	keys, quotas := table.Accounts.KeyCounts(), h.quotaStatus(table.Accounts)
 	for _, a := range table.Accounts.Accounts {
-		out.Accounts = append(out.Accounts, admin.AccountStatus{Name: a.Name, Keys: keys[a.Name], Priority: a.Priority})
+		out.Accounts = append(out.Accounts, admin.AccountStatus{Name: a.Name, Keys: keys[a.Name], Priority: a.Priority, Quota: quotas[a.Name]})
 	}
 	return out
 }
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/pollenwheel/pollenwheel/core/account"
 	"github.com/pollenwheel/pollenwheel/core/burn"
 	"github.com/pollenwheel/pollenwheel/core/membership"
 	"github.com/pollenwheel/pollenwheel/core/placement"
@@ -30,6 +31,7 @@
 	"github.com/pollenwheel/pollenwheel/node/origins"
 	"github.com/pollenwheel/pollenwheel/node/peer"
 	"github.com/pollenwheel/pollenwheel/node/permits"
+	"github.com/pollenwheel/pollenwheel/node/quotas"
 	"github.com/pollenwheel/pollenwheel/node/replica"
 	"github.com/pollenwheel/pollenwheel/node/settings"
 	"github.com/pollenwheel/pollenwheel/node/telemetry"
@@ -61,6 +63,8 @@
 	// MaxAccountsAge is how long this host may rely on the accounts that it knows without a word
 	// of the leader that they are current. Zero means for any time.
 	MaxAccountsAge time.Duration
+	// QuotaTolerance is by how much the quotas of accounts may be exceeded.
+	QuotaTolerance account.Tolerance
 	// Handlers maps further listen addresses to the constructors of their handlers,
 	// which receive the host.
 	Handlers map[string]func(*RoutedHost) http.Handler
@@ -93,6 +97,9 @@
 	permitServer *permits.Server
 	// originServer is nil without the control role.
 	originServer *origins.Server
+	// quotaServer is nil without the control role, and quotas admits requests by their accounts.
+	quotaServer *quotas.Server
+	quotas      *quotas.Client
 	// memory accounts for requests and answers, and connections holds those of callers.
 	memory        *memory.Account
 	connections   *connections.Table
@@ -156,7 +163,9 @@
 	h.placer = newPlacer(h, o.ServerClient, o.OrderDelay)
 	if h.group != nil {
 		h.originServer = h.newOriginServer()
+		h.quotaServer = h.newQuotaServer()
 	}
+	h.quotas = quotas.NewClient(askQuotas(h.leaderClient, quotaHandler(h.quotaServer)), h.callerHostCount, h.now)
 	h.requestForwarder = forward.New(forward.Options{
 		Protocol: o.Protocol, Replica: h.replica, Log: h.leaderClient, DataCentre: o.Settings.DataCentre, Self: h.sender,
 		Servers: h.members.Servers, ServersChanged: h.members.serversChanged, Holdings: h.holdings,
@@ -165,7 +174,7 @@
 		OnLeaving:  h.members.recordLeaving,
 		AskPermits: askPermits(h.leaderClient, permitHandler(h.permitServer), h.sender.Incarnation),
 		AskOrigins: askOrigins(h.leaderClient, originHandler(h.originServer)),
-		ServerSeen: h.members.serverSeen, ConfirmProcess: h.confirmProcess, AccountsCurrent: h.accountsCurrent,
+		ServerSeen: h.members.serverSeen, ConfirmProcess: h.confirmProcess, AccountsCurrent: h.accountsCurrent, Quotas: h.quotas, QuotaTolerance: o.QuotaTolerance,
 	})
 	if err := h.createMetrics(); err != nil {
 		return nil, err
@@ -262,9 +271,11 @@
 	if h.group != nil {
 		g.add(h.group.Run)
 		g.add(h.placer.run)
+		g.add(h.quotaServer.Run)
 	} else {
 		g.add(h.follower.Run)
 		g.add(h.requestForwarder.Run)
+		g.add(h.quotas.Run)
 		g.add(h.followHoldings)
 		g.add(h.newReporter().run)
 	}
@@ -358,7 +369,7 @@
 func (h *RoutedHost) servePeers(g *runGroup) {
 	server := peer.NewServer(peer.Handlers{
 		Host: h.opts.Settings.Host, LogMember: h.peerGroup(), Gossip: h.members.receive, Demand: h.placer.acceptDemandReport,
-		Holdings: h.placer.streamHoldings, Permits: permitHandler(h.permitServer), Origins: originHandler(h.originServer),
+		Holdings: h.placer.streamHoldings, Permits: permitHandler(h.permitServer), Origins: originHandler(h.originServer), Quotas: quotaHandler(h.quotaServer),
 		Drain: h.beginDeparture, Burn: func() burn.Snapshot { return burn.Snapshot{} },
 	})
 	g.Add(func() error { return server.Serve(h.peerListener) }, func(error) { server.Stop() })
--- a/node/host/routed_operator.go
+++ b/node/host/routed_operator.go
@@ -83,6 +83,9 @@
 	if err := createInstruments(h.metrics.Meter(), h.counters(), slices.Concat(h.gauges(), h.accountGauges(), connectionGauges(h.connections, h.memory), controlGauges(h.group))); err != nil {
 		return err
 	}
+	if err := h.createQuotaMetrics(); err != nil {
+		return err
+	}
 	return h.createOriginMetrics()
 }
 
--- a/node/peer/errors.go
+++ b/node/peer/errors.go
@@ -24,6 +24,7 @@
 	OpHoldings  Op = "holdings"
 	OpPermits   Op = "permits"
 	OpOrigins   Op = "origins"
+	OpQuotas    Op = "quotas"
 )
 
 // Delivery states whether a failed call may have reached the other host.
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -52,8 +52,11 @@
 	// Origins serves reports of the origins of streams while this host leads. It is nil on
 	// hosts that cannot lead.
 	Origins OriginHandler
-	Drain   func()
-	Burn    func() burn.Snapshot
+	// Quotas grants credit from the quotas of accounts while this host leads. It is nil on hosts that
+	// cannot lead.
+	Quotas QuotaHandler
+	Drain  func()
+	Burn   func() burn.Snapshot
 	// Traffic counts the served calls and their bytes. It may be nil.
 	Traffic *Traffic
 }
