--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -13,6 +13,8 @@
 	// contactTimeout is how long a host waits for the leader's answer before it uses its own part of
 	// the rate.
 	contactTimeout = 1200 * time.Millisecond
+	// answerTimeout is how long an answer takes at most while the leader is in touch.
+	answerTimeout = 150 * time.Millisecond
 	// ownBurst is the time for which a host without the leader collects its part of the rate.
 	ownBurst = 2 * time.Second
 	// sparePause is the shortest time between two requests for spare credit.
@@ -60,8 +62,8 @@
 	// unanswered is since when the leader owes an answer; zero if it owes none. ownAt is the time up
 	// to which the host has taken its own part of the rate.
 	unanswered, ownAt time.Duration
-	// answeredAt is when the leader last answered.
-	answeredAt time.Duration
+	// answered is set once the leader has answered.
+	answered bool
 }
 
 // NewClient returns a client of no accounts.
@@ -116,15 +118,15 @@
 	return Wait, 0
 }
 
-// Cancel ends the wait of a request. It reports whether the leader has answered, so that the quota
-// is used up.
-func (c *Client) Cancel(account string, request uint64) (answered bool) {
+// Cancel ends the wait of a request. It reports whether the leader answers, so that the quota is used
+// up.
+func (c *Client) Cancel(now time.Duration, account string, request uint64) (answered bool) {
 	p := c.purses[account]
 	if p == nil {
 		return false
 	}
 	delete(p.waiting, request)
-	return p.answeredAt > 0 && p.unanswered == 0
+	return p.answered && (p.unanswered == 0 || now-p.unanswered < answerTimeout)
 }
 
 // Refund gives back the amount of a request that was admitted and has not run.
@@ -224,7 +226,7 @@
 			continue
 		}
 		p.unanswered, p.emptyUntil = 0, 0
-		p.answeredAt = max(1, now)
+		p.answered = true
 		p.credit += credit.Granted
 		if credit.RetryIn > 0 {
 			p.emptyUntil = now + credit.RetryIn
--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -97,7 +97,7 @@
 		s.admitted[len(s.admitted)-1] += r.amount
 		s.served += r.amount
 	case verdict == Refuse || s.now >= r.giveUp:
-		h.client.Cancel("a", id)
+		h.client.Cancel(s.now, "a", id)
 		s.refused += r.amount
 	default:
 		h.waiting[id] = r
--- a/node/quotas/client.go
+++ b/node/quotas/client.go
@@ -80,7 +80,7 @@
 		case verdict == quota.Refuse:
 			return Decision{RetryIn: retryIn}
 		case now-begun >= patience || ctx.Err() != nil:
-			return Decision{Unknown: !c.core.Cancel(account, request)}
+			return Decision{Unknown: !c.core.Cancel(now, account, request)}
 		}
 		c.wait(ctx, begun+patience-now)
 	}
