--- a/cmd/pollenwheel/crowd_test.go
+++ b/cmd/pollenwheel/crowd_test.go
@@ -434,7 +434,7 @@
 		if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); err == nil {
 			u.descriptors = max(u.descriptors, len(entries))
 		}
-		u.memoryMB = max(u.memoryMB, peakResidentMB(pid))
+		u.memoryMB = max(u.memoryMB, statusMiB(pid, "VmHWM:"))
 		select {
 		case <-done:
 			return
@@ -443,18 +443,6 @@
 	}
 }
 
-// peakResidentMB returns the highest resident memory that a process has had, in MiB.
-func peakResidentMB(pid int) int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(data), "VmHWM:")
-	kib := 0
-	_, _ = fmt.Sscan(rest, &kib)
-	return kib >> 10
-}
-
 // TestCrowds guards against callers that end a process, or shut out others, by what they send or
 // do not read: a process must live, stay within its memory and descriptors, and serve ordinary
 // callers, and what it refuses must not have run.
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -71,11 +71,7 @@
 
 // SetLimits replaces the limits. Credit above a lower limit is lost.
 func (c *Client) SetLimits(now time.Duration, limits map[string]Limit) {
-	for account := range c.purses {
-		if _, ok := limits[account]; !ok {
-			delete(c.purses, account)
-		}
-	}
+	deleteOthers(c.purses, limits)
 	for account, limit := range limits {
 		p := c.purses[account]
 		if p == nil {
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -26,11 +26,7 @@
 
 // SetLimits replaces the limits. What a bucket holds above a lower limit is lost.
 func (l *Ledger) SetLimits(now time.Duration, limits map[string]Limit) {
-	for account := range l.buckets {
-		if _, ok := limits[account]; !ok {
-			delete(l.buckets, account)
-		}
-	}
+	deleteOthers(l.buckets, limits)
 	for account, limit := range limits {
 		b := l.buckets[account]
 		if b == nil {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -4,7 +4,10 @@
 // performs no I/O and is given the time.
 package quota
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Limit is the quota of an account. Amounts are requests or tokens, as the account counts.
 type Limit struct {
@@ -44,5 +47,13 @@
 	spareShare = 0.5
 )
 
+// deleteOthers deletes the accounts that have no limit any more.
+func deleteOthers[V any](accounts map[string]V, limits map[string]Limit) {
+	maps.DeleteFunc(accounts, func(account string, _ V) bool {
+		_, limited := limits[account]
+		return !limited
+	})
+}
+
 // standing returns the credit that each of n hosts starts with.
 func (l Limit) standing(n int) float64 { return hostShare * l.Burst / float64(max(1, n)) }
