membership: send changes of adapters to the control hosts only

Cause: each announcement that names another adapter was a new state, which each host sends on to up to 15 others. 112 servers load and unload adapters some 80 times a second, which is 270 to 930 messages a second for each entry host. Class: a cost that grows as hosts times changes. Entry hosts do not use this: the leader streams the holdings to them. Change: on hosts with a route table, a change of adapters alone is no new state. The control host that receives it sends the record to the other control hosts at the next tick, and again every eighth announcement. Records tell from which announcement their models are, so that an older list never replaces a newer one. Checkpoints of one model in two tiers have a fixed order. TestControlHostsKnowAdapters: 30% of messages lost; fails without the repetition.

--- a/core/membership/gossip.go
+++ b/core/membership/gossip.go
@@ -274,6 +274,7 @@
 		t.nextFlush = now + flushInterval
 		t.sendHeartbeats(now)
 	}
+	t.sendAdapters(now)
 	t.sendUpdates(now, false)
 	if now >= t.nextDigest {
 		t.nextDigest = now + digestInterval
--- a/core/membership/merge.go
+++ b/core/membership/merge.go
@@ -145,7 +145,10 @@
 	if t.opts.disabled.revisionReissue {
 		winner.Revision = max(winner.Revision, loser.Revision)
 	} else {
-		winner.Revision = mergedRevision(winner, loser)
+		winner.Revision = t.mergedRevision(winner, loser)
+	}
+	if winner.Revision == loser.Revision && loser.ModelsSequence > winner.ModelsSequence {
+		winner.Models, winner.ModelsSequence = loser.Models, loser.ModelsSequence
 	}
 	winner.Load = newerLoad(winner, loser)
 	t.putServer(winner, lastSeen)
@@ -153,8 +156,8 @@
 
 // mergedRevision returns the revision of the merged record. It exceeds the loser's
 // if the winner has a later announcement and another state.
-func mergedRevision(winner, loser ServerRecord) uint64 {
-	if winner.Silent == loser.Silent && sameState(winner.Server, loser.Server) {
+func (t *Table) mergedRevision(winner, loser ServerRecord) uint64 {
+	if winner.Silent == loser.Silent && t.sameState(winner.Server, loser.Server) {
 		return max(winner.Revision, loser.Revision)
 	}
 	if winner.Revision > loser.Revision {
--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -57,6 +57,9 @@
 	// Silent is set when the hosts of the server's data centre have received no
 	// announcement after Sequence for SilentAfter.
 	Silent bool
+	// ModelsSequence is the sequence number of the announcement that Models is from. Where a change
+	// of adapters is no new state, records of one revision may differ in it.
+	ModelsSequence uint64
 }
 
 // Heartbeat confirms that a state is still current. ID is the hash of the state's
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -43,6 +43,10 @@
 	// replaces one of a service that is, since another writer may use the name of a server. Nil
 	// means that all are.
 	Offered func(service string) bool
+	// AdaptersForControlOnly is set where only control hosts need to know which adapters a server
+	// holds, because the leader tells the others. Servers load and unload adapters many times a
+	// second in all, and each new state is sent to every host several times.
+	AdaptersForControlOnly bool
 
 	// disabled is set only by tests, to show that they fail without a mechanism.
 	disabled disabledMechanisms
@@ -91,7 +95,9 @@
 	merging bool
 	// pendingHeartbeats holds the keys whose heartbeats wait for the next flush.
 	pendingHeartbeats map[Key]bool
-	outbox            []Message
+	// pendingAdapters holds the servers whose adapters are sent to the control hosts at the next tick.
+	pendingAdapters map[Key]bool
+	outbox          []Message
 
 	started   bool
 	startedAt time.Duration
@@ -124,7 +130,7 @@
 	}
 	t := &Table{
 		opts: opts, rand: opts.Rand, servers: map[string]*serverEntry{}, hosts: map[string]*hostEntry{},
-		byID: map[uint64]Key{}, updates: map[Key]*update{}, pendingHeartbeats: map[Key]bool{}, requested: map[string]bool{}, comparedAt: never,
+		byID: map[uint64]Key{}, updates: map[Key]*update{}, pendingHeartbeats: map[Key]bool{}, pendingAdapters: map[Key]bool{}, requested: map[string]bool{}, comparedAt: never,
 	}
 	if t.opts.RemoteHeartbeatEvery == 0 {
 		t.opts.RemoteHeartbeatEvery = defaultRemoteEvery
@@ -166,6 +172,9 @@
 	t.putHost(HostRecord{Host: next, Revision: next.Sequence}, t.lastTick)
 }
 
+// LimitAdapters sets AdaptersForControlOnly of the options.
+func (t *Table) LimitAdapters() { t.opts.AdaptersForControlOnly = true }
+
 // Superseded reports whether a newer process runs under this host's name.
 func (t *Table) Superseded() bool { return t.superseded }
 
@@ -181,9 +190,10 @@
 			return false
 		}
 	}
-	r := ServerRecord{Server: s, Revision: s.Sequence}
-	if ok && !old.Silent && sameState(old.Server, s) {
+	r := ServerRecord{Server: s, Revision: s.Sequence, ModelsSequence: s.Sequence}
+	if ok && !old.Silent && t.sameState(old.Server, s) {
 		r.Revision = old.Revision
+		t.recordAdapters(old.Server, s)
 	}
 	t.mergeServer(now, r)
 	return true
@@ -213,12 +223,16 @@
 	})
 	s.Cached = slices.Clone(s.Cached)
 	slices.SortFunc(s.Cached, func(a, b Checkpoint) int {
-		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Tier, b.Tier))
 	})
 }
 
-// sameState reports whether a and b are equal except for sequence and load.
-func sameState(a, b Server) bool {
+// sameState reports whether a and b are equal except for sequence, load and, if only control hosts
+// need them, adapters.
+func (t *Table) sameState(a, b Server) bool {
+	if t.opts.AdaptersForControlOnly {
+		a.Models, b.Models = withoutAdapters(a.Models), withoutAdapters(b.Models)
+	}
 	a.Sequence, b.Sequence = 0, 0
 	a.Load, b.Load = Load{}, Load{}
 	if len(a.Models) != len(b.Models) || len(a.Cached) != len(b.Cached) {
--- a/core/membership/table_test.go
+++ b/core/membership/table_test.go
@@ -244,7 +244,7 @@
 		if status.Name != s.Name {
 			continue
 		}
-		if !sameState(status.Server, want) {
+		if !m.table.sameState(status.Server, want) {
 			t.Errorf("%s holds %+v, want the newest %+v", m.host.Name, status.Server, want)
 		}
 		if status.Silent == s.running {
--- a/node/host/routed.go
+++ b/node/host/routed.go
@@ -144,6 +144,7 @@
 	h.connections = connections.New(h.now, connectionLimit(o.Settings, h.descriptors, callerShare), h.memory)
 	h.members = newMembers(o.Settings, h.hostRecord(), h.peers, h.now)
 	h.members.offered = h.offersService
+	h.members.table.LimitAdapters()
 	if o.Settings.Control {
 		h.transport = peer.NewTransport(h.peers)
 		g, err := openMember(o.Settings, o.Settings.PeerAddress, control.Options{
--- a/node/peer/gossip.go
+++ b/node/peer/gossip.go
@@ -117,6 +117,7 @@
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Revision: s.Revision, Silent: s.Silent,
 		Accelerators: int64(s.Accelerators), MemoryMib: s.MemoryMiB, Engine: s.Engine,
 		ChecksFencing: s.ChecksFencing, NewestOrder: s.NewestOrder, Leaving: s.Leaving, SoftwareVersion: s.SoftwareVersion,
+		ModelsSequence: s.ModelsSequence,
 	}
 	for _, r := range s.Models {
 		out.Models = append(out.Models, &peerpb.ModelReport{
@@ -133,7 +134,7 @@
 }
 
 func serverFromProto(s *peerpb.ServerRecord) membership.ServerRecord {
-	out := membership.ServerRecord{Revision: s.Revision, Silent: s.Silent, Server: membership.Server{
+	out := membership.ServerRecord{Revision: s.Revision, Silent: s.Silent, ModelsSequence: s.ModelsSequence, Server: membership.Server{
 		Name: s.Name, Service: s.Service, Kind: config.ServiceKind(s.Kind), DataCentre: s.DataCentre, Address: s.Address,
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Accelerators: int(s.Accelerators), MemoryMiB: s.MemoryMib,
 		Engine: s.Engine, ChecksFencing: s.ChecksFencing, NewestOrder: s.NewestOrder, Leaving: s.Leaving,
