host: bound what the leader spends on streams of holdings

Cause: for each change of holdings, the stream to each host compared the holdings of all servers by reflection, and sent a message: 89 hosts x 112 servers x up to 50 changes a second. Change: holdings carry the revision of their last change, which is found once; all streams together send 3,000 updates a second at most, so that with 89 hosts one gets an update each 30 ms and with 8 hosts each 3 ms.

--- a/node/host/placer.go
+++ b/node/host/placer.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/membership"
@@ -60,6 +61,8 @@
 	term    *leaderTerm
 	reports map[string]peer.DemandReport
 	wake    chan struct{}
+	// holdingsStreams is the number of hosts to which holdings are streamed.
+	holdingsStreams atomic.Int64
 }
 
 // leaderTerm is the state of one term in which this host leads.
@@ -72,9 +75,10 @@
 	// once orders may be sent.
 	previousLeader state.HostProcess
 	ordersAllowed  bool
-	// holdings contains the newest holdings, by server name. changed is closed at
-	// their next change, and ended at the end of the term.
-	holdings map[string]residency.ServerHoldings
+	// holdings contains the newest holdings, by server name, and revision counts their changes.
+	// changed is closed at their next change, and ended at the end of the term.
+	holdings map[string]revisedHoldings
+	revision uint64
 	changed  chan struct{}
 	ended    chan struct{}
 }
@@ -120,7 +124,7 @@
 	t := &leaderTerm{
 		previousLeader: previousLeader,
 		planner:        residency.New(), registry: origin.NewRegistry(), fence: term, startedAt: h.now(),
-		holdings: map[string]residency.ServerHoldings{}, changed: make(chan struct{}), ended: make(chan struct{}),
+		holdings: map[string]revisedHoldings{}, changed: make(chan struct{}), ended: make(chan struct{}),
 	}
 	p.setTerm(t)
 	h.decisions.RecordStateChange(decision.EventLeadership, decision.Fields{decision.FieldFence: t.fence, decision.FieldOutcome: "began"})
--- a/node/host/placer_holdings.go
+++ b/node/host/placer_holdings.go
@@ -8,21 +8,34 @@
 	"time"
 
 	"github.com/pollenwheel/pollenwheel/core/residency"
+	"github.com/pollenwheel/pollenwheel/node/bootclock"
 	"github.com/pollenwheel/pollenwheel/node/control"
 	"github.com/pollenwheel/pollenwheel/node/peer"
 )
 
+// revisedHoldings are the holdings of a server with the revision at which they last changed, so that
+// the streams to many hosts need not compare them.
+type revisedHoldings struct {
+	residency.ServerHoldings
+	revision uint64
+}
+
 // publishHoldings stores the holdings and wakes the streams if they have changed.
 // The caller holds the lock.
 func (t *leaderTerm) publishHoldings(list []residency.ServerHoldings) {
-	next := make(map[string]residency.ServerHoldings, len(list))
+	next := make(map[string]revisedHoldings, len(list))
+	changed := len(list) != len(t.holdings)
 	for _, s := range list {
-		next[s.Server] = s
+		r, known := t.holdings[s.Server]
+		if !known || !reflect.DeepEqual(r.ServerHoldings, s) {
+			r, changed = revisedHoldings{s, t.revision + 1}, true
+		}
+		next[s.Server] = r
 	}
-	if reflect.DeepEqual(next, t.holdings) {
+	if !changed {
 		return
 	}
-	t.holdings = next
+	t.holdings, t.revision = next, t.revision+1
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
@@ -31,8 +44,10 @@
 // returns *control.NotLeaderError. The first update is complete. Later ones contain
 // only the servers whose holdings have changed.
 func (p *placer) streamHoldings(ctx context.Context, send func(peer.HoldingsUpdate) error) error {
-	sent := map[string]residency.ServerHoldings{}
-	complete := true
+	p.holdingsStreams.Add(1)
+	defer p.holdingsStreams.Add(-1)
+	var streamed *leaderTerm
+	sent := uint64(0)
 	for {
 		p.mu.Lock()
 		t := p.term
@@ -40,19 +55,24 @@
 			p.mu.Unlock()
 			return &control.NotLeaderError{}
 		}
-		current, changed := t.holdings, t.changed
+		current, revision, changed := t.holdings, t.revision, t.changed
 		p.mu.Unlock()
+		// Revisions of two terms cannot be compared.
+		complete := t != streamed
 		u := peer.HoldingsUpdate{Complete: complete}
 		now := p.host.now()
 		for _, name := range slices.Sorted(maps.Keys(current)) {
-			if complete || !reflect.DeepEqual(sent[name], current[name]) {
-				u.Servers = append(u.Servers, relativeHoldings(current[name], now))
+			if s := current[name]; complete || s.revision > sent {
+				u.Servers = append(u.Servers, relativeHoldings(s.ServerHoldings, now))
 			}
 		}
 		if err := send(u); err != nil {
 			return err
 		}
-		sent, complete = current, false
+		streamed, sent = t, revision
+		if !bootclock.Sleep(ctx, p.holdingsPause()) {
+			return ctx.Err()
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -63,6 +83,15 @@
 	}
 }
 
+// maxHoldingsUpdates bounds the updates of holdings a second that the leader sends to all hosts
+// together, so that its work does not grow with their number while servers load adapters.
+const maxHoldingsUpdates = 3000
+
+// holdingsPause returns the shortest time between two updates to one host.
+func (p *placer) holdingsPause() time.Duration {
+	return time.Duration(p.holdingsStreams.Load()) * time.Second / maxHoldingsUpdates
+}
+
 // relativeHoldings converts the times in s to durations from now, since hosts do not
 // share a clock.
 func relativeHoldings(s residency.ServerHoldings, now time.Duration) residency.ServerHoldings {
